--- /dev/null
+++ b/scripts/common.sh
@@ -0,0 +1,25 @@
+# Sourced by the other scripts: installs what is needed and builds. All paths are relative to the repository's root.
+set -euo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")/.."
+BUILD=build
+
+install_packages() {
+    local missing=()
+    local package
+    for package in $(cat scripts/packages.txt); do
+        dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
+    done
+    if [ ${#missing[@]} -gt 0 ]; then
+        echo "installing: ${missing[*]}"
+        apt-get update -qq
+        DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${missing[@]}" >/dev/null
+    fi
+}
+
+build() {
+    cmake -S . -B "$BUILD" -G Ninja >/dev/null
+    ninja -C "$BUILD" "$@" >"$BUILD/ninja.log" 2>&1 || {
+        grep -E 'error|FAILED' "$BUILD/ninja.log" | head -40
+        return 1
+    }
+}
--- /dev/null
+++ b/src/control/controldaemon.cpp
@@ -0,0 +1,121 @@
+#include "control/controldaemon.h"
+
+#include "core/commandline.h"
+#include "core/log.h"
+#include "core/stopsignal.h"
+#include "core/visitors.h"
+
+#include <chrono>
+
+namespace flamingo
+{
+
+namespace
+{
+constexpr Milliseconds TimerPeriod{10};
+constexpr Milliseconds GaugePeriod{1000};
+} // namespace
+
+ControlDaemon::ControlDaemon(const InstanceSettings &settings)
+    : m_settings(settings)
+    , m_core(settings, processIncarnation())
+    , m_decisions("decisions")
+    , m_api(m_core, m_metrics, settings.operatorToken, [this](std::function<void()> input) { decide(std::move(input)); })
+{
+}
+
+void ControlDaemon::decide(std::function<void()> input)
+{
+    m_decisions.post([this, input = std::move(input)] {
+        m_core.setTime(std::chrono::steady_clock::now());
+        input();
+        performActions();
+    });
+}
+
+void ControlDaemon::performActions()
+{
+    for (ControlAction &action : m_core.takeActions()) {
+        perform(action);
+    }
+}
+
+void ControlDaemon::perform(ControlAction &action)
+{
+    std::visit(Visitors{[this](SendGossip &send) { m_gossip->send(send.address, encodeGossip(send.message)); },
+                        [this](SendOnControlLink &send) { m_peers->send(send.link, std::move(send.message)); },
+                        [this](SendToControlPeer &send) { m_peers->sendTo(send.address, std::move(send.message)); },
+                        [this](CallConfigStore &call) {
+                            m_store->perform(call.operation,
+                                             [this](StoreReply reply) { decide([this, reply = std::move(reply)] { m_core.onStoreReply(reply); }); });
+                        },
+                        [this](WatchConfig &watch) {
+                            m_store->watch(ConfigurationKeeper::watchPrefix(), watch.afterRevision, [this](WatchResult result) {
+                                decide([this, result = std::move(result)] { m_core.onWatch(result); });
+                            });
+                        },
+                        [this](ListPlatformInstances &) {
+                            m_store->listInstances([this](std::vector<ListedInstance> instances) {
+                                decide([this, instances = std::move(instances)] { m_core.onInstancesListed(instances); });
+                            });
+                        }},
+               action);
+}
+
+void ControlDaemon::openWires()
+{
+    m_store = std::make_unique<StoreClient>(m_settings.platform.text(), m_metrics);
+    m_gossip = std::make_unique<GossipSocket>(m_settings.controlGossip.host, m_settings.controlGossip.port, m_settings.peerSecret, [this](std::string payload) {
+        decide([this, payload = std::move(payload)] {
+            if (const auto message = decodeGossip(payload)) {
+                m_core.onGossip(*message);
+            }
+        });
+    });
+    PeerLink::Settings link;
+    link.listenAddress = m_settings.controlPeer.host;
+    link.listenPort = m_settings.controlPeer.port;
+    link.secret = m_settings.peerSecret;
+    link.heartbeat = m_settings.heartbeat;
+    link.silence = m_settings.silence;
+    link.idleClose = Milliseconds(5000);
+    m_peers = std::make_unique<PeerLink>(
+        link,
+        [this](LinkId from, PeerMessage message) { decide([this, from, message = std::move(message)] { m_core.onPeerMessage(from, message); }); },
+        [this](LinkId down) { decide([this, down] { m_core.onLinkDown(down); }); });
+}
+
+void ControlDaemon::startTimers()
+{
+    const Instant now = std::chrono::steady_clock::now();
+    m_decisions.timers().every(now, TimerPeriod, [this](Instant at) {
+        m_core.setTime(at);
+        m_core.onTimer();
+        performActions();
+    });
+    m_decisions.timers().every(now, GaugePeriod, [this](Instant) {
+        m_metrics.setGauge("flamingo_gossip_bytes_sent", {}, static_cast<double>(m_gossip->bytesSent()));
+        m_metrics.setGauge("flamingo_peer_bytes_sent", {}, static_cast<double>(m_peers->bytesSent()));
+        m_metrics.setGauge("flamingo_peer_bytes_received", {}, static_cast<double>(m_peers->bytesReceived()));
+    });
+}
+
+int ControlDaemon::run()
+{
+    openWires();
+    startTimers();
+    m_decisions.start();
+    m_http = std::make_unique<HttpServer>(HttpServer::Settings{m_settings.controlHttp.host, m_settings.controlHttp.port, 1, m_settings.maxBodyBytes},
+                                          [this](const HttpExchangePtr &exchange) { m_api.handle(exchange); });
+    logChange("started", "instance={} domain={}", m_settings.id.value(), m_settings.domain.value());
+    waitForStopSignal();
+    m_http->stop();
+    m_decisions.stop();
+    m_peers->stop();
+    m_gossip.reset();
+    m_store.reset();
+    logChange("stopped", "instance={}", m_settings.id.value());
+    return ExitOk;
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/control/controldaemon.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "control/controlcore.h"
+#include "control/gossipsocket.h"
+#include "control/operatorapi.h"
+#include "core/worker.h"
+#include "http/httpserver.h"
+#include "peerlink/peerlink.h"
+#include "platform/storeclient.h"
+
+#include <functional>
+#include <memory>
+
+namespace flamingo
+{
+
+/// The control process: the decisions on a thread of their own, and around them the threads with the wires.
+class ControlDaemon
+{
+public:
+    explicit ControlDaemon(const InstanceSettings &settings);
+
+    /// Runs until a stop signal arrives. Returns the exit code.
+    int run();
+
+private:
+    void decide(std::function<void()> input);
+    void performActions();
+    void perform(ControlAction &action);
+    void openWires();
+    void startTimers();
+
+    const InstanceSettings m_settings;
+    Metrics m_metrics;
+    ControlCore m_core;
+    Worker m_decisions;
+    std::unique_ptr<GossipSocket> m_gossip;
+    std::unique_ptr<PeerLink> m_peers;
+    std::unique_ptr<StoreClient> m_store;
+    OperatorApi m_api;
+    std::unique_ptr<HttpServer> m_http;
+};
+
+} // namespace flamingo
--- /dev/null
+++ b/src/control/operatorapi.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "control/controlcore.h"
+#include "core/metrics.h"
+#include "core/worker.h"
+#include "http/httpserver.h"
+
+#include <functional>
+#include <string>
+
+namespace flamingo
+{
+
+/// The operators' HTTP interface (see docs/operators.md). Requests are handed to the decision thread.
+class OperatorApi
+{
+public:
+    /// Runs an input on the decision thread with the time set and carries out what follows from it.
+    using Decide = std::function<void(std::function<void()> input)>;
+
+    OperatorApi(ControlCore &core, Metrics &metrics, std::string token, Decide decide);
+
+    void handle(const HttpExchangePtr &exchange);
+
+private:
+    void applyTicket(const HttpExchangePtr &exchange);
+    void showConfiguration(const HttpExchangePtr &exchange);
+    void showStatus(const HttpExchangePtr &exchange);
+    void drain(const HttpExchangePtr &exchange, const std::string &instance);
+    void explain(const HttpExchangePtr &exchange, const std::string &program);
+
+    ControlCore &m_core;
+    Metrics &m_metrics;
+    const std::string m_token;
+    Decide m_decide;
+};
+
+} // namespace flamingo
--- /dev/null
+++ b/src/core/boundedring.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <boost/circular_buffer.hpp>
+
+#include <condition_variable>
+#include <cstddef>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+#include "core/time.h"
+
+namespace flamingo
+{
+
+/// A queue of fixed capacity that joins threads. Any number of threads may push and pop.
+template<typename T>
+class BoundedRing
+{
+public:
+    explicit BoundedRing(std::size_t capacity)
+        : m_items(capacity)
+    {
+    }
+
+    /// Waits for room.
+    void push(T item)
+    {
+        std::unique_lock<std::mutex> lock(m_mutex);
+        m_hasRoom.wait(lock, [this] { return !m_items.full(); });
+        m_items.push_back(std::move(item));
+        m_hasItems.notify_one();
+    }
+
+    /// Returns false, leaving the ring as it is, once it holds limit items or is full.
+    bool tryPush(T item, std::size_t limit)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        if (m_items.full() || m_items.size() >= limit) {
+            return false;
+        }
+        m_items.push_back(std::move(item));
+        m_hasItems.notify_one();
+        return true;
+    }
+
+    /// Waits until the given time for an item.
+    std::optional<T> popUntil(Instant until)
+    {
+        std::unique_lock<std::mutex> lock(m_mutex);
+        m_hasItems.wait_until(lock, until, [this] { return !m_items.empty(); });
+        if (m_items.empty()) {
+            return std::nullopt;
+        }
+        T item = std::move(m_items.front());
+        m_items.pop_front();
+        m_hasRoom.notify_one();
+        return item;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_hasItems;
+    std::condition_variable m_hasRoom;
+    boost::circular_buffer<T> m_items;
+};
+
+} // namespace flamingo
--- /dev/null
+++ b/src/core/log.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <fmt/format.h>
+
+#include <string>
+#include <utility>
+
+namespace flamingo
+{
+
+/// Names the process in the log lines that follow.
+void setLogName(const std::string &name);
+
+namespace detail
+{
+void writeLogLine(const std::string &event, const std::string &fields);
+}
+
+/// Writes one line about a change of state to standard error: time, process, event and key=value fields.
+template<typename... Args>
+void logChange(const std::string &event, fmt::format_string<Args...> format, Args &&...args)
+{
+    detail::writeLogLine(event, fmt::format(format, std::forward<Args>(args)...));
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/ctl/commands.cpp
@@ -0,0 +1,146 @@
+#include "ctl/commands.h"
+
+#include "core/codec.h"
+#include "core/error.h"
+
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace flamingo
+{
+
+namespace
+{
+constexpr int ExitOk = 0;
+constexpr int ExitNoAnswer = 1;
+constexpr int ExitUsage = 2;
+constexpr int ExitUnknownError = 3;
+constexpr int StatusFirstError = 400;
+
+int printAnswer(const HttpOutcome &outcome)
+{
+    if (!outcome) {
+        fmt::print(stderr, "flamingoctl: no answer: {}\n", outcome.error().detail);
+        return ExitNoAnswer;
+    }
+    const auto json = parseJson(outcome->body);
+    const std::string text = json ? json->dump(2) : outcome->body;
+    if (outcome->status < StatusFirstError) {
+        fmt::print("{}\n", text);
+        return ExitOk;
+    }
+    fmt::print(stderr, "{}\n", text);
+    const bool hasKind = json && json->contains("error") && (*json)["error"].contains("kind");
+    const auto kind = hasKind ? errorKindFromName((*json)["error"]["kind"].get<std::string>()) : std::nullopt;
+    return kind ? errorInfo(*kind).exitCode : ExitUnknownError;
+}
+} // namespace
+
+Commands::Commands(std::string address, std::string token)
+    : m_address(std::move(address))
+    , m_token(std::move(token))
+    , m_client("ctl")
+{
+}
+
+std::string Commands::help()
+{
+    return "Commands:\n"
+           "  apply FILE                   apply a change ticket (- for standard input)\n"
+           "  configuration                show what is in force here\n"
+           "  status                       show members, shards and configuration of every instance\n"
+           "  drain-instance ID            begin the planned stop of an instance\n"
+           "  drain-endpoint ID TICKET     apply a ticket that marks an endpoint as leaving\n"
+           "  explain PROGRAM              show what was decided for a program, and why\n"
+           "  counters                     print the control daemon's counters\n"
+           "Exit codes: 0 done, 1 no answer, 2 wrong command line, 3 unknown error, 10 and above: the error's code\n"
+           "(docs/errors.md).\n";
+}
+
+HttpOutcome Commands::ask(const std::string &method, const std::string &path, const std::string &body)
+{
+    HttpRequest request;
+    request.method = method;
+    request.url = fmt::format("http://{}{}", m_address, path);
+    request.headers = {"Content-Type: application/json", "Authorization: Bearer " + m_token};
+    request.body = body;
+    request.totalTimeout = Milliseconds(15000);
+    return m_client.sendAndWait(std::move(request));
+}
+
+int Commands::show(const std::string &method, const std::string &path, const std::string &body)
+{
+    return printAnswer(ask(method, path, body));
+}
+
+int Commands::apply(const std::string &file)
+{
+    std::ostringstream content;
+    if (file == "-") {
+        content << std::cin.rdbuf();
+    } else {
+        std::ifstream stream(file);
+        if (!stream) {
+            fmt::print(stderr, "flamingoctl: {} can't be read\n", file);
+            return ExitUsage;
+        }
+        content << stream.rdbuf();
+    }
+    return show("POST", "/v1/tickets", content.str());
+}
+
+// A ticket carries the whole new state, so the endpoint's present state is read first.
+int Commands::drainEndpoint(const std::string &endpoint, const std::string &ticket)
+{
+    const auto outcome = ask("GET", "/v1/configuration");
+    const auto json = outcome && outcome->status < StatusFirstError ? parseJson(outcome->body) : std::nullopt;
+    if (!json) {
+        return printAnswer(outcome);
+    }
+    for (const auto &object : (*json)["objects"]) {
+        if (object["kind"] == "endpoint" && object["id"] == endpoint && !object["spec"].is_null()) {
+            auto spec = object["spec"];
+            spec["leaving"] = true;
+            const nlohmann::json changed = {{"kind", "endpoint"}, {"id", endpoint}, {"spec", spec}};
+            const nlohmann::json body = {{"ticket", std::strtoull(ticket.c_str(), nullptr, 10)}, {"objects", {changed}}};
+            return show("POST", "/v1/tickets", dumpJson(body));
+        }
+    }
+    fmt::print(stderr, "flamingoctl: there is no endpoint {}\n", endpoint);
+    return errorInfo(ErrorKind::NotFound).exitCode;
+}
+
+int Commands::run(const std::vector<std::string> &words)
+{
+    const std::string command = words.empty() ? "" : words[0];
+    if (command == "apply" && words.size() == 2) {
+        return apply(words[1]);
+    }
+    if (command == "configuration" && words.size() == 1) {
+        return show("GET", "/v1/configuration");
+    }
+    if (command == "status" && words.size() == 1) {
+        return show("GET", "/v1/status");
+    }
+    if (command == "drain-instance" && words.size() == 2) {
+        return show("POST", "/v1/drain/instances/" + words[1]);
+    }
+    if (command == "drain-endpoint" && words.size() == 3) {
+        return drainEndpoint(words[1], words[2]);
+    }
+    if (command == "explain" && words.size() == 2) {
+        return show("GET", "/v1/programs/" + words[1]);
+    }
+    if (command == "counters" && words.size() == 1) {
+        return show("GET", "/metrics");
+    }
+    fmt::print(stderr, "flamingoctl: unknown command or wrong number of words\n{}", help());
+    return ExitUsage;
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/entry/entrycore.cpp
@@ -0,0 +1,272 @@
+#include "entry/entrycore.h"
+
+#include "core/digest.h"
+#include "core/sha256.h"
+#include "core/visitors.h"
+#include "membership/placement.h"
+#include "membership/programshard.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace flamingo
+{
+
+namespace
+{
+constexpr Milliseconds RetryDelay{50};
+constexpr Milliseconds RetryJitter{50};
+
+/// The request number of an answer; 0 for a message that is no answer.
+RequestNumber requestOf(const PeerMessage &message)
+{
+    return std::visit(Visitors{[](const ProgramAccepted &reply) { return reply.request; },
+                               [](const AnswerDelta &reply) { return reply.request; },
+                               [](const AnswerDone &reply) { return reply.request; },
+                               [](const Refused &reply) { return reply.request; },
+                               [](const ProgramClosed &reply) { return reply.request; },
+                               [](const auto &) { return RequestNumber(0); }},
+                      message);
+}
+
+void setRequest(PeerMessage &message, RequestNumber number, Milliseconds left)
+{
+    std::visit(Visitors{[&](StartProgram &request) { request.request = number; },
+                        [&](SubmitCall &request) {
+                            request.request = number;
+                            request.deadlineMs = left.count();
+                        },
+                        [&](FetchAnswer &request) { request.request = number; },
+                        [&](EndProgram &request) { request.request = number; },
+                        [](auto &) {}},
+               message);
+}
+
+/// Whether a refusal says that another process has to be asked.
+bool isAboutOwner(ErrorKind kind)
+{
+    return kind == ErrorKind::NotOwner || kind == ErrorKind::OwnershipLost;
+}
+} // namespace
+
+EntryCore::EntryCore(EntrySettings settings, Metrics &metrics, Sender send, std::uint64_t seed)
+    : m_settings(std::move(settings))
+    , m_metrics(metrics)
+    , m_send(std::move(send))
+    , m_random(seed)
+{
+}
+
+void EntryCore::setTime(Instant now)
+{
+    m_now = now;
+}
+
+void EntryCore::onMessage(LinkId link, const PeerMessage &message)
+{
+    if (const auto *update = std::get_if<MembershipUpdate>(&message)) {
+        m_members.clear();
+        for (const MemberFact &fact : update->members) {
+            m_members.emplace(fact.instance, fact);
+        }
+        return;
+    }
+    if (const auto *update = std::get_if<ConfigurationUpdate>(&message)) {
+        for (const ConfigObject &object : update->objects) {
+            m_configuration.merge(object);
+        }
+        return;
+    }
+    const RequestNumber number = requestOf(message);
+    const auto it = m_pending.find(number);
+    if (it == m_pending.end() || it->second.link != link) {
+        return;
+    }
+    if (const auto *refusal = std::get_if<Refused>(&message)) {
+        onRefused(number, *refusal);
+        return;
+    }
+    const ReplyHandler onReply = it->second.request.onReply;
+    if (!std::holds_alternative<AnswerDelta>(message)) {
+        m_pending.erase(it);
+    }
+    onReply(message);
+}
+
+void EntryCore::onRefused(RequestNumber number, const Refused &refusal)
+{
+    Pending &pending = m_pending.at(number);
+    const Error error = errorOf(refusal);
+    if (isAboutOwner(error.kind)) {
+        retryLater(pending, refusal.kind);
+        return;
+    }
+    const ErrorHandler onError = pending.request.onError;
+    m_pending.erase(number);
+    m_metrics.addRefusal(error.kind);
+    onError(error);
+}
+
+void EntryCore::retryLater(Pending &pending, const std::string &reason)
+{
+    m_metrics.addRetry(reason);
+    pending.link = 0;
+    pending.nextTry = m_now + RetryDelay + Milliseconds(m_random() % static_cast<std::uint64_t>(RetryJitter.count()));
+}
+
+void EntryCore::onLinkDown(LinkId link)
+{
+    for (auto &[number, pending] : m_pending) {
+        if (pending.link == link) {
+            pending.ownerDeadline = m_now + m_settings.ownerWait;
+            retryLater(pending, "link-down");
+        }
+    }
+}
+
+void EntryCore::onTimer()
+{
+    std::vector<RequestNumber> late;
+    for (auto &[number, pending] : m_pending) {
+        if (m_now >= pending.request.deadline || (pending.link == 0 && m_now >= pending.ownerDeadline)) {
+            late.push_back(number);
+        } else if (pending.link == 0 && m_now >= pending.nextTry) {
+            trySend(number, pending);
+        }
+    }
+    for (const RequestNumber number : late) {
+        giveUp(number);
+    }
+}
+
+// "Not run" is true only if no owner can have got the request: neither from here nor by an earlier attempt of the caller.
+void EntryCore::giveUp(RequestNumber number)
+{
+    auto node = m_pending.extract(number);
+    const Pending &pending = node.mapped();
+    const bool isNotRun = !pending.wasSent && pending.request.isFirstAttempt;
+    const ErrorKind kind = isNotRun ? ErrorKind::OwnerUnreachable : ErrorKind::OwnerUnreachableOnRetry;
+    m_metrics.addRefusal(kind);
+    pending.request.onError({kind, "the owner of the program can't be reached or has not answered in time", Milliseconds(1000)});
+}
+
+void EntryCore::submit(Request request)
+{
+    const RequestNumber number = ++m_lastRequest;
+    Pending pending;
+    pending.ownerDeadline = m_now + m_settings.ownerWait;
+    pending.nextTry = m_now;
+    pending.request = std::move(request);
+    const auto it = m_pending.emplace(number, std::move(pending)).first;
+    trySend(number, it->second);
+}
+
+void EntryCore::trySend(RequestNumber number, Pending &pending)
+{
+    const auto address = ownerAddress(pending.request.shard);
+    if (!address) {
+        pending.nextTry = m_now + RetryDelay;
+        return;
+    }
+    setRequest(pending.request.message, number, std::chrono::duration_cast<Milliseconds>(pending.request.deadline - m_now));
+    pending.wasSent = true;
+    pending.link = m_send(*address, pending.request.message);
+}
+
+std::optional<std::string> EntryCore::ownerAddress(ShardId shard) const
+{
+    const auto owner = claimedOwner(shard, m_members);
+    if (!owner) {
+        return std::nullopt;
+    }
+    return m_members.at(*owner).schedulerAddress;
+}
+
+std::string EntryCore::randomSuffix()
+{
+    return fmt::format("{:016x}", m_random());
+}
+
+Result<ProgramId> EntryCore::newProgramId()
+{
+    std::vector<ShardId> best;
+    int bestTier = 3;
+    for (const auto &[instance, fact] : m_members) {
+        if (!canOwnShards(fact)) {
+            continue;
+        }
+        int tier = fact.domain == m_settings.domain ? 1 : 2;
+        tier = instance == m_settings.instance ? 0 : tier;
+        if (fact.shards.empty() || tier > bestTier) {
+            continue;
+        }
+        if (tier < bestTier) {
+            best.clear();
+            bestTier = tier;
+        }
+        for (const OwnedShard &owned : fact.shards) {
+            best.push_back(owned.shard);
+        }
+    }
+    if (best.empty()) {
+        return tl::make_unexpected(Error{ErrorKind::OwnerUnreachable, "no scheduler is there", Milliseconds(1000)});
+    }
+    return ProgramId(fmt::format("{}-{}", best[m_random() % best.size()].value(), randomSuffix()));
+}
+
+ProgramId EntryCore::programIdFor(const CallerId &caller, const std::string &key) const
+{
+    const std::string text = caller.value() + '\n' + key;
+    return ProgramId(fmt::format("{}-k{}", stableHash(text) % m_settings.shardCount, digestOf(text).value()));
+}
+
+Result<ProgramId> EntryCore::newChildId(const ProgramId &parent)
+{
+    const auto shard = shardOf(parent);
+    if (!shard) {
+        return failure(ErrorKind::UnknownProgram, "the parent's id is malformed");
+    }
+    return ProgramId(fmt::format("{}-{}", shard->value(), randomSuffix()));
+}
+
+Result<CallerId> EntryCore::authenticate(const std::string &key) const
+{
+    CallerId caller;
+    if (key.empty() || !m_configuration.callerByKey(sha256Hex(key), caller)) {
+        return failure(ErrorKind::Unauthenticated, "the key is unknown");
+    }
+    return caller;
+}
+
+Result<void> EntryCore::checkAgent(const std::string &key, const AgentId &agent) const
+{
+    CallerId caller;
+    const CallerSpec *spec = m_configuration.callerByKey(sha256Hex(key), caller);
+    if (!spec || spec->agents.count(agent.value()) == 0 || !m_configuration.agent(agent)) {
+        return failure(ErrorKind::UnknownAgent, fmt::format("there is no agent {} for this caller", agent.value()));
+    }
+    return {};
+}
+
+const Configuration &EntryCore::configuration() const
+{
+    return m_configuration;
+}
+
+bool EntryCore::isDraining() const
+{
+    return m_isDraining;
+}
+
+void EntryCore::drain()
+{
+    m_isDraining = true;
+}
+
+std::size_t EntryCore::pending() const
+{
+    return m_pending.size();
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/entry/entrycore.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "configuration/configuration.h"
+#include "core/metrics.h"
+#include "membership/memberfact.h"
+#include "peerlink/messages.h"
+#include "peerlink/peerlink.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace flamingo
+{
+
+struct EntrySettings {
+    InstanceId instance;
+    DomainId domain;
+    std::uint32_t shardCount = 8;
+    Milliseconds ownerWait{10000}; ///< How long a request waits for its program's owner to be there.
+};
+
+/// Finds the owner of each request's program, sends it there, and sends it again when the owner changes or the link
+/// breaks. Sending again is safe, since calls are numbered. It keeps nothing that must last and does no I/O.
+class EntryCore
+{
+public:
+    /// Sends to another process and tells by which link.
+    using Sender = std::function<LinkId(const std::string &address, PeerMessage message)>;
+
+    /// Gets each answer to a request; the last one is neither an AnswerDelta nor anything after it.
+    using ReplyHandler = std::function<void(const PeerMessage &reply)>;
+    using ErrorHandler = std::function<void(const Error &error)>;
+
+    struct Request {
+        PeerMessage message; ///< Its request number is set by the core.
+        ShardId shard;
+        Instant deadline;
+        bool isFirstAttempt = false; ///< The caller says that it hasn't sent this before.
+        ReplyHandler onReply;
+        ErrorHandler onError;
+    };
+
+    EntryCore(EntrySettings settings, Metrics &metrics, Sender send, std::uint64_t seed);
+
+    void setTime(Instant now);
+    void onMessage(LinkId link, const PeerMessage &message);
+    void onLinkDown(LinkId link);
+
+    /// To be called every few milliseconds.
+    void onTimer();
+
+    void submit(Request request);
+
+    /// A new program's id, on a shard of this instance, of this domain, or of any, in this order.
+    Result<ProgramId> newProgramId();
+
+    /// The id that a caller's idempotency key always leads to.
+    ProgramId programIdFor(const CallerId &caller, const std::string &key) const;
+
+    /// The id of a sub-agent, on its parent's shard.
+    Result<ProgramId> newChildId(const ProgramId &parent);
+
+    /// The caller whose key this is.
+    Result<CallerId> authenticate(const std::string &key) const;
+
+    /// Whether the caller with this key may start the agent.
+    Result<void> checkAgent(const std::string &key, const AgentId &agent) const;
+
+    const Configuration &configuration() const;
+    bool isDraining() const;
+    void drain();
+    std::size_t pending() const;
+
+private:
+    struct Pending {
+        Request request;
+        Instant ownerDeadline;
+        Instant nextTry;
+        LinkId link = 0; ///< 0 while it isn't sent.
+        bool wasSent = false;
+    };
+
+    void trySend(RequestNumber number, Pending &pending);
+    void giveUp(RequestNumber number);
+    void retryLater(Pending &pending, const std::string &reason);
+    void onRefused(RequestNumber number, const Refused &refusal);
+    std::string randomSuffix();
+    std::optional<std::string> ownerAddress(ShardId shard) const;
+
+    const EntrySettings m_settings;
+    Metrics &m_metrics;
+    Sender m_send;
+    std::mt19937_64 m_random;
+    Instant m_now;
+    Configuration m_configuration;
+    std::map<InstanceId, MemberFact> m_members;
+    std::map<RequestNumber, Pending> m_pending;
+    RequestNumber m_lastRequest = 0;
+    bool m_isDraining = false;
+};
+
+} // namespace flamingo
--- /dev/null
+++ b/src/entry/entrydaemon.cpp
@@ -0,0 +1,138 @@
+#include "entry/entrydaemon.h"
+
+#include "core/commandline.h"
+#include "core/digest.h"
+#include "core/log.h"
+#include "core/stopsignal.h"
+#include "http/errorbody.h"
+
+#include <future>
+#include <thread>
+
+namespace flamingo
+{
+
+namespace
+{
+constexpr Milliseconds TimerPeriod{10};
+constexpr Milliseconds SubscribePeriod{500};
+constexpr Milliseconds DrainCheckPeriod{50};
+/// After the last answer, so that it leaves before the connections close.
+constexpr Milliseconds DrainFlushTime{300};
+constexpr std::size_t HttpThreads = 2;
+} // namespace
+
+EntryDaemon::EntryDaemon(const InstanceSettings &settings)
+    : m_settings(settings)
+    , m_core(
+          EntrySettings{settings.id, settings.domain, settings.shardCount, settings.ownerWait},
+          m_metrics,
+          [this](const std::string &address, PeerMessage message) { return m_peers->sendTo(address, std::move(message)); },
+          stableHash(settings.id.value(), processIncarnation()))
+    , m_api(m_core, m_metrics, settings.defaultDeadline)
+    , m_decisions("decisions")
+{
+}
+
+void EntryDaemon::setTime()
+{
+    const Instant now = std::chrono::steady_clock::now();
+    m_core.setTime(now);
+    m_api.setTime(now);
+}
+
+void EntryDaemon::decide(std::function<void()> input)
+{
+    m_decisions.post([this, input = std::move(input)] {
+        setTime();
+        input();
+    });
+}
+
+void EntryDaemon::onHttp(const HttpExchangePtr &exchange)
+{
+    if (exchange->path() == "/metrics") {
+        exchange->respond(200, "text/plain", m_metrics.render());
+        return;
+    }
+    const bool isTaken = m_decisions.tryPost([this, exchange] {
+        setTime();
+        if (exchange->path() == "/healthz") {
+            const bool isDraining = m_core.isDraining();
+            exchange->respond(isDraining ? 503 : 200, "text/plain", isDraining ? "stopping\n" : "serving\n");
+            return;
+        }
+        m_api.handle(exchange);
+    });
+    if (!isTaken) {
+        m_metrics.addRefusal(ErrorKind::Overloaded);
+        respondError(*exchange, {ErrorKind::Overloaded, "too many requests wait at this instance", Milliseconds(1000)});
+    }
+}
+
+int EntryDaemon::run()
+{
+    PeerLink::Settings link;
+    link.secret = m_settings.peerSecret;
+    link.heartbeat = m_settings.heartbeat;
+    link.silence = m_settings.silence;
+    m_peers = std::make_unique<PeerLink>(
+        link,
+        [this](LinkId from, PeerMessage message) {
+            decide([this, from, message = std::move(message)] {
+                if (std::holds_alternative<DrainInstance>(message)) {
+                    m_core.drain();
+                }
+                m_core.onMessage(from, message);
+            });
+        },
+        [this](LinkId down) {
+            decide([this, down] {
+                m_core.onLinkDown(down);
+                if (down == m_controlLink) {
+                    m_controlLink = 0;
+                }
+            });
+        });
+    const Instant now = std::chrono::steady_clock::now();
+    m_decisions.timers().every(now, TimerPeriod, [this](Instant) {
+        setTime();
+        m_core.onTimer();
+    });
+    m_decisions.timers().every(now, SubscribePeriod, [this](Instant) {
+        if (m_controlLink == 0) {
+            m_controlLink = m_peers->sendTo(m_settings.controlPeer.text(), Subscribe{"entry"});
+        }
+    });
+    m_decisions.start();
+    m_http = std::make_unique<HttpServer>(HttpServer::Settings{m_settings.entryHttp.host, m_settings.entryHttp.port, HttpThreads, m_settings.maxBodyBytes},
+                                          [this](const HttpExchangePtr &exchange) { onHttp(exchange); });
+    logChange("started", "instance={} domain={}", m_settings.id.value(), m_settings.domain.value());
+    waitForStopSignal();
+    waitForDrain();
+    m_http->stop();
+    m_decisions.stop();
+    m_peers->stop();
+    logChange("stopped", "instance={}", m_settings.id.value());
+    return ExitOk;
+}
+
+void EntryDaemon::waitForDrain()
+{
+    logChange("draining", "instance={}", m_settings.id.value());
+    const Instant end = std::chrono::steady_clock::now() + m_settings.drainTime;
+    bool isDrained = false;
+    while (!isDrained && std::chrono::steady_clock::now() < end) {
+        std::promise<bool> promise;
+        m_decisions.post([&] {
+            m_core.drain();
+            promise.set_value(m_core.pending() == 0);
+        });
+        isDrained = promise.get_future().get();
+        std::this_thread::sleep_for(DrainCheckPeriod);
+    }
+    logChange("drained", "complete={}", isDrained);
+    std::this_thread::sleep_for(DrainFlushTime);
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/entry/entrydaemon.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/metrics.h"
+#include "core/worker.h"
+#include "entry/callerapi.h"
+#include "entry/entrycore.h"
+#include "http/httpserver.h"
+#include "peerlink/peerlink.h"
+#include "settings/instancesettings.h"
+
+#include <functional>
+#include <memory>
+
+namespace flamingo
+{
+
+/// The entry process: the callers' HTTP on RESTinio's threads, decisions on one thread, the peer link on another.
+class EntryDaemon
+{
+public:
+    explicit EntryDaemon(const InstanceSettings &settings);
+
+    /// Runs until a stop signal has arrived and every request under way has its answer. Returns the exit code.
+    int run();
+
+private:
+    void setTime();
+    void decide(std::function<void()> input);
+    void onHttp(const HttpExchangePtr &exchange);
+    void waitForDrain();
+
+    const InstanceSettings m_settings;
+    Metrics m_metrics;
+    EntryCore m_core;
+    CallerApi m_api;
+    Worker m_decisions;
+    LinkId m_controlLink = 0;
+    std::unique_ptr<PeerLink> m_peers;
+    std::unique_ptr<HttpServer> m_http;
+};
+
+} // namespace flamingo
--- /dev/null
+++ b/src/http/errorbody.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "core/error.h"
+#include "http/httpserver.h"
+
+#include <string>
+
+namespace flamingo
+{
+
+/// The JSON body in which an error reaches callers and operators.
+std::string errorBody(const Error &error);
+
+/// Answers with the error's status, body and Retry-After header.
+void respondError(HttpExchange &exchange, const Error &error);
+
+/// The token of an "Authorization: Bearer" header; empty when there is none.
+std::string bearerToken(const HttpExchange &exchange);
+
+} // namespace flamingo
--- /dev/null
+++ b/src/journal/shardjournal.h
@@ -0,0 +1,194 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "journal/journalentry.h"
+#include "journal/storeoperation.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace flamingo
+{
+
+/// Counts the records appended by this owner, from 1.
+using RecordIndex = std::uint64_t;
+
+/// The journal was read and the ownership entry is in it.
+struct JournalOpened {
+    FencingNumber fence;
+    std::vector<std::string> snapshotChunks;
+    std::vector<nlohmann::json> records; ///< To be replayed on top of the snapshot, oldest first.
+};
+
+/// All records up to this index are in the journal for good.
+struct RecordsCommitted {
+    RecordIndex upTo = 0;
+};
+
+/// Somebody else has written to the journal, so this writer no longer owns the shard.
+struct OwnershipLost {
+    InstanceId newOwner;
+    FencingNumber fence;
+};
+
+/// The release entry is in the journal.
+struct OwnershipReleased {
+};
+
+using JournalEvent = std::variant<JournalOpened, RecordsCommitted, OwnershipLost, OwnershipReleased>;
+
+struct JournalSettings {
+    std::uint32_t ringSize = 128; ///< Entries in the ring; at least 32, the same for all instances.
+    std::size_t maxEntryBytes = 700 * 1024; ///< Payload of one entry; the store takes 1 MB.
+    double appendsPerSecond = 30; ///< Sustained pace of one shard.
+    double appendBurst = 5; ///< Appends that may go out without pacing.
+    Milliseconds retryDelay{100}; ///< Before an undecided write is looked into.
+};
+
+/// The journal of one shard: a ring of keys in the platform's store, each written by compare-and-swap on the version
+/// that the round before left. The owner of the shard is the writer of the newest ownership entry, and nothing else.
+///
+/// The class does no I/O: it hands out store operations and is given their replies. One append is under way at a time.
+class ShardJournal
+{
+public:
+    /// All keys begin with the prefix. The incarnation tells this process from earlier ones of the same instance.
+    ShardJournal(std::string keyPrefix, InstanceId writer, std::string incarnation, JournalSettings settings = {});
+
+    /// Reads the journal and appends an ownership entry. Ends in JournalOpened or OwnershipLost.
+    void open(Instant now);
+
+    /// Reads the journal without taking it over. Ends in JournalOpened with the newest owner's fencing number.
+    void read(Instant now);
+
+    /// Adds a record for the next append. Only for the owner.
+    RecordIndex append(nlohmann::json record);
+
+    /// Appends all that waits, then an entry that gives the shard up.
+    void release();
+
+    /// Whether the ring is half used since the last snapshot, so that a new one is due.
+    bool needsSnapshot() const;
+
+    /// Starts to write a snapshot of the state that all records appended so far lead to.
+    void startSnapshot(std::vector<std::string> chunks);
+
+    void onReply(const StoreReply &reply, Instant now);
+
+    /// To be called after each change and at least every few milliseconds.
+    void advance(Instant now);
+
+    std::vector<StoreOperation> takeOperations();
+    std::vector<JournalEvent> takeEvents();
+
+    bool isOwner() const;
+    FencingNumber fence() const;
+    RecordIndex lastAppended() const;
+    RecordIndex lastCommitted() const;
+
+    /// How long the oldest append has been waiting for the store.
+    Milliseconds stalledFor(Instant now) const;
+
+private:
+    enum class State { Closed, FindingTail, Reading, Claiming, Owner, Released, Lost };
+
+    struct PendingRecord {
+        RecordIndex index;
+        nlohmann::json record;
+        std::size_t bytes;
+    };
+
+    struct InFlight {
+        JournalEntry entry;
+        std::string value;
+        StoreVersion expectedVersion = 0;
+        RecordIndex lastRecord = 0;
+        Instant startedAt;
+        std::optional<Instant> retryAt;
+        std::uint64_t operation = 0;
+        bool isVerifying = false;
+    };
+
+    struct Slot {
+        StoreVersion version = 0;
+        std::optional<JournalEntry> entry;
+    };
+
+    struct PendingSnapshot {
+        std::string id;
+        std::vector<std::string> chunks;
+        std::set<std::uint32_t> unwritten;
+        std::map<std::uint64_t, std::uint32_t> chunkByOperation;
+        RecordIndex cutAfter = 0;
+        std::optional<EntrySequence> replayFrom;
+        std::optional<Instant> retryAt;
+    };
+
+    std::string slotKey(EntrySequence sequence) const;
+    std::string chunkKey(const std::string &id, std::uint32_t chunk) const;
+    std::uint64_t issue(StoreOperation::Kind kind, std::string key, std::string value = {}, StoreVersion expectedVersion = 0);
+
+    void readSlot(std::uint32_t slot);
+    void onSlotRead(std::uint32_t slot, const StoreReply &reply, Instant now);
+    void continueSearch(Instant now);
+    void startReading();
+    void onReadingReply(const StoreReply &reply, Instant now);
+    void finishReading(Instant now);
+    void reportOpened();
+    void restartOpen(Instant now);
+
+    void startEntry(JournalEntry entry, RecordIndex lastRecord, Instant now);
+    void writeInFlight();
+    void onInFlightReply(const StoreReply &reply, Instant now);
+    void onVerified(const StoreReply &reply, Instant now);
+    void onEntryCommitted(StoreVersion version);
+    void lose(const JournalEntry &winner);
+
+    void appendNext(Instant now);
+    bool canAppend(Instant now);
+    JournalEntry makeEntry();
+    void writeUnwrittenChunks();
+    void onChunkReply(std::uint32_t chunk, const StoreReply &reply, Instant now);
+    void deleteSnapshot(const SnapshotReference &snapshot);
+
+    const std::string m_keyPrefix;
+    const InstanceId m_writer;
+    const std::string m_incarnation;
+    const JournalSettings m_settings;
+    State m_state = State::Closed;
+    bool m_isReadOnly = false;
+    std::uint64_t m_lastOperation = 0;
+    std::uint64_t m_lastBatch = 0;
+    std::vector<StoreOperation> m_operations;
+    std::vector<JournalEvent> m_events;
+
+    std::map<std::uint32_t, Slot> m_slots;
+    std::map<std::uint64_t, std::uint32_t> m_slotByOperation;
+    std::map<std::uint64_t, std::uint32_t> m_chunkReads;
+    std::map<std::uint32_t, std::string> m_chunksRead;
+    std::uint32_t m_searchLow = 0;
+    std::uint32_t m_searchHigh = 0;
+    std::optional<JournalEntry> m_tail;
+    std::optional<Instant> m_restartAt;
+
+    FencingNumber m_fence;
+    EntrySequence m_next = 0;
+    std::map<std::uint32_t, StoreVersion> m_slotVersions;
+    std::deque<PendingRecord> m_pending;
+    RecordIndex m_lastAppended = 0;
+    RecordIndex m_lastCommitted = 0;
+    std::optional<InFlight> m_inFlight;
+    SnapshotReference m_snapshot;
+    std::optional<PendingSnapshot> m_pendingSnapshot;
+    bool m_isReleasing = false;
+    double m_appendTokens = 0;
+    Instant m_lastRefill;
+};
+
+} // namespace flamingo
--- /dev/null
+++ b/src/membership/membership.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "core/time.h"
+#include "membership/memberfact.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace flamingo
+{
+
+struct MembershipSettings {
+    Milliseconds probePeriod{500}; ///< One member is probed in each period.
+    Milliseconds ackTimeout{150}; ///< Then others are asked to probe it too.
+    Milliseconds suspectTimeout{1500}; ///< A suspect that doesn't refute for so long is dead.
+    std::size_t indirectProbes = 2;
+    std::size_t factsPerMessage = 8;
+    std::size_t rejoinEvery = 4; ///< Each so many periods a dead member is probed as well, so that a cut heals.
+};
+
+/// A datagram to be sent to a member.
+struct GossipSend {
+    InstanceId to;
+    std::string address;
+    GossipMessage message;
+};
+
+/// Who is there, in the manner of SWIM: each period one random member is probed, directly and then through others, and
+/// news travels with the probes. The load on a member does not depend on how many there are.
+///
+/// Suspicion decides only when to try a takeover; the shard journal decides who owns.
+class Membership
+{
+public:
+    Membership(MemberFact self, MembershipSettings settings, std::uint64_t seed);
+
+    /// Learns of a member from the settings or the platform's list. What gossip says of it goes first.
+    void addListed(const MemberFact &fact);
+
+    /// Changes what this instance says of itself. The incarnation is raised.
+    void updateSelf(const MemberFact &fact);
+
+    void onMessage(const GossipMessage &message, Instant now);
+
+    /// To be called every few milliseconds.
+    void advance(Instant now);
+
+    std::vector<GossipSend> takeSends();
+
+    /// Whether the members have changed since the last time this was asked.
+    bool takeChanged();
+
+    const MemberFact &self() const;
+
+    /// All known members by id, this instance included.
+    const std::map<InstanceId, MemberFact> &members() const;
+
+    /// Up to count random members that are there, this instance excluded.
+    std::vector<InstanceId> randomLive(std::size_t count);
+
+private:
+    struct Probe {
+        InstanceId target;
+        std::uint64_t sequence = 0;
+        Instant startedAt;
+        bool isIndirect = false;
+    };
+    struct Relay {
+        InstanceId asker;
+        std::uint64_t sequence = 0;
+    };
+    struct News {
+        InstanceId about;
+        std::size_t sendsLeft = 0;
+    };
+
+    void learn(const MemberFact &fact, Instant now);
+    void announce(const InstanceId &about);
+    void send(const InstanceId &to, GossipMessage::Kind kind, std::uint64_t sequence, const InstanceId &target = {});
+    std::vector<MemberFact> factsFor(const InstanceId &to);
+    void startProbe(Instant now);
+    void checkProbe(Instant now);
+    void checkSuspects(Instant now);
+    std::optional<InstanceId> nextTarget();
+    void mark(const InstanceId &member, MemberState state, Instant now);
+
+    const MembershipSettings m_settings;
+    MemberFact m_self;
+    std::mt19937_64 m_random;
+    std::map<InstanceId, MemberFact> m_members;
+    std::map<InstanceId, Instant> m_suspectSince;
+    std::map<std::uint64_t, Relay> m_relays;
+    std::deque<News> m_news;
+    std::vector<InstanceId> m_probeOrder;
+    std::optional<Probe> m_probe;
+    std::optional<Instant> m_nextProbe;
+    std::vector<GossipSend> m_sends;
+    std::uint64_t m_lastSequence = 0;
+    std::uint64_t m_periods = 0;
+    bool m_hasChanged = true;
+};
+
+} // namespace flamingo
--- /dev/null
+++ b/src/policy/dispatcher.cpp
@@ -0,0 +1,420 @@
+#include "policy/dispatcher.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace flamingo
+{
+
+namespace
+{
+/// Service is compared in octaves, so that small differences don't reorder calls.
+constexpr double ServiceUnitMs = 250.0;
+constexpr double AgeingWeight = 2.0;
+constexpr double MaxHedgeTokens = 5.0;
+constexpr double HedgeFactor = 3.0;
+constexpr double HedgeSlackMs = 150.0;
+constexpr double SlowFactor = 1.6;
+constexpr double OtherDomainCostMs = 3.0;
+constexpr double DefaultServiceMs = 200.0;
+constexpr Milliseconds MinRetryAfter{200};
+constexpr Milliseconds MaxRetryAfter{10000};
+/// How far down the queue a dispatch looks for a call that may go, when the first ones may not.
+constexpr std::size_t LookAhead = 64;
+} // namespace
+
+Dispatcher::Dispatcher(PolicyRules rules, DomainId ownDomain)
+    : m_rules(rules)
+    , m_ownDomain(std::move(ownDomain))
+{
+}
+
+void Dispatcher::setEndpoints(const std::vector<EndpointView> &endpoints, int owners)
+{
+    std::map<EndpointId, Endpoint> next;
+    for (auto &[id, pool] : m_pools) {
+        pool.endpoints.clear();
+    }
+    for (const EndpointView &view : endpoints) {
+        const auto known = m_endpoints.find(view.id);
+        EndpointState state = known == m_endpoints.end() ? EndpointState(view.slots, owners) : known->second.state;
+        state.resize(view.slots, owners);
+        next.emplace(view.id, Endpoint{view, state});
+        m_pools[view.pool].endpoints.push_back(view.id);
+    }
+    m_endpoints = std::move(next);
+}
+
+void Dispatcher::setLeaving(const EndpointId &endpoint)
+{
+    const auto it = m_endpoints.find(endpoint);
+    if (it != m_endpoints.end()) {
+        it->second.view.isLeaving = true;
+    }
+}
+
+std::size_t Dispatcher::queueLimit(PriorityClass priority) const
+{
+    if (!m_rules.refusesEarly) {
+        return m_rules.maxQueue;
+    }
+    return m_rules.maxQueue * static_cast<std::size_t>(PriorityClassCount - static_cast<int>(priority)) / PriorityClassCount;
+}
+
+Result<void> Dispatcher::enqueue(WaitingCall &call, Instant now)
+{
+    Pool &pool = m_pools[call.pool];
+    const bool hasEndpoint =
+        std::any_of(pool.endpoints.begin(), pool.endpoints.end(), [this](const EndpointId &id) { return !m_endpoints.at(id).view.isLeaving; });
+    if (!hasEndpoint) {
+        return failure(ErrorKind::NoEndpoint, fmt::format("no endpoint serves {}", call.pool.value()));
+    }
+    if (!call.isRetry) {
+        if (pool.waiting.size() >= queueLimit(call.priority)) {
+            return tl::make_unexpected(Error{ErrorKind::Overloaded, "too many calls wait", retryAfter(call.pool)});
+        }
+        refreshPool(pool, now);
+        const auto wait = Milliseconds(static_cast<std::int64_t>(expectedWait(call, pool)));
+        if (m_rules.refusesEarly && now + wait > call.deadline) {
+            return tl::make_unexpected(Error{ErrorKind::DeadlineUnreachable, fmt::format("the expected wait is {} ms", wait.count()), retryAfter(call.pool)});
+        }
+        m_hedgeTokens = std::min(MaxHedgeTokens, m_hedgeTokens + m_rules.hedgeBudget);
+    }
+    call.isLong = isLong(call, pool);
+    pool.waiting.push_back(call);
+    return {};
+}
+
+bool Dispatcher::remove(CallId call)
+{
+    for (auto &[id, pool] : m_pools) {
+        const auto it = std::find_if(pool.waiting.begin(), pool.waiting.end(), [&](const WaitingCall &waiting) { return waiting.id == call; });
+        if (it != pool.waiting.end()) {
+            pool.waiting.erase(it);
+            return true;
+        }
+    }
+    return false;
+}
+
+// A lower rank goes first. The classes are far apart; inside a class the program that has had the least service leads,
+// and waiting makes up for service, so that nothing starves inside its class.
+double Dispatcher::rank(const WaitingCall &call, Instant now) const
+{
+    constexpr double ClassDistance = 1e9;
+    double rank = m_rules.usesPriority ? ClassDistance * static_cast<int>(call.priority) : 0;
+    const auto waited = static_cast<double>(toMilliseconds(now - call.arrived));
+    if (m_rules.usesLeastService) {
+        const double service = static_cast<double>(call.serviceSoFar.count()) / ServiceUnitMs;
+        rank += service - (m_rules.usesAgeing ? AgeingWeight * waited / ServiceUnitMs : 0);
+    } else {
+        rank -= waited;
+    }
+    // Across classes, a call that has waited very long counts as one class higher.
+    constexpr double PromoteAfterMs = 20000;
+    if (m_rules.usesAgeing && m_rules.usesPriority && call.priority != PriorityClass::Urgent && waited > PromoteAfterMs) {
+        rank -= ClassDistance;
+    }
+    return rank;
+}
+
+void Dispatcher::refreshPool(Pool &pool, Instant now) const
+{
+    std::vector<double> paces;
+    double serviceTime = 0;
+    int observed = 0;
+    for (const EndpointId &id : pool.endpoints) {
+        const EndpointState &state = m_endpoints.at(id).state;
+        const double pace = state.pace(now, pool.pace);
+        if (pace > 0) {
+            paces.push_back(pace);
+        }
+        if (state.serviceTime() > 0) {
+            serviceTime += state.serviceTime();
+            ++observed;
+        }
+    }
+    if (!paces.empty()) {
+        std::nth_element(paces.begin(), paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2), paces.end());
+        pool.pace = paces[paces.size() / 2];
+    }
+    pool.serviceTime = observed > 0 ? serviceTime / observed : DefaultServiceMs;
+}
+
+double Dispatcher::expectedWait(const WaitingCall &call, const Pool &pool) const
+{
+    double slots = 0;
+    int running = 0;
+    for (const EndpointId &id : pool.endpoints) {
+        const Endpoint &endpoint = m_endpoints.at(id);
+        if (!endpoint.view.isLeaving) {
+            slots += endpoint.state.limit(m_rules);
+            running += endpoint.state.running();
+        }
+    }
+    const auto ahead = std::count_if(
+        pool.waiting.begin(), pool.waiting.end(), [&](const WaitingCall &waiting) { return !m_rules.usesPriority || waiting.priority <= call.priority; });
+    const double free = std::max(0.0, slots - running);
+    const double queued = std::max(0.0, static_cast<double>(ahead) + 1 - free);
+    return queued * pool.serviceTime / std::max(1.0, slots);
+}
+
+bool Dispatcher::isLong(const WaitingCall &call, const Pool &pool) const
+{
+    const double expected = pool.pace * static_cast<double>(call.expectedTokens.value());
+    return expected > static_cast<double>(m_rules.longCall.count());
+}
+
+bool Dispatcher::mayTakeSlot(const WaitingCall &call, const Pool &pool) const
+{
+    double slots = 0;
+    int running = 0;
+    int runningLong = 0;
+    for (const EndpointId &id : pool.endpoints) {
+        const EndpointState &state = m_endpoints.at(id).state;
+        slots += state.limit(m_rules);
+        running += state.running();
+        runningLong += state.runningLong();
+    }
+    if (m_rules.reservesForUrgent && call.priority != PriorityClass::Urgent && running > 0 && running + 1 > slots * (1 - m_rules.urgentReserve)) {
+        return false;
+    }
+    if (m_rules.limitsLongCalls && call.isLong && runningLong > 0 && runningLong + 1 > slots * m_rules.longShare) {
+        return false;
+    }
+    return true;
+}
+
+double Dispatcher::cost(const WaitingCall &call, const Endpoint &endpoint, const Pool &pool, Instant now) const
+{
+    const EndpointState &state = endpoint.state;
+    Tokens cached(0);
+    if (m_rules.usesAffinity) {
+        const auto it = m_cached.find(call.program);
+        if (it != m_cached.end() && it->second.endpoint == endpoint.view.id) {
+            cached = std::min(it->second.tokens, call.contextTokens);
+        }
+    }
+    const auto prefillTokens = static_cast<double>((call.contextTokens - cached).value());
+    const double pace = m_rules.avoidsSlow ? state.pace(now, pool.pace) : pool.pace;
+    const double slowness = pool.pace > 0 ? std::max(1.0, pace / pool.pace) : 1.0;
+    double cost = state.prefillPace() * prefillTokens * slowness;
+    cost += pace * static_cast<double>(call.expectedTokens.value());
+    cost += m_rules.avoidsSlow ? state.startDelay() : 0;
+    cost += pool.serviceTime * 0.25 * state.running() / std::max(1.0, state.limit(m_rules));
+    cost += endpoint.view.domain == m_ownDomain ? 0 : OtherDomainCostMs;
+    return cost;
+}
+
+Dispatcher::Choice Dispatcher::chooseRoundRobin(const WaitingCall &call, Pool &pool, Instant now) const
+{
+    for (const bool allowFailed : {false, true}) {
+        for (std::size_t n = 0; n < pool.endpoints.size(); ++n) {
+            const std::size_t index = (pool.nextRoundRobin + n) % pool.endpoints.size();
+            const Endpoint &endpoint = m_endpoints.at(pool.endpoints[index]);
+            const bool hasFailed = call.failedAt.count(endpoint.view.id) != 0;
+            if (endpoint.view.isLeaving || !endpoint.state.isUsable(now) || !endpoint.state.hasRoom(m_rules) || (hasFailed && !allowFailed)) {
+                continue;
+            }
+            pool.nextRoundRobin = index + 1;
+            return {endpoint.view.id, false, "round-robin"};
+        }
+    }
+    return {};
+}
+
+Dispatcher::Choice Dispatcher::choose(const WaitingCall &call, Pool &pool, Instant now) const
+{
+    if (!m_rules.usesAffinity && !m_rules.avoidsSlow) {
+        return chooseRoundRobin(call, pool, now);
+    }
+    Choice best;
+    double bestCost = std::numeric_limits<double>::max();
+    for (const EndpointId &id : pool.endpoints) {
+        const Endpoint &endpoint = m_endpoints.at(id);
+        if (endpoint.view.isLeaving || !endpoint.state.isUsable(now)) {
+            continue;
+        }
+        constexpr double FailedCostMs = 1e6;
+        double total = cost(call, endpoint, pool, now) + (call.failedAt.count(id) != 0 ? FailedCostMs : 0);
+        const bool hasRoom = endpoint.state.hasRoom(m_rules);
+        if (!hasRoom) {
+            const auto cached = m_cached.find(call.program);
+            const bool isAffine = m_rules.usesAffinity && cached != m_cached.end() && cached->second.endpoint == id;
+            const bool mayWait = now - call.arrived < m_rules.maxAffinityWait && call.priority != PriorityClass::Urgent;
+            if (!isAffine || !mayWait) {
+                continue;
+            }
+            total += endpoint.state.serviceTime() / std::max(1.0, endpoint.state.limit(m_rules));
+        }
+        if (total < bestCost) {
+            bestCost = total;
+            best.endpoint = hasRoom ? std::optional<EndpointId>(id) : std::nullopt;
+            best.waitsForAffinity = !hasRoom;
+        }
+    }
+    if (best.endpoint) {
+        best.reason = fmt::format("lowest cost {:.1f} ms", bestCost);
+    }
+    return best;
+}
+
+void Dispatcher::dispatchPool(Pool &pool, Instant now, std::vector<Dispatch> &dispatches)
+{
+    if (pool.waiting.empty() || pool.endpoints.empty()) {
+        return;
+    }
+    refreshPool(pool, now);
+    const bool hasAnyRoom =
+        std::any_of(pool.endpoints.begin(), pool.endpoints.end(), [this](const EndpointId &id) { return m_endpoints.at(id).state.hasRoom(m_rules); });
+    if (!hasAnyRoom) {
+        return;
+    }
+    std::vector<std::pair<double, std::size_t>> order;
+    order.reserve(pool.waiting.size());
+    for (std::size_t n = 0; n < pool.waiting.size(); ++n) {
+        order.emplace_back(rank(pool.waiting[n], now), n);
+    }
+    const std::size_t look = std::min(LookAhead, order.size());
+    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(look), order.end());
+    std::set<std::size_t, std::greater<>> taken;
+    for (std::size_t n = 0; n < look; ++n) {
+        const WaitingCall &call = pool.waiting[order[n].second];
+        if (!mayTakeSlot(call, pool)) {
+            continue;
+        }
+        const Choice choice = choose(call, pool, now);
+        if (choice.endpoint) {
+            m_endpoints.at(*choice.endpoint).state.begin(call.isLong);
+            dispatches.push_back({call.id, *choice.endpoint, choice.reason});
+            taken.insert(order[n].second);
+        } else if (!choice.waitsForAffinity) {
+            break;
+        }
+    }
+    for (const std::size_t n : taken) {
+        pool.waiting.erase(pool.waiting.begin() + static_cast<std::ptrdiff_t>(n));
+    }
+}
+
+std::vector<Dispatch> Dispatcher::next(Instant now)
+{
+    std::vector<Dispatch> dispatches;
+    for (auto &[id, pool] : m_pools) {
+        dispatchPool(pool, now, dispatches);
+    }
+    return dispatches;
+}
+
+std::vector<CallId> Dispatcher::takeExpired(Instant now)
+{
+    std::vector<CallId> expired;
+    for (auto &[id, pool] : m_pools) {
+        const auto it = std::stable_partition(pool.waiting.begin(), pool.waiting.end(), [&](const WaitingCall &call) { return call.deadline > now; });
+        for (auto late = it; late != pool.waiting.end(); ++late) {
+            expired.push_back(late->id);
+        }
+        pool.waiting.erase(it, pool.waiting.end());
+    }
+    return expired;
+}
+
+std::optional<EndpointId> Dispatcher::hedge(const WaitingCall &call, const EndpointId &first, Instant sentAt, Instant now)
+{
+    if (!m_rules.hedges || !call.isRepeatable || m_hedgeTokens < 1) {
+        return std::nullopt;
+    }
+    const auto it = m_endpoints.find(first);
+    if (it == m_endpoints.end()) {
+        return std::nullopt;
+    }
+    const EndpointState &state = it->second.state;
+    Pool &pool = m_pools[call.pool];
+    const double expected = state.prefillPace() * static_cast<double>(call.contextTokens.value()) + state.startDelay();
+    if (static_cast<double>(toMilliseconds(now - sentAt)) < HedgeFactor * expected + HedgeSlackMs) {
+        return std::nullopt;
+    }
+    WaitingCall second = call;
+    second.failedAt.insert(first);
+    second.arrived = now - m_rules.maxAffinityWait;
+    const Choice choice = choose(second, pool, now);
+    if (!choice.endpoint || *choice.endpoint == first) {
+        return std::nullopt;
+    }
+    it->second.state.observeOverdue(now);
+    m_hedgeTokens -= 1;
+    m_endpoints.at(*choice.endpoint).state.begin(call.isLong);
+    return choice.endpoint;
+}
+
+void Dispatcher::onFinished(const WaitingCall &call, const EndpointId &endpoint, const CallObservation &observation, Instant now)
+{
+    const auto it = m_endpoints.find(endpoint);
+    if (it == m_endpoints.end()) {
+        return;
+    }
+    it->second.state.observe(observation, now, m_rules);
+    it->second.state.end(call.isLong);
+}
+
+void Dispatcher::onFailed(const WaitingCall &call, const EndpointId &endpoint, bool isFault, Instant now)
+{
+    const auto it = m_endpoints.find(endpoint);
+    if (it == m_endpoints.end()) {
+        return;
+    }
+    if (isFault) {
+        it->second.state.observeFailure(now);
+    }
+    it->second.state.end(call.isLong);
+}
+
+void Dispatcher::onCached(const ProgramId &program, const EndpointId &endpoint, Tokens tokens)
+{
+    m_cached[program] = {endpoint, tokens};
+}
+
+std::optional<EndpointId> Dispatcher::cachedAt(const ProgramId &program) const
+{
+    const auto it = m_cached.find(program);
+    if (it == m_cached.end()) {
+        return std::nullopt;
+    }
+    return it->second.endpoint;
+}
+
+void Dispatcher::forgetProgram(const ProgramId &program)
+{
+    m_cached.erase(program);
+}
+
+std::size_t Dispatcher::waiting() const
+{
+    std::size_t n = 0;
+    for (const auto &[id, pool] : m_pools) {
+        n += pool.waiting.size();
+    }
+    return n;
+}
+
+Milliseconds Dispatcher::retryAfter(const PoolId &id) const
+{
+    const auto it = m_pools.find(id);
+    if (it == m_pools.end()) {
+        return MinRetryAfter;
+    }
+    WaitingCall probe;
+    probe.priority = PriorityClass::Batch;
+    const auto wait = Milliseconds(static_cast<std::int64_t>(expectedWait(probe, it->second)));
+    return std::clamp(wait, MinRetryAfter, MaxRetryAfter);
+}
+
+const EndpointState *Dispatcher::endpointState(const EndpointId &endpoint) const
+{
+    const auto it = m_endpoints.find(endpoint);
+    return it == m_endpoints.end() ? nullptr : &it->second.state;
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/policy/dispatcher.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "core/error.h"
+#include "core/ids.h"
+#include "core/time.h"
+#include "policy/endpointstate.h"
+#include "policy/policyrules.h"
+#include "programs/records.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace flamingo
+{
+
+/// Names a call inside one scheduler.
+using CallId = StrongId<struct CallIdTag, std::uint64_t>;
+
+/// A call that waits for an endpoint.
+struct WaitingCall {
+    CallId id;
+    ProgramId program;
+    PoolId pool;
+    PriorityClass priority = PriorityClass::Normal;
+    Milliseconds serviceSoFar{0}; ///< What the whole program has had.
+    Instant arrived;
+    Instant deadline;
+    Tokens contextTokens; ///< Prompt length.
+    Tokens expectedTokens; ///< Expected answer length.
+    bool isRepeatable = true;
+    bool isRetry = false;
+    bool isLong = false; ///< Set by Dispatcher::enqueue.
+    std::set<EndpointId> failedAt; ///< Endpoints not to be tried again unless there is no other.
+};
+
+/// A decision: send this call there.
+struct Dispatch {
+    CallId call;
+    EndpointId endpoint;
+    std::string reason; ///< For the program's explanation.
+};
+
+/// What the configuration says of an endpoint.
+struct EndpointView {
+    EndpointId id;
+    PoolId pool;
+    DomainId domain;
+    int slots = 1;
+    bool isLeaving = false;
+};
+
+/// Decides which call goes next, how many at once, where, and what is refused. Pure: time comes in, decisions go out.
+class Dispatcher
+{
+public:
+    Dispatcher(PolicyRules rules, DomainId ownDomain);
+
+    /// Installs the endpoints; what is known of the ones that stay is kept. Owners is the number of schedulers that share them.
+    void setEndpoints(const std::vector<EndpointView> &endpoints, int owners);
+
+    /// Marks an endpoint as leaving, before the configuration says so.
+    void setLeaving(const EndpointId &endpoint);
+
+    /// Takes a call into the queue or refuses it, truly not run.
+    Result<void> enqueue(WaitingCall &call, Instant now);
+
+    /// Takes a call out of the queue. Returns whether it was there.
+    bool remove(CallId call);
+
+    /// The calls that go out now.
+    std::vector<Dispatch> next(Instant now);
+
+    /// Waiting calls whose deadline has passed; they are taken out.
+    std::vector<CallId> takeExpired(Instant now);
+
+    /// A second endpoint for a call whose first one is overdue, if the hedge budget allows.
+    std::optional<EndpointId> hedge(const WaitingCall &call, const EndpointId &first, Instant sentAt, Instant now);
+
+    /// A sending ended well.
+    void onFinished(const WaitingCall &call, const EndpointId &endpoint, const CallObservation &observation, Instant now);
+
+    /// A sending ended otherwise; isFault when the endpoint is to blame.
+    void onFailed(const WaitingCall &call, const EndpointId &endpoint, bool isFault, Instant now);
+
+    /// What the endpoint has cached of the program from now on.
+    void onCached(const ProgramId &program, const EndpointId &endpoint, Tokens tokens);
+
+    /// The endpoint that has cached the program's prefix, as far as is known.
+    std::optional<EndpointId> cachedAt(const ProgramId &program) const;
+
+    void forgetProgram(const ProgramId &program);
+
+    std::size_t waiting() const;
+
+    /// When a refused caller should come again.
+    Milliseconds retryAfter(const PoolId &pool) const;
+
+    const EndpointState *endpointState(const EndpointId &endpoint) const;
+
+private:
+    struct Endpoint {
+        EndpointView view;
+        EndpointState state;
+    };
+    struct Pool {
+        std::vector<EndpointId> endpoints;
+        std::vector<WaitingCall> waiting;
+        std::size_t nextRoundRobin = 0;
+        double pace = 0; ///< Median of the endpoints' paces.
+        double serviceTime = 0;
+    };
+    struct CachedPrefix {
+        EndpointId endpoint;
+        Tokens tokens;
+    };
+    struct Choice {
+        std::optional<EndpointId> endpoint;
+        bool waitsForAffinity = false;
+        std::string reason;
+    };
+
+    double rank(const WaitingCall &call, Instant now) const;
+    bool isLong(const WaitingCall &call, const Pool &pool) const;
+    bool mayTakeSlot(const WaitingCall &call, const Pool &pool) const;
+    Choice choose(const WaitingCall &call, Pool &pool, Instant now) const;
+    Choice chooseRoundRobin(const WaitingCall &call, Pool &pool, Instant now) const;
+    double cost(const WaitingCall &call, const Endpoint &endpoint, const Pool &pool, Instant now) const;
+    void dispatchPool(Pool &pool, Instant now, std::vector<Dispatch> &dispatches);
+    void refreshPool(Pool &pool, Instant now) const;
+    double expectedWait(const WaitingCall &call, const Pool &pool) const;
+    std::size_t queueLimit(PriorityClass priority) const;
+
+    PolicyRules m_rules;
+    DomainId m_ownDomain;
+    std::map<EndpointId, Endpoint> m_endpoints;
+    std::map<PoolId, Pool> m_pools;
+    std::unordered_map<ProgramId, CachedPrefix> m_cached;
+    double m_hedgeTokens = 1;
+};
+
+} // namespace flamingo
--- /dev/null
+++ b/src/scheduler/callrunner.cpp
@@ -0,0 +1,638 @@
+#include "scheduler/callrunner.h"
+
+#include "scheduler/prompt.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace flamingo
+{
+
+namespace
+{
+constexpr Tokens DefaultMaxTokens{256};
+constexpr Milliseconds DefaultDeadline{60000};
+constexpr Milliseconds MinAttemptTimeout{50};
+constexpr double MaxRetryTokens = 100;
+/// An owner whose records have waited for the store this long counts the store as away.
+constexpr Milliseconds StoreAway{400};
+constexpr std::size_t MaxBacklog = 20000;
+/// Attempt numbers of different processes must differ, since engines cancel by them.
+constexpr unsigned AttemptNumberShift = 20;
+
+Digest requestDigest(const SubmitCall &request)
+{
+    return digestOf(fmt::format("{}\n{}\n{}\n{}", request.service, request.operation, request.maxTokens.value(), request.input));
+}
+
+Error lostOwnership()
+{
+    return {ErrorKind::OwnershipLost, "another instance has taken the program over", std::nullopt};
+}
+} // namespace
+
+CallRunner::CallRunner(SchedulerContext &context, ShardHost &shards, DecisionLog &log)
+    : m_context(context)
+    , m_shards(shards)
+    , m_log(log)
+    , m_lastAttempt(stableHash(context.settings.instance.value() + context.settings.incarnation) << AttemptNumberShift)
+{
+}
+
+void CallRunner::onSubmit(LinkId link, const SubmitCall &request)
+{
+    const auto shard = m_shards.ownerOf(request.program);
+    if (!shard) {
+        m_context.refuse(link, request.request, shard.error());
+        return;
+    }
+    const auto program = (*shard)->table().findFor(request.caller, request.program);
+    if (!program) {
+        m_context.refuse(link, request.request, program.error());
+        return;
+    }
+    auto call = describe(request, **program, (*shard)->id());
+    if (!call) {
+        m_context.refuse(link, request.request, call.error());
+        return;
+    }
+    const AgentSpec *agent = m_context.configuration.agent((*program)->start.agent);
+    const auto admission =
+        (*shard)->table().admit({call->program, call->number, call->digest, call->mostCost}, {agent->maxTurns, agent->maxDuration}, m_context.nowMs);
+    if (!admission) {
+        m_context.refuse(link, request.request, admission.error());
+        return;
+    }
+    if (const auto *replay = std::get_if<Replay>(&*admission)) {
+        const Turn &turn = replay->turn;
+        const bool isDurable = (*shard)->isDurable(request.program);
+        m_context.metrics.add("flamingo_answers_replayed_total");
+        m_context.reply(link, AnswerDone{request.request, request.program, turn.number, turn.outcome, turn.digest, isDurable, {}});
+    } else if (std::holds_alternative<Attach>(*admission)) {
+        subscribe(m_calls.at(m_callByProgram.at(request.program)), link, request.request, request.wantsDeltas);
+    } else {
+        begin(std::move(*call), **shard, link, request);
+    }
+}
+
+void CallRunner::onFetch(LinkId link, const FetchAnswer &request)
+{
+    const auto shard = m_shards.ownerOf(request.program);
+    if (!shard) {
+        m_context.refuse(link, request.request, shard.error());
+        return;
+    }
+    const auto program = (*shard)->table().findFor(request.caller, request.program);
+    if (!program) {
+        m_context.refuse(link, request.request, program.error());
+        return;
+    }
+    const auto running = m_callByProgram.find(request.program);
+    if (request.number.value() >= 1 && request.number < (*program)->nextNumber()) {
+        const Turn &turn = (*program)->turns[request.number.value() - 1];
+        const bool isDurable = (*shard)->isDurable(request.program);
+        m_context.reply(link, AnswerDone{request.request, request.program, turn.number, turn.outcome, turn.digest, isDurable, {}});
+    } else if (running != m_callByProgram.end() && m_calls.at(running->second).number == request.number) {
+        subscribe(m_calls.at(running->second), link, request.request, true);
+    } else {
+        m_context.refuse(link, request.request, {ErrorKind::NotFound, "no such call has been taken", std::nullopt});
+    }
+}
+
+Result<void> CallRunner::describeService(RunningCall &call, const SubmitCall &request, const AgentSpec &agent) const
+{
+    const PoolSpec *pool = m_context.configuration.pool(PoolId(request.service));
+    if (!pool || pool->isModel || agent.services.count(request.service) == 0) {
+        return failure(ErrorKind::UnknownPool, fmt::format("the agent has no service {}", request.service));
+    }
+    const auto operation = pool->operations.find(request.operation);
+    if (operation == pool->operations.end()) {
+        return failure(ErrorKind::UnknownPool, fmt::format("{} has no operation {}", request.service, request.operation));
+    }
+    call.waiting.pool = PoolId(request.service);
+    call.isRepeatable = operation->second.isRepeatable && !request.mustNotRepeat;
+    call.serviceCost = operation->second.cost;
+    call.mostCost = operation->second.cost;
+    call.body = request.input;
+    call.input = fmt::format(R"({{"service":{},"operation":{},"body":{}}})", dumpJson(request.service), dumpJson(request.operation), request.input);
+    return {};
+}
+
+void CallRunner::describeModel(RunningCall &call, const SubmitCall &request, const AgentSpec &agent, const Program &program) const
+{
+    call.waiting.pool = agent.pool;
+    call.isRepeatable = !request.mustNotRepeat;
+    call.maxTokens = request.maxTokens > Tokens(0) ? request.maxTokens : DefaultMaxTokens;
+    call.input = fmt::format(R"({{"messages":{}}})", request.input);
+    const Tokens prompt = mostPromptTokens(agent, program, call.input);
+    call.mostCost = prompt + call.maxTokens;
+    call.waiting.contextTokens = prompt;
+    call.waiting.expectedTokens = call.maxTokens;
+}
+
+Result<RunningCall> CallRunner::describe(const SubmitCall &request, const Program &program, ShardId shard) const
+{
+    const AgentSpec *agent = m_context.configuration.agent(program.start.agent);
+    if (!agent) {
+        return failure(ErrorKind::UnknownAgent, fmt::format("there is no agent {}", program.start.agent.value()));
+    }
+    RunningCall call;
+    call.shard = shard;
+    call.caller = request.caller;
+    call.program = request.program;
+    call.number = request.number.value_or(program.nextNumber());
+    call.digest = requestDigest(request);
+    call.service = request.service;
+    call.operation = request.operation;
+    call.startedAt = m_context.now;
+    if (request.service.empty()) {
+        describeModel(call, request, *agent, program);
+    } else {
+        const auto described = describeService(call, request, *agent);
+        if (!described) {
+            return tl::make_unexpected(described.error());
+        }
+    }
+    WaitingCall &waiting = call.waiting;
+    waiting.program = request.program;
+    waiting.priority = program.start.priority;
+    waiting.isRepeatable = call.isRepeatable;
+    waiting.arrived = m_context.now;
+    waiting.deadline = m_context.now + (request.deadlineMs > 0 ? Milliseconds(request.deadlineMs) : DefaultDeadline);
+    return call;
+}
+
+void CallRunner::subscribe(RunningCall &call, LinkId link, RequestNumber request, bool wantsDeltas)
+{
+    call.subscribers.push_back({link, request, wantsDeltas});
+    if (wantsDeltas && !call.delivered.empty()) {
+        m_context.reply(link, AnswerDelta{request, 0, call.delivered});
+    }
+}
+
+void CallRunner::begin(RunningCall call, Shard &shard, LinkId link, const SubmitCall &request)
+{
+    if (shard.isHandingOver()) {
+        m_context.refuse(link, request.request, {ErrorKind::NotOwner, "the shard is being handed over", std::nullopt});
+        return;
+    }
+    if (shard.backlog() > MaxBacklog) {
+        m_context.refuse(link, request.request, {ErrorKind::StoreUnavailable, "too many turns wait for the store", Milliseconds(1000)});
+        return;
+    }
+    call.id = CallId(++m_lastCall);
+    call.waiting.id = call.id;
+    const auto service = m_serviceByProgram.find(call.program);
+    call.waiting.serviceSoFar = service == m_serviceByProgram.end() ? Milliseconds(0) : service->second;
+    call.subscribers.push_back({link, request.request, request.wantsDeltas});
+    shard.table().setRunning(call.program, call.digest, call.mostCost);
+    const auto it = m_calls.emplace(call.id, std::move(call)).first;
+    m_callByProgram[it->second.program] = it->first;
+    m_context.metrics.add("flamingo_calls_total", it->second.service.empty() ? "kind=\"model\"" : "kind=\"service\"");
+    recordIntent(it->second, shard);
+}
+
+// A claim is journalled before the call is sent, and so is the budget. A program whose start isn't in the journal yet
+// is known to this owner alone, so its repeatable calls need not wait.
+void CallRunner::recordIntent(RunningCall &call, Shard &shard)
+{
+    const bool isKnownHereOnly = !shard.isStartDurable(call.program);
+    if (!shard.table().isReserved(call.program, call.mostCost)) {
+        const auto reserved = shard.propose(shard.table().nextReservation(call.program, call.mostCost));
+        if (reserved && !isKnownHereOnly) {
+            call.awaitedRecord = *reserved;
+        }
+    }
+    if (!call.isRepeatable) {
+        const auto claimed = shard.propose(CallClaimed{call.program, call.number, call.digest});
+        if (!claimed) {
+            refuse(call, claimed.error());
+            return;
+        }
+        call.awaitedRecord = *claimed;
+    }
+    if (shard.isCommitted(call.awaitedRecord)) {
+        enqueue(call);
+    }
+}
+
+void CallRunner::onCommitted(Shard &shard)
+{
+    std::vector<CallId> ids;
+    for (const auto &[id, call] : m_calls) {
+        const bool isWaiting = call.stage == RunningCall::Stage::Journalling || call.stage == RunningCall::Stage::Committing;
+        if (isWaiting && call.shard == shard.id() && shard.isCommitted(call.awaitedRecord)) {
+            ids.push_back(id);
+        }
+    }
+    for (const CallId id : ids) {
+        RunningCall &call = m_calls.at(id);
+        if (call.stage == RunningCall::Stage::Journalling) {
+            enqueue(call);
+        } else {
+            answer(call, true);
+        }
+    }
+}
+
+void CallRunner::enqueue(RunningCall &call)
+{
+    call.stage = RunningCall::Stage::Queued;
+    const auto queued = m_context.dispatcher.enqueue(call.waiting, m_context.now);
+    if (!queued) {
+        giveUpUnsent(call, queued.error().kind, queued.error().detail);
+    }
+}
+
+// Nothing of the call is at an endpoint, so "not run" is true; its claim is taken back before anybody is told.
+void CallRunner::giveUpUnsent(RunningCall &call, ErrorKind kind, const std::string &detail)
+{
+    Shard *shard = shardOfCall(call);
+    if (shard && !call.isRepeatable) {
+        (void)shard->propose(ClaimWithdrawn{call.program, call.number});
+    }
+    note(call, fmt::format("refused: {}: {}", errorInfo(kind).name, detail));
+    refuse(call, {kind, detail, m_context.dispatcher.retryAfter(call.waiting.pool)});
+}
+
+void CallRunner::startAttempt(RunningCall &call, const EndpointId &endpoint, const std::string &reason)
+{
+    const EndpointSpec *spec = m_context.configuration.endpoint(endpoint);
+    Shard *shard = shardOfCall(call);
+    const Program *program = shard ? shard->table().find(call.program) : nullptr;
+    const AgentSpec *agent = program ? m_context.configuration.agent(program->start.agent) : nullptr;
+    if (!spec || !agent) {
+        m_context.dispatcher.onFailed(call.waiting, endpoint, false, m_context.now);
+        if (call.attempts.empty()) {
+            giveUpUnsent(call, ErrorKind::NoEndpoint, "the endpoint or the agent has been removed");
+        }
+        return;
+    }
+    Attempt attempt;
+    attempt.id = AttemptId(++m_lastAttempt);
+    attempt.endpoint = endpoint;
+    attempt.sentAt = m_context.now;
+    attempt.resumedFrom = call.delivered.size();
+    EndpointRequest request;
+    request.attempt = attempt.id;
+    request.endpoint = endpoint;
+    request.address = spec->address;
+    request.isModel = call.service.empty();
+    request.program = call.program;
+    request.number = call.number;
+    request.fence = shard->fence();
+    request.priority = call.waiting.priority;
+    request.operation = call.operation;
+    request.body = request.isModel ? buildPrompt(*agent, *program, call.input) : call.body;
+    request.maxTokens = call.maxTokens;
+    request.resumeText = call.delivered;
+    request.timeout = std::max(MinAttemptTimeout, std::chrono::duration_cast<Milliseconds>(call.waiting.deadline - m_context.now));
+    call.stage = RunningCall::Stage::Sent;
+    ++call.tries;
+    call.attempts.push_back(attempt);
+    m_callByAttempt[attempt.id] = call.id;
+    m_context.metrics.add("flamingo_attempts_total");
+    note(call, fmt::format("call {} sent to {}: {}", call.number.value(), endpoint.value(), reason));
+    m_context.actions.emplace_back(StartAttempt{std::move(request)});
+}
+
+void CallRunner::onDelta(AttemptId attemptId, const std::string &text)
+{
+    RunningCall *call = findByAttempt(attemptId);
+    if (!call) {
+        return;
+    }
+    const auto it = std::find_if(call->attempts.begin(), call->attempts.end(), [&](const Attempt &attempt) { return attempt.id == attemptId; });
+    if (!it->firstTokenAt) {
+        it->firstTokenAt = m_context.now;
+        m_context.metrics.observe("flamingo_first_token_milliseconds", std::chrono::duration<double, std::milli>(m_context.now - call->startedAt).count());
+        cancelOthers(*call, attemptId);
+    }
+    Attempt &attempt = call->attempts.front();
+    attempt.text += text;
+    const std::size_t offset = call->delivered.size();
+    call->delivered += text;
+    for (const Subscriber &subscriber : call->subscribers) {
+        if (subscriber.wantsDeltas) {
+            m_context.reply(subscriber.link, AnswerDelta{subscriber.request, offset, text});
+        }
+    }
+}
+
+void CallRunner::cancelOthers(RunningCall &call, AttemptId winner)
+{
+    for (const Attempt &attempt : call.attempts) {
+        if (attempt.id != winner) {
+            m_context.dispatcher.onFailed(call.waiting, attempt.endpoint, false, m_context.now);
+            m_context.actions.emplace_back(CancelAttempt{attempt.id});
+            m_callByAttempt.erase(attempt.id);
+            m_context.metrics.add("flamingo_attempts_cancelled_total");
+        }
+    }
+    call.attempts.erase(std::remove_if(call.attempts.begin(), call.attempts.end(), [&](const Attempt &attempt) { return attempt.id != winner; }),
+                        call.attempts.end());
+}
+
+void CallRunner::onResult(const EndpointResult &result)
+{
+    RunningCall *call = findByAttempt(result.attempt);
+    if (!call) {
+        m_context.metrics.add("flamingo_late_results_total");
+        return;
+    }
+    m_callByAttempt.erase(result.attempt);
+    const auto it = std::find_if(call->attempts.begin(), call->attempts.end(), [&](const Attempt &attempt) { return attempt.id == result.attempt; });
+    const Attempt attempt = *it;
+    call->attempts.erase(it);
+    if (result.status == EndpointResult::Status::Answered) {
+        onAnswered(*call, attempt, result);
+    } else {
+        onUnanswered(*call, attempt, result);
+    }
+}
+
+void CallRunner::onAnswered(RunningCall &call, const Attempt &attempt, const EndpointResult &result)
+{
+    cancelOthers(call, attempt.id);
+    CallObservation observation;
+    observation.total = std::chrono::duration_cast<Milliseconds>(m_context.now - attempt.sentAt);
+    observation.firstToken = std::chrono::duration_cast<Milliseconds>(attempt.firstTokenAt.value_or(m_context.now) - attempt.sentAt);
+    observation.prefilled = result.promptTokens - result.cachedTokens;
+    observation.generated = result.completionTokens;
+    m_context.dispatcher.onFinished(call.waiting, attempt.endpoint, observation, m_context.now);
+    Outcome outcome;
+    if (call.service.empty()) {
+        outcome.text = call.delivered.substr(0, attempt.resumedFrom) + result.text;
+        outcome.cost = result.promptTokens + result.completionTokens;
+        outcome.contextTokens = outcome.cost;
+        m_context.dispatcher.onCached(call.program, attempt.endpoint, outcome.contextTokens);
+        m_context.metrics.add("flamingo_prompt_tokens_total", {}, static_cast<std::uint64_t>(result.promptTokens.value()));
+        m_context.metrics.add("flamingo_cached_tokens_total", {}, static_cast<std::uint64_t>(result.cachedTokens.value()));
+    } else {
+        outcome.text = result.text;
+        outcome.cost = call.serviceCost;
+        outcome.contextTokens = call.waiting.contextTokens;
+    }
+    commit(call, outcome, attempt.endpoint.value());
+}
+
+void CallRunner::onUnanswered(RunningCall &call, const Attempt &attempt, const EndpointResult &result)
+{
+    using Status = EndpointResult::Status;
+    const bool isNotRun = result.status == Status::NotSent || result.status == Status::Refused || result.status == Status::Leaving;
+    const bool isFault = result.status == Status::NotSent || result.status == Status::Lost;
+    m_context.dispatcher.onFailed(call.waiting, attempt.endpoint, isFault, m_context.now);
+    if (result.status == Status::Leaving) {
+        m_context.dispatcher.setLeaving(attempt.endpoint);
+    }
+    if (!call.attempts.empty()) {
+        return;
+    }
+    if (result.status == Status::Rejected) {
+        Outcome outcome;
+        outcome.text = result.text;
+        outcome.error = errorInfo(ErrorKind::EndpointRejected).name;
+        outcome.cost = call.serviceCost;
+        outcome.contextTokens = call.waiting.contextTokens;
+        commit(call, outcome, attempt.endpoint.value());
+        return;
+    }
+    if (mayRetry(call, isNotRun)) {
+        static const std::map<Status, std::string> reasons = {{Status::NotSent, "not-sent"},
+                                                              {Status::Refused, "refused"},
+                                                              {Status::Leaving, "leaving"},
+                                                              {Status::Lost, "lost"},
+                                                              {Status::Cancelled, "cancelled"}};
+        retry(call, attempt.endpoint, reasons.at(result.status));
+        return;
+    }
+    if (isNotRun) {
+        giveUpUnsent(call, ErrorKind::NoEndpoint, result.detail);
+    } else if (call.isRepeatable) {
+        refuse(call, {ErrorKind::EndpointFailed, result.detail, std::nullopt});
+    } else {
+        Outcome outcome;
+        outcome.error = errorInfo(ErrorKind::OutcomeUnknown).name;
+        outcome.cost = call.mostCost;
+        outcome.contextTokens = call.waiting.contextTokens;
+        commit(call, outcome, attempt.endpoint.value());
+    }
+}
+
+bool CallRunner::mayRetry(const RunningCall &call, bool isSurelyNotRun) const
+{
+    const bool isSafe = call.isRepeatable || isSurelyNotRun;
+    return isSafe && call.tries < m_context.settings.maxTries && m_retryTokens >= 1 && call.waiting.deadline > m_context.now;
+}
+
+void CallRunner::retry(RunningCall &call, const EndpointId &failedAt, const std::string &reason)
+{
+    m_retryTokens -= 1;
+    m_context.metrics.addRetry(reason);
+    note(call, fmt::format("call {} is tried again after {} at {}", call.number.value(), reason, failedAt.value()));
+    call.waiting.failedAt.insert(failedAt);
+    call.waiting.isRetry = true;
+    enqueue(call);
+}
+
+void CallRunner::commit(RunningCall &call, Outcome outcome, const std::string &endpoint)
+{
+    Shard *shard = shardOfCall(call);
+    if (!shard) {
+        refuse(call, lostOwnership());
+        return;
+    }
+    const Program *program = shard->table().find(call.program);
+    call.outcome = std::move(outcome);
+    if (!call.service.empty()) {
+        // The engine counts this turn's text with the next prompt; until then its bytes stand for its tokens.
+        call.outcome.contextTokens = program->contextTokens() + Tokens(static_cast<std::int64_t>(call.outcome.text.size()));
+    }
+    call.answeredBy = endpoint;
+    call.finishedAt = m_context.now;
+    m_serviceByProgram[call.program] += std::chrono::duration_cast<Milliseconds>(m_context.now - call.startedAt);
+    m_retryTokens = std::min(MaxRetryTokens, m_retryTokens + m_context.settings.retryBudget);
+    const auto committed = shard->propose(TurnCommitted{call.program, call.number, call.digest, program->historyDigest, call.input, call.outcome});
+    shard->table().setRunning(call.program, std::nullopt, Tokens(0));
+    m_callByProgram.erase(call.program);
+    if (!committed) {
+        refuse(call, committed.error());
+        return;
+    }
+    call.awaitedRecord = *committed;
+    call.stage = RunningCall::Stage::Committing;
+    if (shard->stalledFor(m_context.now) > StoreAway) {
+        answer(call, false);
+    }
+}
+
+void CallRunner::answer(RunningCall &call, bool isDurable)
+{
+    Shard *shard = shardOfCall(call);
+    const Program *program = shard ? shard->table().find(call.program) : nullptr;
+    const Digest digest = program && program->turns.size() >= call.number.value() ? program->turns[call.number.value() - 1].digest : Digest();
+    for (const Subscriber &subscriber : call.subscribers) {
+        m_context.reply(subscriber.link, AnswerDone{subscriber.request, call.program, call.number, call.outcome, digest, isDurable, call.answeredBy});
+    }
+    m_context.metrics.add("flamingo_answers_total", isDurable ? "durable=\"true\"" : "durable=\"false\"");
+    m_context.metrics.observe("flamingo_call_milliseconds", std::chrono::duration<double, std::milli>(m_context.now - call.startedAt).count());
+    erase(call.id);
+}
+
+void CallRunner::refuse(RunningCall &call, const Error &error)
+{
+    for (const Subscriber &subscriber : call.subscribers) {
+        m_context.refuse(subscriber.link, subscriber.request, error);
+    }
+    erase(call.id);
+}
+
+void CallRunner::erase(CallId id)
+{
+    const auto it = m_calls.find(id);
+    RunningCall &call = it->second;
+    for (const Attempt &attempt : call.attempts) {
+        m_context.dispatcher.onFailed(call.waiting, attempt.endpoint, false, m_context.now);
+        m_context.actions.emplace_back(CancelAttempt{attempt.id});
+        m_callByAttempt.erase(attempt.id);
+    }
+    const auto running = m_callByProgram.find(call.program);
+    if (running != m_callByProgram.end() && running->second == id) {
+        m_callByProgram.erase(running);
+        if (Shard *shard = shardOfCall(call)) {
+            shard->table().setRunning(call.program, std::nullopt, Tokens(0));
+        }
+    }
+    m_calls.erase(it);
+}
+
+void CallRunner::onLinkDown(LinkId link)
+{
+    for (auto &[id, call] : m_calls) {
+        auto &subscribers = call.subscribers;
+        subscribers.erase(std::remove_if(subscribers.begin(), subscribers.end(), [&](const Subscriber &subscriber) { return subscriber.link == link; }),
+                          subscribers.end());
+    }
+}
+
+// A call that must not be repeated is let finish at its endpoint, but its outcome can no longer be kept: the new owner
+// says "may have run". Entries send repeatable calls to the new owner, where they run again.
+void CallRunner::onShardLost(ShardId shard)
+{
+    std::vector<CallId> ids;
+    for (const auto &[id, call] : m_calls) {
+        if (call.shard == shard) {
+            ids.push_back(id);
+        }
+    }
+    for (const CallId id : ids) {
+        RunningCall &call = m_calls.at(id);
+        m_context.dispatcher.remove(id);
+        refuse(call, lostOwnership());
+    }
+}
+
+void CallRunner::dispatchWaiting()
+{
+    for (const Dispatch &decision : m_context.dispatcher.next(m_context.now)) {
+        if (RunningCall *call = find(decision.call)) {
+            startAttempt(*call, decision.endpoint, decision.reason);
+        }
+    }
+}
+
+void CallRunner::checkOverdue()
+{
+    expireWaiting();
+    hedgeOverdue();
+}
+
+void CallRunner::forgetProgram(const ProgramId &program)
+{
+    m_serviceByProgram.erase(program);
+}
+
+void CallRunner::expireWaiting()
+{
+    for (const CallId id : m_context.dispatcher.takeExpired(m_context.now)) {
+        if (RunningCall *call = find(id)) {
+            if (call->tries > 0 && call->isRepeatable) {
+                refuse(*call, {ErrorKind::EndpointFailed, "the deadline passed before another try", std::nullopt});
+            } else {
+                giveUpUnsent(*call, ErrorKind::DeadlineUnreachable, "the deadline passed in the queue");
+            }
+        }
+    }
+    std::vector<CallId> late;
+    for (const auto &[id, call] : m_calls) {
+        const bool isUnsent = call.stage == RunningCall::Stage::Journalling && m_context.now > call.waiting.deadline;
+        const bool isUncommitted = call.stage == RunningCall::Stage::Committing && m_context.now - call.finishedAt > m_context.settings.commitWait;
+        if (isUnsent || isUncommitted) {
+            late.push_back(id);
+        }
+    }
+    for (const CallId id : late) {
+        RunningCall &call = m_calls.at(id);
+        if (call.stage == RunningCall::Stage::Committing) {
+            answer(call, false);
+        } else {
+            giveUpUnsent(call, call.isRepeatable ? ErrorKind::BudgetUnconfirmed : ErrorKind::StoreUnavailable, "the journal could not be written in time");
+        }
+    }
+}
+
+void CallRunner::hedgeOverdue()
+{
+    for (auto &[id, call] : m_calls) {
+        const bool mayHedge = call.stage == RunningCall::Stage::Sent && call.attempts.size() == 1 && call.isRepeatable && !call.attempts[0].firstTokenAt;
+        if (!mayHedge) {
+            continue;
+        }
+        const Attempt &first = call.attempts[0];
+        const auto second = m_context.dispatcher.hedge(call.waiting, first.endpoint, first.sentAt, m_context.now);
+        if (second) {
+            m_context.metrics.add("flamingo_hedges_total");
+            startAttempt(call, *second, "hedge");
+        }
+    }
+}
+
+bool CallRunner::isRunning(const ProgramId &program) const
+{
+    return m_callByProgram.count(program) != 0;
+}
+
+bool CallRunner::isBusy(ShardId shard) const
+{
+    return std::any_of(m_calls.begin(), m_calls.end(), [&](const auto &item) { return item.second.shard == shard; });
+}
+
+std::size_t CallRunner::size() const
+{
+    return m_calls.size();
+}
+
+void CallRunner::note(const RunningCall &call, std::string decision)
+{
+    m_log.add(call.program, m_context.nowMs, std::move(decision));
+}
+
+RunningCall *CallRunner::find(CallId id)
+{
+    const auto it = m_calls.find(id);
+    return it == m_calls.end() ? nullptr : &it->second;
+}
+
+RunningCall *CallRunner::findByAttempt(AttemptId attempt)
+{
+    const auto it = m_callByAttempt.find(attempt);
+    return it == m_callByAttempt.end() ? nullptr : find(it->second);
+}
+
+Shard *CallRunner::shardOfCall(const RunningCall &call)
+{
+    return m_shards.find(call.shard);
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/scheduler/schedulercontext.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "configuration/configuration.h"
+#include "core/metrics.h"
+#include "journal/shardjournal.h"
+#include "membership/memberfact.h"
+#include "policy/dispatcher.h"
+#include "scheduler/actions.h"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace flamingo
+{
+
+struct SchedulerSettings {
+    InstanceId instance;
+    DomainId domain;
+    std::string incarnation; ///< Tells this process from earlier ones of the instance.
+    std::vector<DomainId> domains; ///< All failure domains, in the order that every instance has.
+    std::uint32_t shardCount = 8;
+    JournalSettings journal;
+    PolicyRules rules;
+    Milliseconds settleTime{1500}; ///< After the start, before shards are taken that nobody is known to own.
+    Milliseconds commitWait{1500}; ///< How long an answer is held back for its turn to be durable.
+    Milliseconds programRetention{600000}; ///< How long an ended program's answers can be fetched.
+    Milliseconds memorySweepPeriod{2000};
+    unsigned maxTries = 4;
+    double retryBudget = 0.2; ///< Retries as a share of first tries.
+};
+
+/// What the parts of a scheduler share: settings, what is known of the world, the time of the message being handled, and
+/// the actions that it leads to.
+struct SchedulerContext {
+    SchedulerContext(SchedulerSettings s, Metrics &m)
+        : settings(std::move(s))
+        , metrics(m)
+        , dispatcher(settings.rules, settings.domain)
+    {
+    }
+
+    SchedulerSettings settings;
+    Metrics &metrics;
+    Configuration configuration;
+    std::map<InstanceId, MemberFact> members;
+    Dispatcher dispatcher;
+    Instant now;
+    std::int64_t nowMs = 0; ///< Wall clock, milliseconds since 1970.
+    bool isDraining = false;
+    std::vector<Action> actions;
+
+    void reply(LinkId link, PeerMessage message)
+    {
+        actions.emplace_back(SendOnLink{link, std::move(message)});
+    }
+
+    void refuse(LinkId link, RequestNumber request, const Error &error)
+    {
+        metrics.addRefusal(error.kind);
+        reply(link, refusalOf(request, error));
+    }
+};
+
+} // namespace flamingo
--- /dev/null
+++ b/src/scheduler/shardhost.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "scheduler/schedulercontext.h"
+#include "scheduler/shard.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace flamingo
+{
+
+/// The shards of this instance. Decides which to take, to ask for and to give up, from the members that are known;
+/// whether a taking succeeds is decided by the shard's journal.
+class ShardHost
+{
+public:
+    /// Told of what happens to a shard, before a lost or released one is destroyed.
+    using EventHandler = std::function<void(Shard &shard, const ShardEvent &event)>;
+
+    /// Asked whether a shard that is being handed over has calls under way.
+    using BusyCheck = std::function<bool(ShardId shard)>;
+
+    ShardHost(SchedulerContext &context, EventHandler onEvent, BusyCheck isBusy);
+
+    /// The shard if this instance owns it, handed over ones included until they are released.
+    Shard *find(ShardId shard);
+
+    /// The owned shard of a program; NotOwner with a hint otherwise.
+    Result<Shard *> ownerOf(const ProgramId &program);
+
+    void onStoreReply(ShardId shard, const StoreReply &reply);
+    void onRequestHandover(LinkId link, const RequestHandover &request);
+    void onHandoverPending(ShardId shard);
+    void onShardFreed(ShardId shard);
+
+    /// Takes, asks for and gives up shards as the members now require. To be called a few times a second.
+    void maintain();
+
+    /// Lets the journals go on.
+    void advance();
+
+    std::vector<OwnedShard> owned() const;
+
+    /// The owned shards, for periodic work.
+    std::vector<Shard *> ownedShards();
+
+    bool isEmpty() const;
+
+private:
+    /// How the taking of a shard that isn't owned is going.
+    struct Attempt {
+        unsigned losses = 0;
+        Instant notBefore{};
+        std::optional<Instant> askedAt; ///< When the last owner was first asked for the shard.
+        std::optional<Instant> pendingAt; ///< When the last owner last said that it still has it.
+    };
+
+    void consider(ShardId shard);
+    void take(ShardId shard);
+    void giveUp(Shard &shard);
+    void pump(ShardId shard);
+    bool isSettled();
+    bool mustWaitForOwner(ShardId shard, Attempt &attempt);
+
+    SchedulerContext &m_context;
+    EventHandler m_onEvent;
+    BusyCheck m_isBusy;
+    std::map<ShardId, std::unique_ptr<Shard>> m_shards;
+    std::map<ShardId, Attempt> m_attempts;
+    std::map<ShardId, InstanceId> m_handoverTo;
+    std::optional<Instant> m_startedAt;
+};
+
+} // namespace flamingo
--- /dev/null
+++ b/src/settings/instancesettings.cpp
@@ -0,0 +1,122 @@
+#include "settings/instancesettings.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace flamingo
+{
+
+namespace
+{
+constexpr std::int64_t MaxShards = 4096;
+constexpr std::int64_t MinRing = 32;
+constexpr std::int64_t MaxRing = 4096;
+constexpr std::int64_t MaxBody = 64 * 1024 * 1024;
+
+void readInstance(SettingsReader &reader, InstanceSettings &settings)
+{
+    settings.id = InstanceId(reader.text("instance.id"));
+    settings.domain = DomainId(reader.text("instance.domain"));
+    for (const std::string &domain : reader.texts("instance.domains")) {
+        settings.domains.emplace_back(domain);
+    }
+    settings.shardCount = static_cast<std::uint32_t>(reader.number("instance.shards", settings.shardCount, 1, MaxShards));
+    settings.entryHttp = reader.address("entry.http");
+    settings.schedulerPeer = reader.address("scheduler.peer");
+    settings.schedulerHttp = reader.address("scheduler.http");
+    settings.controlPeer = reader.address("control.peer");
+    settings.controlGossip = reader.address("control.gossip");
+    settings.controlHttp = reader.address("control.http");
+    settings.operatorToken = reader.fileContent("control.operator_token_file");
+    settings.platform = reader.address("platform.address");
+    settings.peerSecret = reader.fileContent("peer_link.secret_file");
+    settings.heartbeat = reader.duration("peer_link.heartbeat", settings.heartbeat);
+    settings.silence = reader.duration("peer_link.silence", settings.silence);
+}
+
+void readJournal(SettingsReader &reader, JournalSettings &journal)
+{
+    journal.ringSize = static_cast<std::uint32_t>(reader.number("journal.ring_size", journal.ringSize, MinRing, MaxRing));
+    journal.appendsPerSecond = static_cast<double>(reader.number("journal.appends_per_second", 30, 1, 1000));
+    journal.appendBurst = static_cast<double>(reader.number("journal.append_burst", 5, 1, 1000));
+    journal.retryDelay = reader.duration("journal.retry_delay", journal.retryDelay);
+}
+
+void readMembership(SettingsReader &reader, MembershipSettings &membership)
+{
+    membership.probePeriod = reader.duration("membership.probe_period", membership.probePeriod);
+    membership.ackTimeout = reader.duration("membership.ack_timeout", membership.ackTimeout);
+    membership.suspectTimeout = reader.duration("membership.suspect_timeout", membership.suspectTimeout);
+}
+
+std::vector<std::string> readPolicy(SettingsReader &reader, PolicyRules &rules)
+{
+    std::vector<std::string> problems;
+    if (reader.flag("policy.baseline", false)) {
+        rules = PolicyRules::baseline();
+    }
+    for (const std::string &rule : reader.texts("policy.switched_off")) {
+        if (!rules.switchOff(rule)) {
+            problems.push_back(fmt::format("policy.switched_off: there is no rule \"{}\"", rule));
+        }
+    }
+    rules.maxQueue = static_cast<std::size_t>(reader.number("policy.max_queue", static_cast<std::int64_t>(rules.maxQueue), 1, 1000000));
+    rules.longCall = reader.duration("policy.long_call", rules.longCall);
+    rules.maxAffinityWait = reader.duration("policy.max_affinity_wait", rules.maxAffinityWait);
+    return problems;
+}
+
+void readLimits(SettingsReader &reader, InstanceSettings &settings)
+{
+    settings.maxBodyBytes = static_cast<std::size_t>(reader.number("limits.max_body_bytes", static_cast<std::int64_t>(settings.maxBodyBytes), 1024, MaxBody));
+    settings.defaultDeadline = reader.duration("limits.default_deadline", settings.defaultDeadline);
+    settings.ownerWait = reader.duration("limits.owner_wait", settings.ownerWait);
+    settings.commitWait = reader.duration("limits.commit_wait", settings.commitWait);
+    settings.programRetention = reader.duration("limits.program_retention", settings.programRetention);
+    settings.memorySweep = reader.duration("limits.memory_sweep", settings.memorySweep);
+    settings.drainTime = reader.duration("limits.drain_time", settings.drainTime);
+}
+
+void readPeers(SettingsReader &reader, InstanceSettings &settings)
+{
+    for (const std::string &table : reader.tables("peer")) {
+        PeerSettings peer;
+        peer.id = InstanceId(reader.text(table + ".id"));
+        peer.domain = DomainId(reader.text(table + ".domain"));
+        peer.gossip = reader.address(table + ".gossip");
+        peer.control = reader.address(table + ".control");
+        peer.scheduler = reader.address(table + ".scheduler");
+        settings.peers.push_back(std::move(peer));
+    }
+}
+} // namespace
+
+std::vector<std::string> loadInstanceSettings(const std::string &path, InstanceSettings &settings)
+{
+    SettingsReader reader(path);
+    readInstance(reader, settings);
+    readJournal(reader, settings.journal);
+    readMembership(reader, settings.membership);
+    auto policyProblems = readPolicy(reader, settings.rules);
+    readLimits(reader, settings);
+    readPeers(reader, settings);
+    auto problems = reader.problems();
+    for (const std::string &problem : policyProblems) {
+        problems.push_back(path + ": " + problem);
+    }
+    const bool knowsDomain = std::find(settings.domains.begin(), settings.domains.end(), settings.domain) != settings.domains.end();
+    if (problems.empty() && !knowsDomain) {
+        problems.push_back(fmt::format("{}: instance.domains: expected a list that contains \"{}\"", path, settings.domain.value()));
+    }
+    return problems;
+}
+
+std::uint64_t processIncarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/tests/standins/servicestandin.cpp
@@ -0,0 +1,108 @@
+// The stand-in for a plain service. POST /v1/operations/NAME carries the operation out after a while and records the
+// effect with the request's Idempotency-Key; GET /effects gives the record: key to count. It doesn't honour the key, as
+// a careless service wouldn't, so that a repeated request shows. POST /admin: delay_ms, hang, lose_answers, refuse.
+
+#include "core/codec.h"
+#include "core/stopsignal.h"
+#include "core/worker.h"
+#include "http/httpserver.h"
+
+#include <cxxopts.hpp>
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace
+{
+using namespace flamingo;
+
+class ServiceStandIn
+{
+public:
+    ServiceStandIn(std::uint64_t seed, Milliseconds delay)
+        : m_random(seed)
+        , m_delay(delay)
+        , m_worker("service")
+    {
+        m_worker.start();
+    }
+
+    void handle(const HttpExchangePtr &exchange)
+    {
+        m_worker.post([this, exchange] {
+            const std::string path = exchange->path();
+            if (path == "/effects") {
+                exchange->respond(200, "application/json", dumpJson(m_effects));
+            } else if (path == "/admin") {
+                administer(*exchange);
+            } else {
+                operate(exchange);
+            }
+        });
+    }
+
+    void stop()
+    {
+        m_worker.stop();
+    }
+
+private:
+    void operate(const HttpExchangePtr &exchange)
+    {
+        if (m_isLeaving) {
+            exchange->respond(410, "application/json", "{}");
+            return;
+        }
+        ++m_effects[exchange->header("Idempotency-Key")];
+        const bool isLost = m_isHung || std::uniform_real_distribution<>(0, 1)(m_random) < m_loseAnswers;
+        if (isLost) {
+            m_lost.push_back(exchange);
+            return;
+        }
+        m_worker.timers().at(std::chrono::steady_clock::now() + m_delay, [exchange](Instant) {
+            const auto body = parseJson(exchange->body());
+            exchange->respond(200, "application/json", dumpJson({{"done", exchange->header("Idempotency-Key")}, {"echo", body.value_or(nullptr)}}));
+        });
+    }
+
+    void administer(HttpExchange &exchange)
+    {
+        const auto json = parseJson(exchange.body());
+        if (json && json->is_object()) {
+            m_delay = Milliseconds(json->value("delay_ms", m_delay.count()));
+            m_isHung = json->value("hang", m_isHung);
+            m_isLeaving = json->value("leaving", m_isLeaving);
+            m_loseAnswers = json->value("lose_answers", m_loseAnswers);
+        }
+        exchange.respond(200, "application/json", "{}");
+    }
+
+    std::mt19937_64 m_random;
+    Milliseconds m_delay;
+    bool m_isHung = false;
+    bool m_isLeaving = false;
+    double m_loseAnswers = 0;
+    std::map<std::string, int> m_effects;
+    std::vector<HttpExchangePtr> m_lost;
+    Worker m_worker;
+};
+} // namespace
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options("service-standin", "Stand-in for a plain service");
+    options.add_options()("port", "Port on loopback", cxxopts::value<std::uint16_t>());
+    options.add_options()("seed", "Seed", cxxopts::value<std::uint64_t>()->default_value("1"));
+    options.add_options()("delay-ms", "Time that an operation takes", cxxopts::value<int>()->default_value("5"));
+    const auto arguments = options.parse(argc, argv);
+    flamingo::blockStopSignals();
+    ServiceStandIn service(arguments["seed"].as<std::uint64_t>(), flamingo::Milliseconds(arguments["delay-ms"].as<int>()));
+    flamingo::HttpServer server({"127.0.0.1", arguments["port"].as<std::uint16_t>(), 1},
+                                [&](const flamingo::HttpExchangePtr &exchange) { service.handle(exchange); });
+    flamingo::waitForStopSignal();
+    server.stop();
+    service.stop();
+    return 0;
+}
