--- a/src/configuration/configurationkeeper.cpp
+++ b/src/configuration/configurationkeeper.cpp
@@ -14,7 +14,7 @@
 {
 constexpr const char *KeyPrefix = "config";
 constexpr Milliseconds TicketTimeout{8000};
-constexpr std::size_t SnapshotChunkBytes = 700 * 1024;
+constexpr std::size_t SnapshotChunkBytes = std::size_t(700) * 1024;
 
 std::vector<std::string> encodeSnapshot(const Configuration &configuration)
 {
--- a/src/configuration/objects.cpp
+++ b/src/configuration/objects.cpp
@@ -11,7 +11,7 @@
 
 namespace
 {
-const char *const KindNames[] = {"pool", "endpoint", "agent", "caller"};
+constexpr const char *KindNames[] = {"pool", "endpoint", "agent", "caller"};
 constexpr std::size_t Sha256HexLength = 64;
 constexpr std::size_t MaxIdLength = 100;
 
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -89,7 +89,7 @@
     void finish(RequestId id, HttpOutcome outcome);
 };
 
-HttpClient::HttpClient(std::string name, long maxConnectionsPerHost)
+HttpClient::HttpClient(const std::string &name, long maxConnectionsPerHost)
     : m_private(std::make_unique<Private>())
 {
     static const CURLcode initialised = curl_global_init(CURL_GLOBAL_DEFAULT);
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -49,7 +49,7 @@
     using ChunkHandler = std::function<void(std::string_view chunk)>;
 
     /// The most connections kept at once to one host; 0 for no limit.
-    explicit HttpClient(std::string name, long maxConnectionsPerHost = 0);
+    explicit HttpClient(const std::string &name, long maxConnectionsPerHost = 0);
 
     /// Cancels all that is under way.
     ~HttpClient();
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -54,7 +54,7 @@
         std::string address = "127.0.0.1"; ///< IP number.
         std::uint16_t port = 0;
         std::size_t threads = 1;
-        std::size_t maxBodyBytes = 4 * 1024 * 1024; ///< A connection with a larger request is closed.
+        std::size_t maxBodyBytes = std::size_t(4) * 1024 * 1024; ///< A connection with a larger request is closed.
     };
 
     /// Throws std::exception when the address can't be listened on.
--- a/src/journal/shardjournal.cpp
+++ b/src/journal/shardjournal.cpp
@@ -11,6 +11,8 @@
 {
 /// Entries at the end of the ring that only takeovers may use, so that a new owner always has room for its entry.
 constexpr std::uint32_t TakeoverReserve = 8;
+/// Slots whose versions are known ahead of the next append.
+constexpr EntrySequence VersionsAhead = 4;
 } // namespace
 
 ShardJournal::ShardJournal(std::string keyPrefix, InstanceId writer, std::string incarnation, JournalSettings settings)
@@ -60,9 +62,14 @@
     m_chunkReads.clear();
     m_chunksRead.clear();
     m_slotVersions.clear();
+    m_versionReads.clear();
+    m_versionRetryAt.reset();
     m_tail.reset();
     m_inFlight.reset();
     m_restartAt.reset();
+    m_unreadSlots.clear();
+    m_unreadChunks.clear();
+    m_rereadAt.reset();
     m_searchLow = 0;
     m_searchHigh = m_settings.ringSize;
     readSlot(0);
@@ -80,6 +87,10 @@
         onInFlightReply(reply, now);
     } else if (m_state == State::FindingTail || m_state == State::Reading) {
         onReadingReply(reply, now);
+    } else if (const auto read = m_versionReads.find(reply.id); read != m_versionReads.end()) {
+        const EntrySequence sequence = read->second;
+        m_versionReads.erase(read);
+        onVersionRead(sequence, reply, now);
     } else if (m_pendingSnapshot) {
         const auto it = m_pendingSnapshot->chunkByOperation.find(reply.id);
         if (it != m_pendingSnapshot->chunkByOperation.end()) {
@@ -89,10 +100,42 @@
     advance(now);
 }
 
+void ShardJournal::readChunk(std::uint32_t chunk)
+{
+    m_chunkReads.emplace(issue(StoreOperation::Kind::Read, chunkKey(m_snapshot.id, chunk)), chunk);
+}
+
+void ShardJournal::rereadLater(std::uint64_t operation, Instant now)
+{
+    const auto slot = m_slotByOperation.find(operation);
+    const auto chunk = m_chunkReads.find(operation);
+    if (slot != m_slotByOperation.end()) {
+        m_unreadSlots.insert(slot->second);
+        m_slotByOperation.erase(slot);
+    } else if (chunk != m_chunkReads.end()) {
+        m_unreadChunks.insert(chunk->second);
+        m_chunkReads.erase(chunk);
+    } else {
+        return;
+    }
+    m_rereadAt = now + m_settings.retryDelay;
+}
+
+void ShardJournal::reread()
+{
+    m_rereadAt.reset();
+    for (const std::uint32_t slot : std::exchange(m_unreadSlots, {})) {
+        readSlot(slot);
+    }
+    for (const std::uint32_t chunk : std::exchange(m_unreadChunks, {})) {
+        readChunk(chunk);
+    }
+}
+
 void ShardJournal::onReadingReply(const StoreReply &reply, Instant now)
 {
     if (reply.status == StoreReply::Status::Unknown) {
-        m_restartAt = now + m_settings.retryDelay;
+        rereadLater(reply.id, now);
         return;
     }
     const auto slot = m_slotByOperation.find(reply.id);
@@ -161,13 +204,13 @@
         readSlot(static_cast<std::uint32_t>(sequence % m_settings.ringSize));
     }
     for (std::uint32_t chunk = 0; chunk < m_snapshot.chunkCount; ++chunk) {
-        m_chunkReads.emplace(issue(StoreOperation::Kind::Read, chunkKey(m_snapshot.id, chunk)), chunk);
+        readChunk(chunk);
     }
 }
 
 void ShardJournal::finishReading(Instant now)
 {
-    if (!m_slotByOperation.empty() || !m_chunkReads.empty()) {
+    if (!m_slotByOperation.empty() || !m_chunkReads.empty() || m_rereadAt) {
         return;
     }
     for (EntrySequence sequence = m_snapshot.replayFrom; sequence < m_next; ++sequence) {
@@ -374,6 +417,9 @@
         restartOpen(now);
         return;
     }
+    if (m_rereadAt && now >= *m_rereadAt) {
+        reread();
+    }
     if (m_inFlight && m_inFlight->retryAt && now >= *m_inFlight->retryAt) {
         m_inFlight->retryAt.reset();
         m_inFlight->isVerifying = true;
@@ -382,11 +428,52 @@
     if (m_pendingSnapshot && m_pendingSnapshot->retryAt && now >= *m_pendingSnapshot->retryAt) {
         writeUnwrittenChunks();
     }
+    if (m_state == State::Owner) {
+        readVersionsAhead(now);
+    }
     if (m_state == State::Owner && !m_inFlight) {
         appendNext(now);
     }
 }
 
+// A new owner has read only the entries since the last snapshot. The versions of the slots that it will write next are
+// read ahead of need; in the first round of the ring they are known to be absent.
+void ShardJournal::readVersionsAhead(Instant now)
+{
+    if (m_versionRetryAt && now < *m_versionRetryAt) {
+        return;
+    }
+    m_versionRetryAt.reset();
+    for (EntrySequence sequence = m_next; sequence < m_next + VersionsAhead; ++sequence) {
+        const auto slot = static_cast<std::uint32_t>(sequence % m_settings.ringSize);
+        if (m_slotVersions.count(slot) != 0) {
+            continue;
+        }
+        if (sequence < m_settings.ringSize) {
+            m_slotVersions[slot] = 0;
+            continue;
+        }
+        const bool isBeingRead = std::any_of(m_versionReads.begin(), m_versionReads.end(), [&](const auto &read) { return read.second == sequence; });
+        if (!isBeingRead) {
+            m_versionReads.emplace(issue(StoreOperation::Kind::Read, slotKey(sequence)), sequence);
+        }
+    }
+}
+
+void ShardJournal::onVersionRead(EntrySequence sequence, const StoreReply &reply, Instant now)
+{
+    if (reply.status == StoreReply::Status::Unknown) {
+        m_versionRetryAt = now + m_settings.retryDelay;
+        return;
+    }
+    const auto entry = decodeEntry(reply.value);
+    if (entry && entry->sequence >= sequence) {
+        lose(*entry);
+        return;
+    }
+    m_slotVersions[static_cast<std::uint32_t>(sequence % m_settings.ringSize)] = reply.version;
+}
+
 bool ShardJournal::canAppend(Instant now)
 {
     const std::chrono::duration<double> elapsed = now - m_lastRefill;
@@ -395,7 +482,8 @@
     const bool hasSnapshot = m_pendingSnapshot && m_pendingSnapshot->unwritten.empty();
     const EntrySequence room = m_settings.ringSize - (hasSnapshot ? 1 : TakeoverReserve);
     const bool hasRoom = m_next - m_snapshot.replayFrom < room;
-    return hasRoom && m_appendTokens >= 1;
+    const bool isVersionKnown = m_slotVersions.count(static_cast<std::uint32_t>(m_next % m_settings.ringSize)) != 0;
+    return hasRoom && isVersionKnown && m_appendTokens >= 1;
 }
 
 void ShardJournal::appendNext(Instant now)
--- a/src/journal/shardjournal.h
+++ b/src/journal/shardjournal.h
@@ -45,7 +45,7 @@
 
 struct JournalSettings {
     std::uint32_t ringSize = 128; ///< Entries in the ring; at least 32, the same for all instances.
-    std::size_t maxEntryBytes = 700 * 1024; ///< Payload of one entry; the store takes 1 MB.
+    std::size_t maxEntryBytes = std::size_t(700) * 1024; ///< Payload of one entry; the store takes 1 MB.
     double appendsPerSecond = 30; ///< Sustained pace of one shard.
     double appendBurst = 5; ///< Appends that may go out without pacing.
     Milliseconds retryDelay{100}; ///< Before an undecided write is looked into.
@@ -135,6 +135,9 @@
     std::uint64_t issue(StoreOperation::Kind kind, std::string key, std::string value = {}, StoreVersion expectedVersion = 0);
 
     void readSlot(std::uint32_t slot);
+    void readChunk(std::uint32_t chunk);
+    void rereadLater(std::uint64_t operation, Instant now);
+    void reread();
     void onSlotRead(std::uint32_t slot, const StoreReply &reply, Instant now);
     void continueSearch(Instant now);
     void startReading();
@@ -150,6 +153,8 @@
     void onEntryCommitted(StoreVersion version);
     void lose(const JournalEntry &winner);
 
+    void readVersionsAhead(Instant now);
+    void onVersionRead(EntrySequence sequence, const StoreReply &reply, Instant now);
     void appendNext(Instant now);
     bool canAppend(Instant now);
     JournalEntry makeEntry();
@@ -176,10 +181,15 @@
     std::uint32_t m_searchHigh = 0;
     std::optional<JournalEntry> m_tail;
     std::optional<Instant> m_restartAt;
+    std::set<std::uint32_t> m_unreadSlots; ///< Reads that had no answer, to be issued again at m_rereadAt.
+    std::set<std::uint32_t> m_unreadChunks;
+    std::optional<Instant> m_rereadAt;
 
     FencingNumber m_fence;
     EntrySequence m_next = 0;
-    std::map<std::uint32_t, StoreVersion> m_slotVersions;
+    std::map<std::uint32_t, StoreVersion> m_slotVersions; ///< What the next writes of the slots expect, as far as known.
+    std::map<std::uint64_t, EntrySequence> m_versionReads;
+    std::optional<Instant> m_versionRetryAt;
     std::deque<PendingRecord> m_pending;
     RecordIndex m_lastAppended = 0;
     RecordIndex m_lastCommitted = 0;
--- a/src/membership/memberfact.cpp
+++ b/src/membership/memberfact.cpp
@@ -5,7 +5,7 @@
 
 namespace
 {
-const char *const StateNames[] = {"live", "leaving", "suspect", "dead"};
+constexpr const char *StateNames[] = {"live", "leaving", "suspect", "dead"};
 }
 
 // Gossip is the one message whose size counts, so facts are written as lists.
--- a/src/programs/records.cpp
+++ b/src/programs/records.cpp
@@ -7,7 +7,7 @@
 
 namespace
 {
-const char *const PriorityNames[] = {"urgent", "normal", "batch"};
+constexpr const char *PriorityNames[] = {"urgent", "normal", "batch"};
 } // namespace
 
 std::optional<PriorityClass> priorityFromName(const std::string &name)
--- a/src/scheduler/shard.cpp
+++ b/src/scheduler/shard.cpp
@@ -12,7 +12,7 @@
 
 namespace
 {
-constexpr std::size_t SnapshotChunkBytes = 700 * 1024;
+constexpr std::size_t SnapshotChunkBytes = std::size_t(700) * 1024;
 
 ProgramId programOf(const Record &record)
 {
@@ -50,8 +50,8 @@
 void Shard::advance(Instant now)
 {
     m_journal.advance(now);
-    for (JournalEvent &event : m_journal.takeEvents()) {
-        std::visit(Visitors{[this](JournalOpened &opened) { rebuild(std::move(opened)); },
+    for (const JournalEvent &event : m_journal.takeEvents()) {
+        std::visit(Visitors{[this](const JournalOpened &opened) { rebuild(opened); },
                             [this](const RecordsCommitted &) { m_events.emplace_back(ShardCommitted{}); },
                             [this](const OwnershipLost &lost) {
                                 m_isOwned = false;
@@ -68,7 +68,7 @@
     }
 }
 
-void Shard::rebuild(JournalOpened opened)
+void Shard::rebuild(const JournalOpened &opened)
 {
     for (const std::string &chunk : opened.snapshotChunks) {
         if (!m_table.restoreSnapshot(chunk)) {
--- a/src/scheduler/shard.h
+++ b/src/scheduler/shard.h
@@ -77,7 +77,7 @@
     const ProgramTable &table() const;
 
 private:
-    void rebuild(JournalOpened opened);
+    void rebuild(const JournalOpened &opened);
 
     const ShardId m_id;
     ShardJournal m_journal;
--- a/src/settings/instancesettings.h
+++ b/src/settings/instancesettings.h
@@ -47,7 +47,7 @@
     MembershipSettings membership;
     PolicyRules rules;
 
-    std::size_t maxBodyBytes = 4 * 1024 * 1024;
+    std::size_t maxBodyBytes = std::size_t(4) * 1024 * 1024;
     Milliseconds defaultDeadline{60000};
     Milliseconds ownerWait{10000};
     Milliseconds commitWait{1500};
--- /dev/null
+++ b/tests/unit/configurationtest.cpp
@@ -0,0 +1,183 @@
+#include "configuration/configurationkeeper.h"
+#include "unit/fakestore.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <map>
+#include <memory>
+
+using namespace flamingo;
+
+namespace
+{
+Ticket poolTicket(std::uint64_t number, const std::string &id, bool isModel = true)
+{
+    const nlohmann::json object = {{"kind", "pool"}, {"id", id}, {"spec", {{"serves", isModel ? "model" : "service"}}}};
+    return *parseTicket({{"ticket", number}, {"objects", {object}}});
+}
+
+JournalSettings quickSettings()
+{
+    JournalSettings settings;
+    settings.ringSize = 32;
+    settings.appendsPerSecond = 1000;
+    settings.appendBurst = 1000;
+    settings.retryDelay = Milliseconds(10);
+    return settings;
+}
+
+void settle(std::vector<ConfigurationKeeper *> keepers, FakeStore &store, Instant &now, int steps = 600)
+{
+    std::map<std::uint64_t, std::pair<ConfigurationKeeper *, std::uint64_t>> routes;
+    std::uint64_t lastRoute = 0;
+    for (int n = 0; n < steps; ++n) {
+        now += Milliseconds(3);
+        for (ConfigurationKeeper *keeper : keepers) {
+            keeper->advance(now);
+            for (auto operation : keeper->takeOperations()) {
+                routes[++lastRoute] = {keeper, operation.id};
+                operation.id = lastRoute;
+                store.submit(operation);
+            }
+        }
+        for (StoreReply reply : store.deliver()) {
+            const auto route = routes.find(reply.id);
+            if (route != routes.end()) {
+                reply.id = route->second.second;
+                route->second.first->onReply(reply, now);
+            }
+        }
+    }
+}
+} // namespace
+
+TEST_CASE("A malformed ticket is refused with a reason")
+{
+    const auto kindOf = [](const char *text) { return parseTicket(nlohmann::json::parse(text)).error().kind; };
+    REQUIRE(kindOf(R"({"ticket":0,"objects":[]})") == ErrorKind::TicketMalformed);
+    REQUIRE(kindOf(R"({"ticket":1,"objects":[]})") == ErrorKind::TicketMalformed);
+    REQUIRE(kindOf(R"({"ticket":1,"objects":[{"kind":"pool","id":"a","spec":{"serves":"cake"}}]})") == ErrorKind::TicketMalformed);
+    REQUIRE(kindOf(R"({"ticket":1,"objects":[{"kind":"pool","id":"a","spec":{"serves":"model","colour":1}}]})") == ErrorKind::TicketMalformed);
+    REQUIRE(kindOf(R"({"ticket":1,"objects":[{"kind":"hat","id":"a","spec":null}]})") == ErrorKind::TicketMalformed);
+}
+
+TEST_CASE("An older ticket is refused whole, and the same one is accepted again", "[promises]")
+{
+    Configuration configuration;
+    for (const ConfigObject &object : poolTicket(5, "llm").objects) {
+        REQUIRE(configuration.merge(object));
+    }
+    REQUIRE(configuration.check(poolTicket(4, "llm", false)).error().kind == ErrorKind::TicketSuperseded);
+    REQUIRE(configuration.check(poolTicket(5, "llm", false)).error().kind == ErrorKind::TicketSuperseded);
+    REQUIRE(configuration.check(poolTicket(5, "llm")));
+    REQUIRE(configuration.check(poolTicket(6, "llm", false)));
+    REQUIRE_FALSE(configuration.merge(poolTicket(4, "llm", false).objects[0]));
+    REQUIRE(configuration.pool(PoolId("llm"))->isModel);
+}
+
+TEST_CASE("A ticket that names unknown objects is refused")
+{
+    Configuration configuration;
+    const nlohmann::json agent = {{"kind", "agent"}, {"id", "a"}, {"spec", {{"pool", "nowhere"}}}};
+    const auto ticket = parseTicket({{"ticket", 1U}, {"objects", {agent}}});
+    REQUIRE(configuration.check(*ticket).error().kind == ErrorKind::TicketUnknownObject);
+}
+
+TEST_CASE("Configurations merged in any order are equal")
+{
+    Configuration a;
+    Configuration b;
+    const std::vector<Ticket> tickets{poolTicket(1, "x"), poolTicket(3, "x", false), poolTicket(2, "y"), poolTicket(9, "z")};
+    for (auto it = tickets.begin(); it != tickets.end(); ++it) {
+        a.merge(it->objects[0]);
+    }
+    for (auto it = tickets.rbegin(); it != tickets.rend(); ++it) {
+        b.merge(it->objects[0]);
+    }
+    REQUIRE(a.bucketSums() == b.bucketSums());
+    REQUIRE(a.fingerprint() == b.fingerprint());
+    b.merge(poolTicket(10, "z").objects[0]);
+    REQUIRE(a.fingerprint() != b.fingerprint());
+}
+
+TEST_CASE("A ticket is accepted through the store and read by a newcomer")
+{
+    FakeStore store(1);
+    Instant now{};
+    ConfigurationKeeper first(InstanceId("a"), "1", quickSettings());
+    first.submit(poolTicket(1, "llm"), now);
+    settle({&first}, store, now);
+    REQUIRE(first.takeDecisions().at(0).result);
+    ConfigurationKeeper second(InstanceId("b"), "1", quickSettings());
+    second.readAll(now);
+    settle({&second}, store, now);
+    REQUIRE(second.hasRead());
+    REQUIRE(second.configuration().pool(PoolId("llm")) != nullptr);
+}
+
+TEST_CASE("A ticket is undecided, not refused, while the store is away")
+{
+    StoreFaults faults;
+    faults.loseRequest = 1;
+    FakeStore store(1, faults);
+    Instant now{};
+    ConfigurationKeeper keeper(InstanceId("a"), "1", quickSettings());
+    keeper.submit(poolTicket(1, "llm"), now);
+    settle({&keeper}, store, now, 4000);
+    REQUIRE(keeper.takeDecisions().at(0).result.error().kind == ErrorKind::StoreUnavailable);
+    REQUIRE(keeper.configuration().pool(PoolId("llm")) == nullptr);
+}
+
+// Operators race over the same objects through three controls, with calls lost, late and unanswered. Accepted tickets
+// stay: the newest accepted ticket of each object is what a newcomer reads, and nothing older ever comes back.
+TEST_CASE("Racing operators: accepted is kept and nothing reverts", "[promises]")
+{
+    const auto seed = GENERATE(range(1, 21));
+    StoreFaults faults;
+    faults.loseRequest = 0.05;
+    faults.loseAnswer = 0.1;
+    faults.delay = 0.05;
+    FakeStore store(static_cast<std::uint64_t>(seed), faults);
+    std::mt19937 random(static_cast<unsigned>(seed));
+    Instant now{};
+    std::vector<std::unique_ptr<ConfigurationKeeper>> keepers;
+    std::vector<ConfigurationKeeper *> all;
+    for (const char *name : {"a", "b", "c"}) {
+        keepers.push_back(std::make_unique<ConfigurationKeeper>(InstanceId(name), "1", quickSettings()));
+        all.push_back(keepers.back().get());
+    }
+    std::map<std::string, std::uint64_t> accepted;
+    std::map<std::pair<ConfigurationKeeper *, SubmissionId>, Ticket> submitted;
+    std::map<ConfigurationKeeper *, std::map<std::string, std::uint64_t>> inForce;
+    for (std::uint64_t number = 1; number <= 61; ++number) {
+        ConfigurationKeeper *keeper = all[random() % all.size()];
+        const std::uint64_t shuffled = number + random() % 5;
+        const Ticket ticket = poolTicket(shuffled, "p" + std::to_string(random() % 3), random() % 2 == 0);
+        submitted[{keeper, keeper->submit(ticket, now)}] = ticket;
+        const bool isLast = number == 61;
+        settle(all, store, now, isLast ? 3000 : static_cast<int>(random() % 40));
+        for (ConfigurationKeeper *each : all) {
+            for (const auto &decision : each->takeDecisions()) {
+                if (decision.result) {
+                    const ConfigObject &object = submitted.at({each, decision.id}).objects[0];
+                    accepted[object.key.id] = std::max(accepted[object.key.id], object.ticket.value());
+                }
+            }
+            for (const auto &[key, object] : each->configuration().objects()) {
+                std::uint64_t &seen = inForce[each][key.id];
+                REQUIRE(object.ticket.value() >= seen);
+                seen = object.ticket.value();
+            }
+        }
+    }
+    FakeStore calm(1);
+    calm.state() = store.state();
+    ConfigurationKeeper newcomer(InstanceId("n"), "1", quickSettings());
+    newcomer.readAll(now);
+    settle({&newcomer}, calm, now);
+    REQUIRE(accepted.size() == 3);
+    for (const auto &[id, number] : accepted) {
+        REQUIRE(newcomer.configuration().objects().at({ObjectKind::Pool, id}).ticket.value() >= number);
+    }
+}
--- /dev/null
+++ b/tests/unit/coretest.cpp
@@ -0,0 +1,134 @@
+#include "core/boundedring.h"
+#include "core/error.h"
+#include "core/metrics.h"
+#include "core/settingsreader.h"
+#include "core/timerservice.h"
+#include "endpoints/eventstream.h"
+#include "settings/instancesettings.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <fstream>
+#include <sstream>
+
+using namespace flamingo;
+
+namespace
+{
+std::string readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    std::ostringstream content;
+    content << file.rdbuf();
+    return content.str();
+}
+} // namespace
+
+TEST_CASE("The error table has one row a kind, in order, with names and exit codes of its own")
+{
+    std::set<std::string> names;
+    std::set<int> exitCodes;
+    const auto &table = errorTable();
+    for (std::size_t n = 0; n < table.size(); ++n) {
+        REQUIRE(static_cast<std::size_t>(table[n].kind) == n);
+        REQUIRE(names.insert(table[n].name).second);
+        REQUIRE(exitCodes.insert(table[n].exitCode).second);
+        REQUIRE(errorKindFromName(table[n].name) == table[n].kind);
+    }
+    REQUIRE(static_cast<std::size_t>(ErrorKind::TicketUndecided) + 1 == table.size());
+}
+
+TEST_CASE("The page of errors shows the table as it is in the code")
+{
+    const std::string page = readFile(std::string(SOURCE_FOLDER) + "/docs/errors.md");
+    for (const ErrorInfo &info : errorTable()) {
+        const std::string row = fmt::format("| {} | {} | {} | {} | {} |",
+                                            info.name,
+                                            info.httpStatus,
+                                            info.exitCode,
+                                            runStateName(info.runState),
+                                            info.retry == RetryAdvice::Helps ? "helps" : "useless");
+        INFO(row);
+        REQUIRE(page.find(row) != std::string::npos);
+    }
+}
+
+TEST_CASE("Settings: what is wrong is named with file, line and what was expected")
+{
+    const std::string path = "settingstest.toml";
+    std::ofstream(path) << "[a]\nport = \"localhost:80\"\ntime = \"5 parsecs\"\nstrange = 1\n";
+    SettingsReader reader(path);
+    (void)reader.address("a.port");
+    (void)reader.duration("a.time", Milliseconds(1));
+    (void)reader.text("a.missing");
+    const auto problems = reader.problems();
+    REQUIRE(problems.size() == 3);
+    REQUIRE(problems[0].find("settingstest.toml:2: a.port: expected an IP number") != std::string::npos);
+    REQUIRE(problems[1].find("settingstest.toml:3: a.time") != std::string::npos);
+    REQUIRE(problems[2].find("a.missing") != std::string::npos);
+
+    SettingsReader second(path);
+    (void)second.text("a.port");
+    (void)second.text("a.time");
+    const auto unknown = second.problems();
+    REQUIRE(unknown.size() == 1);
+    REQUIRE(unknown[0].find("settingstest.toml:4: a.strange") != std::string::npos);
+}
+
+TEST_CASE("Timers run when they are due, in order, and can be cancelled")
+{
+    TimerService timers;
+    const Instant start{};
+    std::string order;
+    timers.at(start + Milliseconds(20), [&](Instant) { order += 'b'; });
+    timers.at(start + Milliseconds(10), [&](Instant) { order += 'a'; });
+    const auto cancelled = timers.at(start + Milliseconds(15), [&](Instant) { order += 'x'; });
+    timers.cancel(cancelled);
+    const auto periodic = timers.every(start, Milliseconds(30), [&](Instant) { order += 'p'; });
+    REQUIRE(timers.nextDue(start) == start + Milliseconds(10));
+    timers.advance(start + Milliseconds(25));
+    REQUIRE(order == "ab");
+    timers.advance(start + Milliseconds(30));
+    timers.advance(start + Milliseconds(60));
+    timers.cancel(periodic);
+    timers.advance(start + Milliseconds(200));
+    REQUIRE(order == "abpp");
+}
+
+TEST_CASE("A bounded ring refuses new work before it is full")
+{
+    BoundedRing<int> ring(4);
+    REQUIRE(ring.tryPush(1, 2));
+    REQUIRE(ring.tryPush(2, 2));
+    REQUIRE_FALSE(ring.tryPush(3, 2));
+    ring.push(3);
+    REQUIRE(ring.popUntil(Instant{}) == 1);
+    REQUIRE(ring.popUntil(Instant{}) == 2);
+    REQUIRE(ring.popUntil(Instant{}) == 3);
+    REQUIRE_FALSE(ring.popUntil(Instant{}));
+}
+
+TEST_CASE("Every refusal has its counter from the start")
+{
+    Metrics metrics;
+    metrics.addRefusal(ErrorKind::Overloaded);
+    metrics.observe("test_milliseconds", 12);
+    const std::string page = metrics.render();
+    REQUIRE(page.find("flamingo_refusals_total{kind=\"overloaded\"} 1\n") != std::string::npos);
+    REQUIRE(page.find("flamingo_refusals_total{kind=\"not-owner\"} 0\n") != std::string::npos);
+    REQUIRE(page.find("test_milliseconds_count 1\n") != std::string::npos);
+}
+
+TEST_CASE("Server-sent events are cut at any byte")
+{
+    const std::string stream = "data: one\n\n: comment\n\ndata: two\r\n\r\n";
+    EventStream events;
+    std::string got;
+    for (const char c : stream) {
+        for (const std::string &payload : events.feed(std::string(1, c))) {
+            got += payload + ";";
+        }
+    }
+    REQUIRE(got == "one;two;");
+}
--- /dev/null
+++ b/tests/unit/entrytest.cpp
@@ -0,0 +1,161 @@
+#include "entry/answersink.h"
+#include "entry/entrycore.h"
+
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+
+using namespace flamingo;
+
+namespace
+{
+/// A caller's side of an exchange.
+class MockExchange : public HttpExchange
+{
+public:
+    MAKE_CONST_MOCK0(method, std::string(), override);
+    MAKE_CONST_MOCK0(path, std::string(), override);
+    MAKE_CONST_MOCK1(query, std::string(const std::string &), override);
+    MAKE_CONST_MOCK1(header, std::string(const std::string &), override);
+    MAKE_CONST_MOCK0(body, const std::string &(), override);
+    MAKE_MOCK4(respond, void(int, const std::string &, std::string, const std::vector<Header> &), override);
+    MAKE_MOCK3(startStream, void(int, const std::string &, const std::vector<Header> &), override);
+    MAKE_MOCK1(write, void(std::string), override);
+    MAKE_MOCK0(finishStream, void(), override);
+};
+
+struct EntryBench {
+    EntryBench()
+        : core(
+            {InstanceId("i0"), DomainId("d"), 8, Milliseconds(1000)},
+            metrics,
+            [this](const std::string &address, const PeerMessage &message) {
+                sent.emplace_back(address, message);
+                return ++lastLink;
+            },
+            1)
+    {
+        core.setTime(now);
+    }
+
+    void setOwner(const std::string &instance, std::uint64_t fence)
+    {
+        MemberFact fact;
+        fact.instance = InstanceId(instance);
+        fact.domain = DomainId("d");
+        fact.incarnation = 1;
+        fact.hasScheduler = true;
+        fact.schedulerAddress = instance;
+        fact.shards = {{ShardId(0), FencingNumber(fence)}};
+        MembershipUpdate update;
+        update.members = {fact};
+        core.onMessage(1, update);
+    }
+
+    void submit(bool isFirstAttempt)
+    {
+        EntryCore::Request request;
+        SubmitCall call;
+        call.program = ProgramId("0-p");
+        call.number = CallNumber(1);
+        request.message = call;
+        request.shard = ShardId(0);
+        request.deadline = now + Milliseconds(5000);
+        request.isFirstAttempt = isFirstAttempt;
+        request.onReply = [this](const PeerMessage &message) { replies.push_back(message); };
+        request.onError = [this](const Error &error) { errors.push_back(error.kind); };
+        core.submit(std::move(request));
+    }
+
+    void run(Milliseconds time)
+    {
+        for (Milliseconds passed(0); passed < time; passed += Milliseconds(10)) {
+            now += Milliseconds(10);
+            core.setTime(now);
+            core.onTimer();
+        }
+    }
+
+    Metrics metrics;
+    std::vector<std::pair<std::string, PeerMessage>> sent;
+    LinkId lastLink = 10;
+    EntryCore core;
+    Instant now{std::chrono::seconds(10)};
+    std::vector<PeerMessage> replies;
+    std::vector<ErrorKind> errors;
+};
+
+AnswerDone done(RequestNumber request, const std::string &text)
+{
+    AnswerDone answer;
+    answer.request = request;
+    answer.outcome.text = text;
+    return answer;
+}
+} // namespace
+
+TEST_CASE("A refusal says \"not run\" only when nobody can have got the call", "[promises]")
+{
+    EntryBench bench;
+    bench.submit(true);
+    bench.submit(false);
+    bench.run(Milliseconds(1500));
+    REQUIRE(bench.errors == std::vector<ErrorKind>{ErrorKind::OwnerUnreachable, ErrorKind::OwnerUnreachableOnRetry});
+    REQUIRE(errorInfo(ErrorKind::OwnerUnreachable).runState == RunState::NotRun);
+    REQUIRE(errorInfo(ErrorKind::OwnerUnreachableOnRetry).runState == RunState::MayHaveRun);
+    // Once it was sent, "not run" can't be said any more, also on a first attempt.
+    EntryBench second;
+    second.setOwner("i1", 1);
+    second.submit(true);
+    second.run(Milliseconds(6000));
+    REQUIRE(second.errors == std::vector<ErrorKind>{ErrorKind::OwnerUnreachableOnRetry});
+}
+
+TEST_CASE("A call follows its program's owner, and answers of old links are passed over", "[promises]")
+{
+    EntryBench bench;
+    bench.setOwner("i1", 1);
+    bench.submit(true);
+    REQUIRE(bench.sent.size() == 1);
+    const LinkId old = bench.lastLink;
+    bench.core.onLinkDown(old);
+    bench.setOwner("i2", 2);
+    bench.run(Milliseconds(300));
+    REQUIRE(bench.sent.size() == 2);
+    REQUIRE(bench.sent[1].first == "i2");
+    bench.core.onMessage(old, done(1, "crossed"));
+    REQUIRE(bench.replies.empty());
+    bench.core.onMessage(bench.lastLink, done(99, "another request's"));
+    REQUIRE(bench.replies.empty());
+    bench.core.onMessage(bench.lastLink, done(1, "right"));
+    REQUIRE(bench.replies.size() == 1);
+    REQUIRE(bench.core.pending() == 0);
+}
+
+TEST_CASE("A stream passes each byte on once, whatever pieces come", "[promises]")
+{
+    const auto exchange = std::make_shared<MockExchange>();
+    std::string written;
+    ALLOW_CALL(*exchange, startStream(200, trompeloeil::_, trompeloeil::_));
+    ALLOW_CALL(*exchange, write(trompeloeil::_)).LR_SIDE_EFFECT(written += _1);
+    REQUIRE_CALL(*exchange, finishStream());
+    const auto sink = makeNativeSink(exchange, true);
+    sink->onDelta(0, "one ");
+    sink->onDelta(0, "one two ");
+    sink->onDelta(4, "two ");
+    sink->onDelta(12, "gap");
+    sink->onDone(done(1, "one two three"));
+    sink->onDone(done(1, "again"));
+    REQUIRE(written.find("restart") == std::string::npos);
+    REQUIRE(written.find(R"({"text":"one "})") != std::string::npos);
+    REQUIRE(written.find(R"({"text":"two "})") != std::string::npos);
+    REQUIRE(written.find(R"({"text":"three"})") != std::string::npos);
+}
+
+TEST_CASE("An error before the first piece keeps its status, and only one answer is given")
+{
+    const auto exchange = std::make_shared<MockExchange>();
+    REQUIRE_CALL(*exchange, respond(429, trompeloeil::_, trompeloeil::_, trompeloeil::_));
+    const auto sink = makeNativeSink(exchange, true);
+    sink->onError({ErrorKind::Overloaded, "full", Milliseconds(500)});
+    sink->onDone(done(1, "late"));
+}
--- /dev/null
+++ b/tests/unit/fakestore.cpp
@@ -0,0 +1,85 @@
+#include "unit/fakestore.h"
+
+#include <utility>
+
+namespace flamingo
+{
+
+FakeStore::FakeStore(std::uint64_t seed, StoreFaults faults)
+    : m_random(seed)
+    , m_faults(faults)
+{
+}
+
+bool FakeStore::chance(double probability)
+{
+    return std::uniform_real_distribution<>(0, 1)(m_random) < probability;
+}
+
+void FakeStore::submit(const StoreOperation &operation)
+{
+    if (chance(m_faults.loseRequest)) {
+        m_unknown.push_back({operation.id, StoreReply::Status::Unknown, 0, {}});
+        return;
+    }
+    if (chance(m_faults.delay)) {
+        // The caller gives up on it, but it may still arrive.
+        m_unknown.push_back({operation.id, StoreReply::Status::Unknown, 0, {}});
+        StoreOperation late = operation;
+        late.id = 0;
+        m_waiting.push_back(late);
+        return;
+    }
+    m_waiting.push_back(operation);
+}
+
+StoreReply FakeStore::perform(StoreState &state, const StoreOperation &operation)
+{
+    StoreReply reply;
+    reply.id = operation.id;
+    if (operation.kind == StoreOperation::Kind::Read) {
+        const auto value = state.read(operation.key);
+        reply.status = value ? StoreReply::Status::Done : StoreReply::Status::Absent;
+        reply.version = value ? value->version : 0;
+        reply.value = value ? value->bytes : "";
+    } else if (operation.kind == StoreOperation::Kind::Delete) {
+        state.remove(operation.key);
+        reply.status = StoreReply::Status::Done;
+    } else {
+        const auto version = state.write(operation.key, operation.expectedVersion, operation.value);
+        reply.status = version ? StoreReply::Status::Done : StoreReply::Status::Conflict;
+        reply.version = version.value_or(0);
+    }
+    return reply;
+}
+
+std::vector<StoreReply> FakeStore::deliver()
+{
+    std::vector<StoreReply> replies = std::exchange(m_unknown, {});
+    if (m_waiting.empty()) {
+        return replies;
+    }
+    const std::size_t n = chance(0.5) ? 0 : m_random() % m_waiting.size();
+    const StoreOperation operation = m_waiting[n];
+    m_waiting.erase(m_waiting.begin() + static_cast<std::ptrdiff_t>(n));
+    StoreReply reply = perform(m_state, operation);
+    if (operation.kind == StoreOperation::Kind::Write && chance(m_faults.loseAnswer)) {
+        reply = {operation.id, StoreReply::Status::Unknown, 0, {}};
+    }
+    if (reply.id != 0) {
+        replies.push_back(std::move(reply));
+    }
+    return replies;
+}
+
+bool FakeStore::hasWaiting() const
+{
+    return !m_waiting.empty() || !m_unknown.empty();
+}
+
+StoreState &FakeStore::state()
+{
+    return m_state;
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/tests/unit/journaltest.cpp
@@ -0,0 +1,291 @@
+#include "journal/shardjournal.h"
+#include "unit/fakestore.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <map>
+#include <memory>
+#include <set>
+
+using namespace flamingo;
+
+namespace
+{
+JournalSettings quickSettings()
+{
+    JournalSettings settings;
+    settings.ringSize = 32;
+    settings.appendsPerSecond = 1000;
+    settings.appendBurst = 1000;
+    settings.retryDelay = Milliseconds(10);
+    return settings;
+}
+
+/// One process with a journal: remembers what it was told is in the journal for good.
+struct Writer {
+    Writer(const std::string &name, int incarnation)
+        : journal("shard/0", InstanceId(name), std::to_string(incarnation), quickSettings())
+    {
+    }
+
+    void takeEvents()
+    {
+        for (const JournalEvent &event : journal.takeEvents()) {
+            if (const auto *opened = std::get_if<JournalOpened>(&event)) {
+                isOpen = true;
+                for (const std::string &chunk : opened->snapshotChunks) {
+                    const auto items = fromCbor(chunk);
+                    for (const auto &item : *items) {
+                        state.push_back(item.get<std::string>());
+                    }
+                }
+                for (const auto &record : opened->records) {
+                    state.push_back(record.get<std::string>());
+                }
+            } else if (const auto *committed = std::get_if<RecordsCommitted>(&event)) {
+                committedUpTo = committed->upTo;
+            } else if (std::holds_alternative<OwnershipLost>(event)) {
+                isLost = true;
+            }
+        }
+    }
+
+    ShardJournal journal;
+    bool isOpen = false;
+    bool isLost = false;
+    RecordIndex committedUpTo = 0;
+    std::vector<std::string> state; ///< Content that the journal stands for, as this process has rebuilt and extended it.
+    std::vector<std::string> appended;
+};
+
+/// Runs the calls of a writer until there are none.
+void settle(Writer &writer, FakeStore &store, Instant &now)
+{
+    for (int n = 0; n < 2000; ++n) {
+        writer.journal.advance(now);
+        for (const auto &operation : writer.journal.takeOperations()) {
+            store.submit(operation);
+        }
+        for (const StoreReply &reply : store.deliver()) {
+            writer.journal.onReply(reply, now);
+        }
+        writer.takeEvents();
+        now += Milliseconds(3);
+    }
+}
+
+std::string snapshotOf(const Writer &writer)
+{
+    return toCbor(nlohmann::json(writer.state));
+}
+} // namespace
+
+TEST_CASE("An empty journal is opened and appended to, and a successor reads all")
+{
+    FakeStore store(1);
+    Instant now{};
+    Writer first("a", 1);
+    first.journal.open(now);
+    settle(first, store, now);
+    REQUIRE(first.isOpen);
+    REQUIRE(first.journal.fence() == FencingNumber(1));
+    for (int n = 0; n < 10; ++n) {
+        first.journal.append(fmt::format("r{}", n));
+        settle(first, store, now);
+    }
+    REQUIRE(first.committedUpTo == 10);
+
+    Writer second("b", 1);
+    second.journal.open(now);
+    settle(second, store, now);
+    REQUIRE(second.journal.fence() == FencingNumber(2));
+    REQUIRE(second.state.size() == 10);
+    REQUIRE(second.state.back() == "r9");
+}
+
+TEST_CASE("A deposed owner's append fails for good, and it learns so")
+{
+    FakeStore store(1);
+    Instant now{};
+    Writer first("a", 1);
+    first.journal.open(now);
+    settle(first, store, now);
+    Writer second("b", 1);
+    second.journal.open(now);
+    settle(second, store, now);
+    first.journal.append("late");
+    settle(first, store, now);
+    REQUIRE(first.isLost);
+    REQUIRE(first.committedUpTo == 0);
+    REQUIRE_FALSE(first.journal.isOwner());
+}
+
+TEST_CASE("A lost answer is settled by reading back, not taken for a failure")
+{
+    StoreFaults faults;
+    faults.loseAnswer = 1;
+    FakeStore store(7, faults);
+    Instant now{};
+    Writer writer("a", 1);
+    writer.journal.open(now);
+    settle(writer, store, now);
+    REQUIRE(writer.isOpen);
+    writer.journal.append("x");
+    settle(writer, store, now);
+    REQUIRE(writer.committedUpTo == 1);
+    REQUIRE_FALSE(writer.isLost);
+}
+
+TEST_CASE("The ring comes round over snapshots and nothing is lost")
+{
+    FakeStore store(3);
+    Instant now{};
+    Writer writer("a", 1);
+    writer.journal.open(now);
+    settle(writer, store, now);
+    for (int n = 0; n < 200; ++n) {
+        const std::string record = fmt::format("r{}", n);
+        writer.journal.append(record);
+        writer.state.push_back(record);
+        if (writer.journal.needsSnapshot()) {
+            writer.journal.startSnapshot({snapshotOf(writer)});
+        }
+        for (int k = 0; k < 6; ++k) {
+            writer.journal.advance(now);
+            for (const auto &operation : writer.journal.takeOperations()) {
+                store.submit(operation);
+            }
+            for (const StoreReply &reply : store.deliver()) {
+                writer.journal.onReply(reply, now);
+            }
+            now += Milliseconds(3);
+        }
+    }
+    settle(writer, store, now);
+    writer.takeEvents();
+    REQUIRE(writer.committedUpTo == 200);
+    Writer second("b", 1);
+    second.journal.open(now);
+    settle(second, store, now);
+    REQUIRE(second.state.size() == 200);
+    REQUIRE(second.state.front() == "r0");
+    REQUIRE(second.state.back() == "r199");
+    // Old snapshots are deleted: only the ring and the newest snapshot stay.
+    REQUIRE(store.state().keys("shard/0/snapshot/").size() == 1);
+}
+
+TEST_CASE("Takeovers in a row never use up the ring")
+{
+    FakeStore store(3);
+    Instant now{};
+    for (int n = 0; n < 60; ++n) {
+        Writer writer("w" + std::to_string(n), 1);
+        writer.journal.open(now);
+        settle(writer, store, now);
+        REQUIRE(writer.isOpen);
+        if (writer.journal.needsSnapshot()) {
+            writer.journal.startSnapshot({snapshotOf(writer)});
+        }
+        settle(writer, store, now);
+    }
+}
+
+TEST_CASE("A released shard stays released and the next owner goes on")
+{
+    FakeStore store(1);
+    Instant now{};
+    Writer first("a", 1);
+    first.journal.open(now);
+    settle(first, store, now);
+    first.journal.append("x");
+    first.journal.release();
+    settle(first, store, now);
+    REQUIRE(first.committedUpTo == 1);
+    REQUIRE_FALSE(first.journal.isOwner());
+    Writer second("b", 1);
+    second.journal.open(now);
+    settle(second, store, now);
+    REQUIRE(second.state == std::vector<std::string>{"x"});
+}
+
+// The heart of the promises: rivals that take over from each other at random moments, freeze and wake, while calls are
+// lost, late and unanswered. What a writer was told is committed must be in every later owner's state, once, in order;
+// and fencing numbers never go back.
+TEST_CASE("Rival writers under faults lose no committed record and double none", "[promises]")
+{
+    const auto seed = GENERATE(range(1, 41));
+    StoreFaults faults;
+    faults.loseRequest = 0.05;
+    faults.loseAnswer = 0.1;
+    faults.delay = 0.1;
+    FakeStore store(static_cast<std::uint64_t>(seed), faults);
+    std::mt19937 random(static_cast<unsigned>(seed));
+    Instant now{};
+    std::vector<std::unique_ptr<Writer>> writers;
+    std::map<std::string, int> told; // Records that some writer was told are committed.
+    int lastRecord = 0;
+    FencingNumber highest;
+    std::map<std::uint64_t, std::pair<Writer *, std::uint64_t>> routes;
+    std::uint64_t lastRoute = 0;
+    for (int step = 0; step < 6000; ++step) {
+        now += Milliseconds(2);
+        if (writers.size() < 12 && random() % 400 == 0) {
+            writers.push_back(std::make_unique<Writer>("w" + std::to_string(writers.size()), step));
+            writers.back()->journal.open(now);
+        }
+        for (auto &writer : writers) {
+            const bool isFrozen = random() % 10 == 0;
+            if (isFrozen) {
+                continue;
+            }
+            writer->journal.advance(now);
+            if (writer->isOpen && !writer->isLost && writer->journal.isOwner() && random() % 8 == 0) {
+                const std::string record = std::to_string(++lastRecord);
+                writer->journal.append(record);
+                writer->appended.push_back(record);
+                writer->state.push_back(record);
+                if (writer->journal.needsSnapshot()) {
+                    writer->journal.startSnapshot({snapshotOf(*writer)});
+                }
+            }
+            for (auto operation : writer->journal.takeOperations()) {
+                routes[++lastRoute] = {writer.get(), operation.id};
+                operation.id = lastRoute;
+                store.submit(operation);
+            }
+        }
+        for (StoreReply reply : store.deliver()) {
+            const auto [writer, id] = routes.at(reply.id);
+            reply.id = id;
+            writer->journal.onReply(reply, now);
+            const RecordIndex before = writer->committedUpTo;
+            const bool wasOpen = writer->isOpen;
+            writer->takeEvents();
+            for (RecordIndex n = before; n < writer->committedUpTo; ++n) {
+                told[writer->appended[n]] += 1;
+            }
+            if (!wasOpen && writer->isOpen) {
+                REQUIRE(writer->journal.fence() > highest);
+                highest = writer->journal.fence();
+            }
+        }
+    }
+    StoreState state = store.state();
+    FakeStore calm(1);
+    calm.state() = state;
+    Writer last("last", 1);
+    last.journal.open(now);
+    settle(last, calm, now);
+    REQUIRE(last.isOpen);
+    std::map<std::string, int> found;
+    for (const std::string &record : last.state) {
+        found[record] += 1;
+        REQUIRE(found[record] == 1);
+    }
+    REQUIRE(told.size() > 20);
+    for (const auto &[record, count] : told) {
+        INFO("record " << record);
+        REQUIRE(found[record] == 1);
+    }
+}
--- /dev/null
+++ b/tests/unit/programtest.cpp
@@ -0,0 +1,178 @@
+#include "programs/programtable.h"
+
+#include <catch2/catch.hpp>
+
+using namespace flamingo;
+
+namespace
+{
+const ProgramId Prog("0-a");
+const CallerId Omaruru("omaruru");
+
+ProgramStarted started(std::int64_t budget, const ProgramId &id = Prog)
+{
+    ProgramStarted record;
+    record.program = id;
+    record.caller = Omaruru;
+    record.agent = AgentId("quote");
+    record.budget = Tokens(budget);
+    return record;
+}
+
+TurnCommitted turn(const ProgramTable &table, std::uint32_t number, const std::string &text, std::int64_t cost, const ProgramId &id = Prog)
+{
+    Outcome outcome;
+    outcome.text = text;
+    outcome.cost = Tokens(cost);
+    return {id, CallNumber(number), digestOf("q" + std::to_string(number)), table.find(id)->historyDigest, "{}", outcome};
+}
+
+CallRequest call(std::uint32_t number, std::int64_t cost = 1)
+{
+    return {Prog, CallNumber(number), digestOf("q" + std::to_string(number)), Tokens(cost)};
+}
+} // namespace
+
+TEST_CASE("Calls of a program run in order", "[promises]")
+{
+    ProgramTable table;
+    REQUIRE(table.apply(started(1000)));
+    REQUIRE(table.admit(call(2), {}, 0).error().kind == ErrorKind::CallOutOfOrder);
+    REQUIRE(table.admit(call(0), {}, 0).error().kind == ErrorKind::CallOutOfOrder);
+    REQUIRE(std::holds_alternative<Run>(*table.admit(call(1), {}, 0)));
+    table.setRunning(Prog, digestOf("q1"), Tokens(1));
+    REQUIRE(std::holds_alternative<Attach>(*table.admit(call(1), {}, 0)));
+    REQUIRE(table.admit(call(2), {}, 0).error().kind == ErrorKind::CallOutOfOrder);
+    REQUIRE(table.apply(turn(table, 1, "answer", 1)));
+    table.setRunning(Prog, std::nullopt, Tokens(0));
+    const auto replay = table.admit(call(1), {}, 0);
+    REQUIRE(std::get<Replay>(*replay).turn.outcome.text == "answer");
+    REQUIRE(std::holds_alternative<Run>(*table.admit(call(2), {}, 0)));
+}
+
+TEST_CASE("Another request under a used number is a conflict")
+{
+    ProgramTable table;
+    REQUIRE(table.apply(started(1000)));
+    REQUIRE(table.apply(turn(table, 1, "answer", 1)));
+    CallRequest other = call(1);
+    other.request = digestOf("something else");
+    REQUIRE(table.admit(other, {}, 0).error().kind == ErrorKind::CallConflict);
+}
+
+TEST_CASE("A turn on another history is refused", "[promises]")
+{
+    ProgramTable table;
+    REQUIRE(table.apply(started(1000)));
+    REQUIRE(table.apply(started(1000, ProgramId("0-b"))));
+    const auto foreign = turn(table, 1, "for b", 1, ProgramId("0-b"));
+    TurnCommitted mixed = foreign;
+    mixed.program = Prog;
+    REQUIRE(table.apply(mixed).error().kind == ErrorKind::CallConflict);
+    REQUIRE(table.apply(foreign));
+    REQUIRE(table.apply(foreign).error().kind == ErrorKind::CallConflict);
+    REQUIRE(table.find(Prog)->turns.empty());
+}
+
+TEST_CASE("A budget can't be overrun, and what a dead owner reserved counts as spent", "[promises]")
+{
+    ProgramTable table;
+    REQUIRE(table.apply(started(100)));
+    REQUIRE(table.admit(call(1, 101), {}, 0).error().kind == ErrorKind::BudgetExhausted);
+    REQUIRE_FALSE(table.isReserved(Prog, Tokens(10)));
+    REQUIRE(table.apply(table.nextReservation(Prog, Tokens(10))));
+    REQUIRE(table.find(Prog)->reserved == Tokens(40));
+    REQUIRE(table.isReserved(Prog, Tokens(40)));
+    REQUIRE(table.apply(turn(table, 1, "a", 10)));
+    REQUIRE(table.apply(TakeoverSettled{FencingNumber(2)}));
+    REQUIRE(table.find(Prog)->spent == Tokens(40));
+    REQUIRE(table.admit(call(2, 61), {}, 0).error().kind == ErrorKind::BudgetExhausted);
+    REQUIRE(table.admit(call(2, 60), {}, 0));
+}
+
+TEST_CASE("A sub-agent spends its parent's budget and gives back the rest")
+{
+    ProgramTable table;
+    REQUIRE(table.apply(started(100)));
+    ProgramStarted child = started(60, ProgramId("0-c"));
+    child.parent = Prog;
+    REQUIRE(table.apply(child));
+    REQUIRE(table.find(Prog)->spent == Tokens(60));
+    ProgramStarted second = started(50, ProgramId("0-d"));
+    second.parent = Prog;
+    REQUIRE(table.apply(second).error().kind == ErrorKind::BudgetExhausted);
+    REQUIRE(table.apply(turn(table, 1, "a", 20, ProgramId("0-c"))));
+    REQUIRE(table.openDescendants(Prog).size() == 1);
+    REQUIRE(table.apply(ProgramEnded{ProgramId("0-c"), "caller"}));
+    REQUIRE(table.find(Prog)->spent == Tokens(20));
+    REQUIRE(table.openDescendants(Prog).empty());
+}
+
+TEST_CASE("A claim without an outcome becomes an unknown outcome after a takeover", "[promises]")
+{
+    ProgramTable table;
+    REQUIRE(table.apply(started(100)));
+    REQUIRE(table.apply(CallClaimed{Prog, CallNumber(1), digestOf("q1")}));
+    REQUIRE_FALSE(table.apply(CallClaimed{Prog, CallNumber(1), digestOf("q1")}));
+    const auto records = table.unresolvedClaims();
+    REQUIRE(records.size() == 1);
+    REQUIRE(table.apply(records[0]));
+    const auto replay = table.admit(call(1), {}, 0);
+    REQUIRE(std::get<Replay>(*replay).turn.outcome.error == std::string("outcome-unknown"));
+    REQUIRE(table.unresolvedClaims().empty());
+}
+
+TEST_CASE("A withdrawn claim leaves the number free")
+{
+    ProgramTable table;
+    REQUIRE(table.apply(started(100)));
+    REQUIRE(table.apply(CallClaimed{Prog, CallNumber(1), digestOf("q1")}));
+    REQUIRE(table.apply(ClaimWithdrawn{Prog, CallNumber(1)}));
+    REQUIRE(table.unresolvedClaims().empty());
+    REQUIRE(table.apply(CallClaimed{Prog, CallNumber(1), digestOf("q1")}));
+}
+
+TEST_CASE("Turn and time limits hold")
+{
+    ProgramTable table;
+    REQUIRE(table.apply(started(100)));
+    ProgramLimits limits;
+    limits.maxTurns = 1;
+    limits.maxDuration = Milliseconds(1000);
+    REQUIRE(table.admit(call(1), limits, 1001).error().kind == ErrorKind::ProgramTimeLimit);
+    REQUIRE(table.apply(turn(table, 1, "a", 1)));
+    REQUIRE(table.admit(call(2), limits, 0).error().kind == ErrorKind::TurnLimitReached);
+    REQUIRE(table.apply(ProgramEnded{Prog, "caller"}));
+    REQUIRE(table.admit(call(2), {}, 0).error().kind == ErrorKind::ProgramEnded);
+    REQUIRE(std::holds_alternative<Replay>(*table.admit(call(1), {}, 0)));
+}
+
+TEST_CASE("A snapshot and the records give the same state")
+{
+    ProgramTable table;
+    REQUIRE(table.apply(started(1000)));
+    for (std::uint32_t n = 1; n <= 5; ++n) {
+        REQUIRE(table.apply(turn(table, n, std::string(400, 'x'), 3)));
+    }
+    REQUIRE(table.apply(started(1000, ProgramId("0-b"))));
+    ProgramTable copy;
+    for (const std::string &chunk : table.encodeSnapshot(1000)) {
+        REQUIRE(copy.restoreSnapshot(chunk));
+    }
+    REQUIRE(copy.size() == 2);
+    REQUIRE(copy.find(Prog)->historyDigest == table.find(Prog)->historyDigest);
+    REQUIRE(copy.find(Prog)->spent == Tokens(15));
+    REQUIRE(copy.find(Prog)->turns.size() == 5);
+}
+
+TEST_CASE("Records survive their encoding; unknown ones are told apart")
+{
+    Outcome outcome;
+    outcome.error = "outcome-unknown";
+    const Record record = TurnCommitted{Prog, CallNumber(3), digestOf("q"), digestOf("h"), "{}", outcome};
+    const auto decoded = decodeRecord(encodeRecord(record));
+    REQUIRE(decoded);
+    REQUIRE(std::get<TurnCommitted>(*decoded).outcome.error == std::string("outcome-unknown"));
+    REQUIRE_FALSE(decodeRecord(nlohmann::json::array({99, nlohmann::json::object()})));
+    REQUIRE_FALSE(decodeRecord("nonsense"));
+}
