--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -30,6 +30,7 @@
         {K::DeadlineUnreachable, "deadline-unreachable", 503, 25, R::NotRun, A::Helps},
         {K::NoEndpoint, "no-endpoint", 503, 26, R::NotRun, A::Helps},
         {K::ShuttingDown, "shutting-down", 503, 27, R::NotRun, A::Helps},
+        {K::NotReady, "not-ready", 503, 40, R::NotRun, A::Helps},
         {K::StoreUnavailable, "store-unavailable", 503, 28, R::NotRun, A::Helps},
         {K::NotOwner, "not-owner", 503, 29, R::NotRun, A::Helps},
         {K::OwnerUnreachable, "owner-unreachable", 503, 30, R::NotRun, A::Helps},
--- a/src/core/error.h
+++ b/src/core/error.h
@@ -31,6 +31,7 @@
     DeadlineUnreachable,
     NoEndpoint,
     ShuttingDown,
+    NotReady,
     StoreUnavailable,
     NotOwner,
     OwnerUnreachable,
--- a/src/entry/callerapi.cpp
+++ b/src/entry/callerapi.cpp
@@ -123,6 +123,9 @@
     if (m_core.isDraining()) {
         return tl::make_unexpected(Error{ErrorKind::ShuttingDown, "this instance is stopping; ask another", Milliseconds(100)});
     }
+    if (!m_core.isReady()) {
+        return tl::make_unexpected(Error{ErrorKind::NotReady, "this instance has no configuration yet; ask another", Milliseconds(500)});
+    }
     Caller caller;
     caller.key = bearerToken(*exchange);
     const auto id = m_core.authenticate(caller.key);
--- a/src/entry/entrycore.cpp
+++ b/src/entry/entrycore.cpp
@@ -15,6 +15,8 @@
 
 namespace
 {
+/// The owner answers at the deadline and knows more than the entry, so it is waited for a little longer.
+constexpr Milliseconds OwnerGrace{1000};
 constexpr Milliseconds RetryDelay{50};
 constexpr Milliseconds RetryJitter{50};
 
@@ -129,7 +131,7 @@
 {
     std::vector<RequestNumber> late;
     for (auto &[number, pending] : m_pending) {
-        if (m_now >= pending.request.deadline || (pending.link == 0 && m_now >= pending.ownerDeadline)) {
+        if (m_now >= pending.request.deadline + (pending.wasSent ? OwnerGrace : Milliseconds(0)) || (pending.link == 0 && m_now >= pending.ownerDeadline)) {
             late.push_back(number);
         } else if (pending.link == 0 && m_now >= pending.nextTry) {
             trySend(number, pending);
@@ -230,6 +232,11 @@
     return ProgramId(fmt::format("{}-{}", shard->value(), randomSuffix()));
 }
 
+bool EntryCore::isReady() const
+{
+    return !m_configuration.objects().empty();
+}
+
 Result<CallerId> EntryCore::authenticate(const std::string &key) const
 {
     CallerId caller;
--- a/src/entry/entrycore.h
+++ b/src/entry/entrycore.h
@@ -64,6 +64,9 @@
     /// The id of a sub-agent, on its parent's shard.
     Result<ProgramId> newChildId(const ProgramId &parent);
 
+    /// Whether there is a configuration to check requests against.
+    bool isReady() const;
+
     /// The caller whose key this is.
     Result<CallerId> authenticate(const std::string &key) const;
 
--- a/src/entry/entrydaemon.cpp
+++ b/src/entry/entrydaemon.cpp
@@ -58,8 +58,8 @@
     const bool isTaken = m_decisions.tryPost([this, exchange] {
         setTime();
         if (exchange->path() == "/healthz") {
-            const bool isDraining = m_core.isDraining();
-            exchange->respond(isDraining ? 503 : 200, "text/plain", isDraining ? "stopping\n" : "serving\n");
+            const bool isServing = m_core.isReady() && !m_core.isDraining();
+            exchange->respond(isServing ? 200 : 503, "text/plain", isServing ? "serving\n" : "not serving\n");
             return;
         }
         m_api.handle(exchange);
--- a/src/journal/shardjournal.cpp
+++ b/src/journal/shardjournal.cpp
@@ -13,6 +13,8 @@
 constexpr std::uint32_t TakeoverReserve = 8;
 /// Slots whose versions are known ahead of the next append.
 constexpr EntrySequence VersionsAhead = 4;
+/// How often an owner without appends looks whether it still is the owner.
+constexpr Milliseconds OwnershipCheckPeriod{5000};
 } // namespace
 
 ShardJournal::ShardJournal(std::string keyPrefix, InstanceId writer, std::string incarnation, JournalSettings settings)
@@ -259,6 +261,7 @@
     inFlight.lastRecord = lastRecord;
     inFlight.startedAt = now;
     m_inFlight = std::move(inFlight);
+    m_confirmedAt = now;
     writeInFlight();
 }
 
@@ -430,6 +433,10 @@
     }
     if (m_state == State::Owner) {
         readVersionsAhead(now);
+        if (now - m_confirmedAt >= OwnershipCheckPeriod) {
+            m_confirmedAt = now;
+            checkOwnership();
+        }
     }
     if (m_state == State::Owner && !m_inFlight) {
         appendNext(now);
@@ -460,6 +467,13 @@
     }
 }
 
+void ShardJournal::checkOwnership()
+{
+    if (m_state == State::Owner && !m_inFlight) {
+        m_versionReads.emplace(issue(StoreOperation::Kind::Read, slotKey(m_next)), m_next);
+    }
+}
+
 void ShardJournal::onVersionRead(EntrySequence sequence, const StoreReply &reply, Instant now)
 {
     if (reply.status == StoreReply::Status::Unknown) {
@@ -467,6 +481,9 @@
         return;
     }
     const auto entry = decodeEntry(reply.value);
+    if (sequence < m_next) {
+        return;
+    }
     if (entry && entry->sequence >= sequence) {
         lose(*entry);
         return;
--- a/src/journal/shardjournal.h
+++ b/src/journal/shardjournal.h
@@ -79,6 +79,10 @@
     /// Starts to write a snapshot of the state that all records appended so far lead to.
     void startSnapshot(std::vector<std::string> chunks);
 
+    /// Looks whether somebody else has written where this owner would write next; OwnershipLost follows if so. An owner
+    /// that has nothing to append does so by itself every few seconds.
+    void checkOwnership();
+
     void onReply(const StoreReply &reply, Instant now);
 
     /// To be called after each change and at least every few milliseconds.
@@ -190,6 +194,7 @@
     std::map<std::uint32_t, StoreVersion> m_slotVersions; ///< What the next writes of the slots expect, as far as known.
     std::map<std::uint64_t, EntrySequence> m_versionReads;
     std::optional<Instant> m_versionRetryAt;
+    Instant m_confirmedAt; ///< When this owner last knew that it is the owner.
     std::deque<PendingRecord> m_pending;
     RecordIndex m_lastAppended = 0;
     RecordIndex m_lastCommitted = 0;
--- a/src/scheduler/schedulercore.cpp
+++ b/src/scheduler/schedulercore.cpp
@@ -45,7 +45,7 @@
                                 m_context.members.emplace(fact.instance, fact);
                             }
                             installEndpoints();
-                            m_shards.maintain();
+                            m_shards.onMembersChanged();
                         },
                         [&](const ConfigurationUpdate &update) {
                             for (const ConfigObject &object : update.objects) {
--- a/src/scheduler/shard.cpp
+++ b/src/scheduler/shard.cpp
@@ -41,6 +41,11 @@
     m_journal.release();
 }
 
+void Shard::checkOwnership()
+{
+    m_journal.checkOwnership();
+}
+
 void Shard::onReply(const StoreReply &reply, Instant now)
 {
     m_journal.onReply(reply, now);
--- a/src/scheduler/shard.h
+++ b/src/scheduler/shard.h
@@ -43,6 +43,9 @@
     void startHandover();
     void release();
 
+    /// Looks into the store whether the shard is still owned here.
+    void checkOwnership();
+
     void onReply(const StoreReply &reply, Instant now);
     void advance(Instant now);
     std::vector<StoreOperation> takeOperations();
--- a/src/scheduler/shardhost.cpp
+++ b/src/scheduler/shardhost.cpp
@@ -15,11 +15,16 @@
 
 namespace
 {
-constexpr Milliseconds FirstLossBackoff{500};
-constexpr unsigned MaxLossDoublings = 6;
+constexpr Milliseconds HomeLossPause{500};
+constexpr Milliseconds ForeignLossBackoff{5000};
+constexpr unsigned MaxLossDoublings = 4;
+/// A shard that has been kept for so long counts as won.
+constexpr Milliseconds LossMemory{60000};
 constexpr Milliseconds HandoverRequestPeriod{1000};
 /// How long an owner that gossip holds for dead has to answer before it is taken over from.
 constexpr Milliseconds AnswerTime{400};
+/// The same for a shard whose home is another domain. That whole domain seems to be gone, and may only be cut off.
+constexpr Milliseconds ForeignAnswerTime{4000};
 /// How long an owner's answer that it still has the shard holds.
 constexpr Milliseconds PendingLife{3000};
 } // namespace
@@ -87,7 +92,8 @@
 
 void ShardHost::maintain()
 {
-    if (!isSettled()) {
+    const bool hasConfiguration = !m_context.configuration.objects().empty();
+    if (!isSettled() || !hasConfiguration) {
         return;
     }
     for (std::uint32_t n = 0; n < m_context.settings.shardCount; ++n) {
@@ -95,6 +101,24 @@
     }
 }
 
+void ShardHost::onMembersChanged()
+{
+    for (Shard *shard : ownedShards()) {
+        const auto owner = claimedOwner(shard->id(), m_context.members);
+        if (owner && *owner != m_context.settings.instance) {
+            shard->checkOwnership();
+            pump(shard->id());
+        }
+    }
+    maintain();
+}
+
+bool ShardHost::isHome(ShardId shard) const
+{
+    const auto &domains = m_context.settings.domains;
+    return domains[shard.value() % domains.size()] == m_context.settings.domain;
+}
+
 void ShardHost::consider(ShardId id)
 {
     const auto it = m_shards.find(id);
@@ -113,7 +137,7 @@
     if (placed != m_context.settings.instance || m_context.isDraining || m_context.now < attempt.notBefore) {
         return;
     }
-    if (!mustWaitForOwner(id, attempt)) {
+    if (!mustWaitForOwner(id, attempt) && m_context.now >= attempt.takeNotBefore) {
         take(id);
     }
 }
@@ -128,7 +152,7 @@
     }
     const MemberFact &fact = m_context.members.at(*owner);
     const bool isPending = attempt.pendingAt && m_context.now - *attempt.pendingAt < PendingLife;
-    const bool hasAnswerTimePassed = attempt.askedAt && m_context.now - *attempt.askedAt >= AnswerTime;
+    const bool hasAnswerTimePassed = attempt.askedAt && m_context.now - *attempt.askedAt >= (isHome(shard) ? AnswerTime : ForeignAnswerTime);
     if (!isServing(fact) && hasAnswerTimePassed && !isPending) {
         return false;
     }
@@ -176,6 +200,7 @@
 void ShardHost::onShardFreed(ShardId shard)
 {
     m_attempts[shard].notBefore = m_context.now;
+    m_attempts[shard].takeNotBefore = m_context.now;
     m_attempts[shard].pendingAt.reset();
     for (auto &[id, fact] : m_context.members) {
         auto &shards = fact.shards;
@@ -218,14 +243,21 @@
         m_onEvent(shard, event);
         std::visit(Visitors{[&](const ShardOpened &) {
                                 logChange("shard-taken", "shard={} fence={} programs={}", id.value(), shard.fence().value(), shard.table().size());
-                                m_attempts.erase(id);
+                                Attempt &attempt = m_attempts[id];
+                                attempt.askedAt.reset();
+                                attempt.pendingAt.reset();
+                                attempt.takenAt = m_context.now;
                             },
                             [](const ShardCommitted &) {},
                             [&](const ShardLost &lost) {
                                 logChange("shard-lost", "shard={} to={}", id.value(), lost.newOwner.value());
                                 Attempt &attempt = m_attempts[id];
+                                if (m_context.now - attempt.takenAt > LossMemory) {
+                                    attempt.losses = 0;
+                                }
+                                // In a cut both sides may want a shard: its home domain keeps trying, the other gives way.
                                 const unsigned doublings = std::min(attempt.losses++, MaxLossDoublings);
-                                attempt.notBefore = m_context.now + FirstLossBackoff * (1U << doublings);
+                                attempt.takeNotBefore = m_context.now + (isHome(id) ? HomeLossPause : ForeignLossBackoff * (1U << doublings));
                                 isGone = true;
                             },
                             [&](const ShardReleased &) {
--- a/src/scheduler/shardhost.h
+++ b/src/scheduler/shardhost.h
@@ -35,6 +35,9 @@
     void onHandoverPending(ShardId shard);
     void onShardFreed(ShardId shard);
 
+    /// The members have changed: owners that others contradict look into the store.
+    void onMembersChanged();
+
     /// Takes, asks for and gives up shards as the members now require. To be called a few times a second.
     void maintain();
 
@@ -51,8 +54,10 @@
 private:
     /// How the taking of a shard that isn't owned is going.
     struct Attempt {
-        unsigned losses = 0;
-        Instant notBefore{};
+        unsigned losses = 0; ///< Takeovers from this instance in a row.
+        Instant takenAt{};
+        Instant notBefore{}; ///< For the next question to the last owner.
+        Instant takeNotBefore{}; ///< For the next takeover, after a lost one.
         std::optional<Instant> askedAt; ///< When the last owner was first asked for the shard.
         std::optional<Instant> pendingAt; ///< When the last owner last said that it still has it.
     };
@@ -62,6 +67,7 @@
     void giveUp(Shard &shard);
     void pump(ShardId shard);
     bool isSettled();
+    bool isHome(ShardId shard) const;
     bool mustWaitForOwner(ShardId shard, Attempt &attempt);
 
     SchedulerContext &m_context;
--- /dev/null
+++ b/tests/promises/operatortest.cpp
@@ -0,0 +1,265 @@
+// Tickets, leaving endpoints, limits and engine memory.
+
+#include "promises/testdeployment.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+#include <thread>
+
+using namespace flamingo;
+
+namespace
+{
+constexpr Milliseconds InForceTarget{14000}; // The users' target for a change of configuration.
+constexpr Milliseconds LeavingTarget{5000}; // A leaving endpoint gets no new work after this.
+
+void sleepFor(int ms)
+{
+    std::this_thread::sleep_for(Milliseconds(ms));
+}
+
+nlohmann::json budgetTicket(std::uint64_t number, std::int64_t budget)
+{
+    const nlohmann::json spec = {{"pool", "llm"}, {"services", {"dispatch"}}, {"budget_tokens", budget}};
+    return {{"ticket", number}, {"objects", {{{"kind", "agent"}, {"id", "normal"}, {"spec", spec}}}}};
+}
+
+/// The ticket of the agent "normal" that an instance's control has in force.
+std::uint64_t ticketInForce(Deployment &deployment, int instance)
+{
+    const auto configuration = deployment.get(deployment.controlHttpPort(instance), "/v1/configuration");
+    for (const auto &object : configuration.value("objects", nlohmann::json::array())) {
+        if (object["kind"] == "agent" && object["id"] == "normal") {
+            return object["ticket"].get<std::uint64_t>();
+        }
+    }
+    return 0;
+}
+
+double engineRequests(Deployment &deployment, int n)
+{
+    return deployment.get(deployment.enginePort(n), "/v1/load").value("requests", 0.0);
+}
+} // namespace
+
+TEST_CASE("racing-operators", "[promise]")
+{
+    Deployment deployment(testPlan("racing-operators"));
+    deployment.start();
+    std::set<std::uint64_t> accepted;
+    std::mutex mutex;
+    std::vector<std::thread> operators;
+    for (int n = 0; n < 3; ++n) {
+        operators.emplace_back([&, n] {
+            for (std::uint64_t k = 0; k < 12; ++k) {
+                const std::uint64_t number = 10 + k * 3 + static_cast<std::uint64_t>(n);
+                const int status = deployment.apply(n, budgetTicket(number, static_cast<std::int64_t>(number) * 1000));
+                REQUIRE((status == 200 || status == 409));
+                if (status == 200) {
+                    const std::lock_guard<std::mutex> lock(mutex);
+                    accepted.insert(number);
+                }
+            }
+        });
+    }
+    for (std::thread &thread : operators) {
+        thread.join();
+    }
+    REQUIRE_FALSE(accepted.empty());
+    const std::uint64_t newest = *accepted.rbegin();
+    REQUIRE(Deployment::waitFor(InForceTarget, [&] {
+        return ticketInForce(deployment, 0) == newest && ticketInForce(deployment, 1) == newest && ticketInForce(deployment, 2) == newest;
+    }));
+    REQUIRE(deployment.apply(0, budgetTicket(3, 5)) == 409);
+    // It survives the death of every control at once.
+    for (int n = 0; n < 3; ++n) {
+        deployment.daemon(n, "control").kill();
+    }
+    for (int n = 0; n < 3; ++n) {
+        deployment.startDaemon(n, "control");
+    }
+    REQUIRE(Deployment::waitFor(Milliseconds(10000), [&] { return ticketInForce(deployment, 2) != 0; }));
+    REQUIRE(ticketInForce(deployment, 2) == newest);
+}
+
+TEST_CASE("ticket-spreads-by-peers", "[promise]")
+{
+    auto plan = testPlan("ticket-spreads-by-peers");
+    plan.usesProxy = true;
+    Deployment deployment(plan);
+    deployment.start();
+    const auto inForceAfter = [&](std::uint64_t number) {
+        const auto start = std::chrono::steady_clock::now();
+        REQUIRE(deployment.apply(0, budgetTicket(number, 1000)) == 200);
+        REQUIRE(Deployment::waitFor(InForceTarget, [&] { return deployment.isSettled({0, 1, 2}) && ticketInForce(deployment, 2) == number; }));
+        return toMilliseconds(std::chrono::steady_clock::now() - start);
+    };
+    report(fmt::format("a ticket is in force everywhere after {} ms", inForceAfter(20)));
+    deployment.setRoute(deployment.routesToStore(2), "cut");
+    report(fmt::format("with one instance cut off from the store, after {} ms", inForceAfter(21)));
+    // Restarted during the outage, the instance still learns what is in force, from its peers.
+    deployment.daemon(2, "control").kill();
+    deployment.startDaemon(2, "control");
+    REQUIRE(Deployment::waitFor(InForceTarget, [&] { return ticketInForce(deployment, 2) == 21; }));
+}
+
+TEST_CASE("ticket-answer-lost", "[promise]")
+{
+    Deployment deployment(testPlan("ticket-answer-lost"));
+    deployment.start();
+    deployment.admin(deployment.storePort(), {{"lose_answers", 0.7}});
+    REQUIRE(deployment.apply(1, budgetTicket(30, 777)) == 200);
+    deployment.admin(deployment.storePort(), {{"lose_answers", 0.0}});
+    REQUIRE(Deployment::waitFor(InForceTarget, [&] { return ticketInForce(deployment, 0) == 30 && ticketInForce(deployment, 2) == 30; }));
+    std::string body;
+    REQUIRE(deployment.apply(0, {{"ticket", 31}, {"objects", {{{"kind", "agent"}, {"id", "x"}, {"spec", {{"pool", "nowhere"}}}}}}}, &body) == 422);
+    REQUIRE(body.find("ticket-unknown-object") != std::string::npos);
+    REQUIRE(deployment.apply(0, "nonsense") == 422);
+}
+
+TEST_CASE("leaving-endpoint", "[promise]")
+{
+    Deployment deployment(testPlan("leaving-endpoint"));
+    deployment.start();
+    Workload workload(deployment, 8, 11);
+    workload.start();
+    sleepFor(1000);
+    // By a ticket.
+    REQUIRE(deployment.apply(1, {{"ticket", 40}, {"objects", {deployment.endpointObject("e0", true)}}}) == 200);
+    // By the platform's list, which is late.
+    deployment.admin(deployment.storePort(), {{"list_lag_ms", 1500}, {"leaving", {"e1"}}});
+    sleepFor(static_cast<int>(LeavingTarget.count()));
+    const double byTicket = engineRequests(deployment, 0);
+    const double byList = engineRequests(deployment, 1);
+    const double others = engineRequests(deployment, 2);
+    sleepFor(3000);
+    REQUIRE(engineRequests(deployment, 0) == byTicket);
+    REQUIRE(engineRequests(deployment, 1) == byList);
+    REQUIRE(engineRequests(deployment, 2) > others);
+    const Verdict verdict = workload.finish();
+    INFO(verdict.text());
+    REQUIRE(verdict.isClean());
+    REQUIRE(verdict.finished == verdict.programs);
+}
+
+TEST_CASE("limits-and-hung-tool", "[promise]")
+{
+    Deployment deployment(testPlan("limits-and-hung-tool"));
+    deployment.start();
+    HttpClient http("test");
+    ProgramClient looping(http, {deployment.entryPort(0)}, Deployment::callerKey("omaruru"));
+    REQUIRE(looping.start("tight"));
+    CallerAnswer last;
+    int turns = 0;
+    do {
+        last = looping.send("POST",
+                            fmt::format("/v1/programs/{}/calls/{}", looping.program(), looping.nextNumber()),
+                            {{"messages", {{{"role", "user"}, {"content", "again"}}}}, {"max_tokens", 10}},
+                            Milliseconds(10000),
+                            true);
+        looping.setNextNumber(looping.nextNumber() + 1);
+    } while (last.isOk() && ++turns < 50);
+    REQUIRE(turns <= 6);
+    REQUIRE((last.errorKind == "turn-limit-reached" || last.errorKind == "budget-exhausted"));
+    // A hung tool costs its own call, whose outcome is unknown; the program goes on.
+    for (int n = 0; n < 2; ++n) {
+        deployment.admin(deployment.servicePort(n), {{"hang", true}});
+    }
+    ProgramClient hung(http, {deployment.entryPort(0)}, Deployment::callerKey("omaruru"));
+    REQUIRE(hung.start("normal"));
+    const auto answer = hung.operate("book", "hangs", Milliseconds(1500));
+    REQUIRE(answer.runState == "may-have-run");
+    CallerAnswer known;
+    REQUIRE(Deployment::waitFor(Milliseconds(5000), [&] {
+        known = hung.send("GET", fmt::format("/v1/programs/{}/calls/1", hung.program()), nullptr, Milliseconds(2000), true);
+        return known.errorKind == "outcome-unknown";
+    }));
+    hung.setNextNumber(2);
+    REQUIRE(hung.ask("go on", 10).isOk());
+}
+
+TEST_CASE("engine-memory", "[promise]")
+{
+    for (const bool checksFencing : {true, false}) {
+        auto plan = testPlan(checksFencing ? "engine-memory" : "engine-memory-no-fencing");
+        plan.enginesCheckFencing = checksFencing;
+        Deployment deployment(plan);
+        deployment.start();
+        const auto held = [&] {
+            std::size_t count = 0;
+            for (int n = 0; n < plan.engines; ++n) {
+                count += deployment.get(deployment.enginePort(n), "/v1/memory").value("programs", nlohmann::json::array()).size();
+            }
+            return count;
+        };
+        HttpClient http("test");
+        std::vector<std::unique_ptr<ProgramClient>> clients;
+        for (int n = 0; n < 6; ++n) {
+            clients.push_back(std::make_unique<ProgramClient>(
+                http, std::vector<std::uint16_t>{deployment.entryPort(n % 3), deployment.entryPort((n + 1) % 3)}, Deployment::callerKey("omaruru")));
+            // Three are ended by their caller; three are left alone, and their agent's idle time-out ends them.
+            REQUIRE(clients.back()->start(n < 3 ? "normal" : "tight"));
+            REQUIRE(clients.back()
+                        ->send("POST",
+                               fmt::format("/v1/programs/{}/calls/1", clients.back()->program()),
+                               {{"messages", {{{"role", "user"}, {"content", "hello"}}}}, {"max_tokens", 10}},
+                               Milliseconds(10000),
+                               true)
+                        .isOk());
+        }
+        REQUIRE(held() >= 3);
+        // An owner dies at once after; its successor still cleans up.
+        deployment.daemon(1, "scheduler").kill();
+        for (int n = 0; n < 3; ++n) {
+            REQUIRE(Deployment::waitFor(Milliseconds(10000), [&] { return clients[n]->end().isOk(); }));
+        }
+        REQUIRE(Deployment::waitFor(Milliseconds(12000), [&] { return held() == 0; }));
+    }
+}
+
+TEST_CASE("bad-input", "[promise]")
+{
+    Deployment deployment(testPlan("bad-input"));
+    deployment.start();
+    HttpClient http("test");
+    ProgramClient client(http, {deployment.entryPort(0)}, Deployment::callerKey("omaruru"));
+    REQUIRE(client.start("normal"));
+    const std::string call = fmt::format("/v1/programs/{}/calls/1", client.program());
+    const auto kindOf = [&](const std::string &method, const std::string &path, const nlohmann::json &body) {
+        return client.send(method, path, body, Milliseconds(5000), true).errorKind;
+    };
+    REQUIRE(kindOf("POST", call, "text") == "malformed-request");
+    REQUIRE(kindOf("POST", call, {{"messages", 5}}) == "malformed-request");
+    REQUIRE(kindOf("POST", call, {{"strange", 5}}) == "malformed-request");
+    REQUIRE(kindOf("POST", call, {{"service", "nowhere"}, {"operation", "x"}}) == "unknown-pool");
+    REQUIRE(kindOf("POST", fmt::format("/v1/programs/{}/calls/7", client.program()), {{"service", "dispatch"}, {"operation", "book"}}) == "call-out-of-order");
+    REQUIRE(kindOf("POST", "/v1/programs/0-nosuch/calls/1", {{"service", "dispatch"}, {"operation", "book"}}) == "unknown-program");
+    REQUIRE(kindOf("POST", "/v1/programs/zero/calls/1", {{"service", "dispatch"}, {"operation", "book"}}) == "unknown-program");
+    REQUIRE(kindOf("POST", "/v1/programs", {{"agent", "nobody"}}) == "unknown-agent");
+    REQUIRE(kindOf("GET", "/v1/nowhere", nullptr) == "not-found");
+    ProgramClient stranger(http, {deployment.entryPort(0)}, "wrong key");
+    REQUIRE(stranger.send("POST", call, {{"service", "dispatch"}, {"operation", "book"}}, Milliseconds(5000), true).errorKind == "unauthenticated");
+    ProgramClient other(http, {deployment.entryPort(1)}, Deployment::callerKey("kitaezo"));
+    REQUIRE(other.send("POST", call, {{"service", "dispatch"}, {"operation", "book"}}, Milliseconds(5000), true).errorKind == "unknown-program");
+    REQUIRE(client.ask("still fine", 10).isOk());
+    REQUIRE(client.wrongAnswers() == 0);
+    // The chat-completions door, with an idempotency key: the repeat gets the same answer and runs nothing.
+    const nlohmann::json chat = {{"model", "normal"}, {"messages", {{{"role", "user"}, {"content", "hi"}}}}, {"max_tokens", 8}};
+    const auto ask = [&](int entry) {
+        HttpRequest request;
+        request.method = "POST";
+        request.url = fmt::format("http://127.0.0.1:{}/v1/chat/completions", deployment.entryPort(entry));
+        request.headers = {"Authorization: Bearer " + Deployment::callerKey("omaruru"), "Idempotency-Key: abc"};
+        request.body = dumpJson(chat);
+        return http.sendAndWait(std::move(request));
+    };
+    const auto first = ask(0);
+    const auto second = ask(2);
+    REQUIRE(first);
+    REQUIRE(second);
+    REQUIRE(first->status == 200);
+    REQUIRE(first->body == second->body);
+}
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,131 @@
+// Runs both users' programs under random faults for a while, then compares what callers saw with what services recorded.
+
+#include "harness/deployment.h"
+#include "harness/workload.h"
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+
+#include <csignal>
+#include <cstdio>
+#include <random>
+#include <thread>
+
+namespace
+{
+using namespace flamingo;
+
+class Chaos
+{
+public:
+    Chaos(Deployment &deployment, std::uint64_t seed)
+        : m_deployment(deployment)
+        , m_random(seed)
+    {
+    }
+
+    /// Brings about one fault, lets it last, and ends it.
+    void strike()
+    {
+        const int instance = static_cast<int>(m_random() % 3);
+        const int lasts = 500 + static_cast<int>(m_random() % 5000);
+        switch (m_random() % 8) {
+        case 0:
+            killDaemon(instance, "scheduler", lasts);
+            break;
+        case 1:
+            killDaemon(instance, "entry", lasts);
+            break;
+        case 2:
+            killDaemon(instance, "control", lasts);
+            break;
+        case 3:
+            say("pause", instance);
+            m_deployment.daemon(instance, "scheduler").signal(SIGSTOP);
+            sleepFor(lasts);
+            m_deployment.daemon(instance, "scheduler").signal(SIGCONT);
+            break;
+        case 4:
+            store("store-down", {{"down", true}}, lasts, {{"down", false}});
+            break;
+        case 5:
+            store("store-lossy", {{"lose_answers", 0.2}, {"delay_ms", 20}}, lasts, {{"lose_answers", 0.0}, {"delay_ms", 0}});
+            break;
+        case 6:
+            say("cut", 2);
+            m_deployment.setRoute(m_deployment.routesBetween("d1", "d2"), "cut");
+            sleepFor(lasts);
+            m_deployment.setRoute(m_deployment.routesBetween("d1", "d2"), "pass");
+            break;
+        default:
+            say("cut-store", instance);
+            m_deployment.setRoute(m_deployment.routesToStore(instance), "silent");
+            sleepFor(lasts);
+            m_deployment.setRoute(m_deployment.routesToStore(instance), "pass");
+        }
+    }
+
+private:
+    static void sleepFor(int ms)
+    {
+        std::this_thread::sleep_for(Milliseconds(ms));
+    }
+
+    static void say(const std::string &fault, int instance)
+    {
+        fmt::print("fault: {} i{}\n", fault, instance);
+        std::fflush(stdout);
+    }
+
+    void killDaemon(int instance, const std::string &daemon, int lasts)
+    {
+        say("kill-" + daemon, instance);
+        m_deployment.daemon(instance, daemon).kill();
+        sleepFor(lasts);
+        m_deployment.startDaemon(instance, daemon);
+    }
+
+    void store(const std::string &name, const nlohmann::json &begin, int lasts, const nlohmann::json &end)
+    {
+        say(name, 0);
+        m_deployment.admin(m_deployment.storePort(), begin);
+        sleepFor(lasts);
+        m_deployment.admin(m_deployment.storePort(), end);
+    }
+
+    Deployment &m_deployment;
+    std::mt19937_64 m_random;
+};
+} // namespace
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options("soak", "All promises together under random faults");
+    options.add_options()("binaries", "Build folder", cxxopts::value<std::string>());
+    options.add_options()("folder", "Folder for settings and logs", cxxopts::value<std::string>());
+    options.add_options()("seconds", "Length", cxxopts::value<int>()->default_value("60"));
+    options.add_options()("seed", "Seed of the faults", cxxopts::value<std::uint64_t>()->default_value("1"));
+    const auto arguments = options.parse(argc, argv);
+    DeploymentPlan plan;
+    plan.binaries = arguments["binaries"].as<std::string>();
+    plan.folder = arguments["folder"].as<std::string>();
+    plan.usesProxy = true;
+    const auto seed = arguments["seed"].as<std::uint64_t>();
+    plan.seed = seed;
+    Deployment deployment(plan);
+    deployment.start();
+    Workload workload(deployment, 8, seed);
+    workload.start();
+    Chaos chaos(deployment, seed);
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(arguments["seconds"].as<int>());
+    while (std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(Milliseconds(1500));
+        chaos.strike();
+    }
+    const bool isSettled = Deployment::waitFor(Milliseconds(40000), [&] {
+        return deployment.isSettled({0, 1, 2});
+    });
+    const Verdict verdict = workload.finish();
+    fmt::print("soak: seed {}, settled {}, {}\n", seed, isSettled, verdict.text());
+    return verdict.isClean() && isSettled ? 0 : 1;
+}
--- a/tests/unit/journaltest.cpp
+++ b/tests/unit/journaltest.cpp
@@ -289,3 +289,18 @@
         REQUIRE(found[record] == 1);
     }
 }
+
+TEST_CASE("An owner that has nothing to append learns that it is deposed", "[promises]")
+{
+    FakeStore store(1);
+    Instant now{};
+    Writer first("a", 1);
+    first.journal.open(now);
+    settle(first, store, now);
+    Writer second("b", 1);
+    second.journal.open(now);
+    settle(second, store, now);
+    settle(first, store, now);
+    REQUIRE(first.isLost);
+    REQUIRE_FALSE(second.isLost);
+}
