Slopes for the capacity page; member lists are exchanged

Cause: with 460 members started at once, 2 of 460 held all others for live after 20 s: news are told a limited number of times, newest first, and a member sends about 28 facts a second (slopes, control members=460 full_view=2, gossip 2056 B/s a member).

Ruled out: telling news more often (the bytes grow), full lists in gossip.

Change: whole lists are exchanged with one random member, every 2 s in a process's first 20 s and every 60 s later; what is learnt so is not told as news. News are told half as often. Journals share the store's write rate.

--- /dev/null
+++ b/scripts/slopes.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Measures the slopes that docs/CAPACITY.md works with: scripts/slopes.sh [--only PART]
+source "$(dirname "${BASH_SOURCE[0]}")/common.sh"
+install_packages
+build slopes
+"$BUILD/tests/slopes" "$@"
--- a/src/control/controlcore.cpp
+++ b/src/control/controlcore.cpp
@@ -17,6 +17,10 @@
 namespace
 {
 constexpr Milliseconds ComparisonPeriod{1000};
+/// Member lists are exchanged at the first pace for the first while.
+constexpr Milliseconds StartTime{20000};
+constexpr Milliseconds StartExchangePeriod{2000};
+constexpr Milliseconds ExchangePeriod{60000};
 constexpr Milliseconds ListingPeriod{2000};
 constexpr Milliseconds PublicationPeriod{100};
 constexpr Milliseconds ReadRetryPeriod{1000};
@@ -92,6 +96,7 @@
                         [&](const SchedulerReport &report) { onReport(link, report); },
                         [&](const ConfigurationUpdate &update) { m_keeper.learn(update.objects); },
                         [&](const ConfigurationDigest &digest) { onDigest(link, digest); },
+                        [&](const MembershipExchange &exchange) { onExchange(link, exchange); },
                         [&](const DrainInstance &) { drainSelf(); },
                         [&](const StatusQuery &query) {
                             m_actions.emplace_back(SendOnControlLink{link, StatusReply{query.request, ownStatus()}});
@@ -237,6 +242,35 @@
     }
 }
 
+// News are told a limited number of times, and an instance that has just started knows hardly anybody. So whole lists
+// are exchanged with a random member now and then, often at first.
+void ControlCore::exchangeMembers()
+{
+    for (const InstanceId &peer : m_membership.randomLive(1)) {
+        sendToControl(peer, MembershipExchange{knownMembers(), false});
+    }
+}
+
+std::vector<MemberFact> ControlCore::knownMembers() const
+{
+    std::vector<MemberFact> facts;
+    for (const auto &[id, fact] : m_membership.members()) {
+        // A listed member of which nothing has been heard yet is no knowledge.
+        if (fact.incarnation > 0) {
+            facts.push_back(fact);
+        }
+    }
+    return facts;
+}
+
+void ControlCore::onExchange(LinkId link, const MembershipExchange &exchange)
+{
+    m_membership.onExchange(exchange.members, m_now);
+    if (!exchange.isAnswer) {
+        m_actions.emplace_back(SendOnControlLink{link, MembershipExchange{knownMembers(), true}});
+    }
+}
+
 void ControlCore::onDigest(LinkId link, const ConfigurationDigest &digest)
 {
     const auto &own = m_keeper.configuration().bucketSums();
@@ -472,6 +506,10 @@
         m_keeper.readAll(m_now);
     }
     startWatch();
+    m_startedAt = m_startedAt.value_or(m_now);
+    if (isDue(m_nextExchange, m_now - *m_startedAt < StartTime ? StartExchangePeriod : ExchangePeriod)) {
+        exchangeMembers();
+    }
     if (isDue(m_nextComparison, ComparisonPeriod)) {
         compareWithPeer();
     }
@@ -482,6 +520,12 @@
     pumpKeeper();
 }
 
+std::size_t ControlCore::liveMembers() const
+{
+    const auto &members = m_membership.members();
+    return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [](const auto &item) { return item.second.state == MemberState::Live; }));
+}
+
 const Configuration &ControlCore::configuration() const
 {
     return m_keeper.configuration();
--- a/src/control/controlcore.h
+++ b/src/control/controlcore.h
@@ -80,6 +80,9 @@
     Result<void> drainInstance(const InstanceId &instance);
 
     const Configuration &configuration() const;
+
+    /// How many members, this one included, are held for live.
+    std::size_t liveMembers() const;
     std::vector<ControlAction> takeActions();
 
 private:
@@ -103,6 +106,9 @@
     void publishMembers();
     void spreadNews();
     void compareWithPeer();
+    void exchangeMembers();
+    std::vector<MemberFact> knownMembers() const;
+    void onExchange(LinkId link, const MembershipExchange &exchange);
     void startWatch();
     bool isWatcher() const;
     void drainSelf();
@@ -128,6 +134,8 @@
     bool m_isWatching = false;
     Instant m_nextWatch{};
     Instant m_nextComparison{};
+    Instant m_nextExchange{};
+    std::optional<Instant> m_startedAt;
     Instant m_nextListing{};
     Instant m_nextPublication{};
     Instant m_nextRead{};
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 /// Each piece of news is sent this many times the logarithm of the number of members.
-constexpr double NewsFactor = 4.0;
+constexpr double NewsFactor = 2.0;
 constexpr std::size_t MaxRelays = 1024;
 } // namespace
 
@@ -45,7 +45,7 @@
     m_news.push_front({about, static_cast<std::size_t>(times) + 1});
 }
 
-void Membership::learn(const MemberFact &fact, Instant now)
+bool Membership::learn(const MemberFact &fact, Instant now)
 {
     if (fact.instance == m_self.instance) {
         const bool isWrong = fact.incarnation > m_self.incarnation || (fact.incarnation == m_self.incarnation && fact.state != m_self.state);
@@ -53,11 +53,11 @@
             m_self.incarnation = std::max(fact.incarnation, m_self.incarnation);
             updateSelf(m_self);
         }
-        return;
+        return false;
     }
     const auto it = m_members.find(fact.instance);
     if (it != m_members.end() && !supersedes(fact, it->second)) {
-        return;
+        return false;
     }
     m_members[fact.instance] = fact;
     m_suspectSince.erase(fact.instance);
@@ -65,20 +65,31 @@
         m_suspectSince.emplace(fact.instance, now);
     }
     m_hasChanged = true;
-    announce(fact.instance);
+    return true;
+}
+
+void Membership::onExchange(const std::vector<MemberFact> &facts, Instant now)
+{
+    for (const MemberFact &fact : facts) {
+        (void)learn(fact, now);
+    }
 }
 
 void Membership::mark(const InstanceId &member, MemberState state, Instant now)
 {
     MemberFact fact = m_members.at(member);
     fact.state = state;
-    learn(fact, now);
+    if (learn(fact, now)) {
+        announce(member);
+    }
 }
 
 void Membership::onMessage(const GossipMessage &message, Instant now)
 {
     for (const MemberFact &fact : message.facts) {
-        learn(fact, now);
+        if (learn(fact, now)) {
+            announce(fact.instance);
+        }
     }
     switch (message.kind) {
     case GossipMessage::Kind::Ping:
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -45,6 +45,9 @@
 
     void onMessage(const GossipMessage &message, Instant now);
 
+    /// Takes in all that another member knows. What is learnt so isn't passed on as news, since everybody exchanges.
+    void onExchange(const std::vector<MemberFact> &facts, Instant now);
+
     /// To be called every few milliseconds.
     void advance(Instant now);
 
@@ -77,7 +80,7 @@
         std::size_t sendsLeft = 0;
     };
 
-    void learn(const MemberFact &fact, Instant now);
+    bool learn(const MemberFact &fact, Instant now);
     void announce(const InstanceId &about);
     void send(const InstanceId &to, GossipMessage::Kind kind, std::uint64_t sequence, const InstanceId &target = {});
     std::vector<MemberFact> factsFor(const InstanceId &to);
--- a/src/peerlink/messages.cpp
+++ b/src/peerlink/messages.cpp
@@ -39,6 +39,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HandoverPending, shard)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StatusQuery, request)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StatusReply, request, report)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(MembershipExchange, members, isAnswer)
 
 void to_json(nlohmann::json &json, const DrainInstance &)
 {
--- a/src/peerlink/messages.h
+++ b/src/peerlink/messages.h
@@ -159,6 +159,12 @@
     nlohmann::json report;
 };
 
+/// Control to control: all members that I know; tell me yours.
+struct MembershipExchange {
+    std::vector<MemberFact> members;
+    bool isAnswer = false;
+};
+
 /// Scheduler to scheduler: the shard has been given up, take it.
 struct ShardFreed {
     ShardId shard;
@@ -202,7 +208,8 @@
                                  EndpointsLeaving,
                                  HandoverPending,
                                  StatusQuery,
-                                 StatusReply>;
+                                 StatusReply,
+                                 MembershipExchange>;
 
 std::string encodeMessage(const PeerMessage &message);
 
--- a/src/settings/instancesettings.cpp
+++ b/src/settings/instancesettings.cpp
@@ -36,10 +36,13 @@
     settings.silence = reader.duration("peer_link.silence", settings.silence);
 }
 
-void readJournal(SettingsReader &reader, JournalSettings &journal)
+void readJournal(SettingsReader &reader, JournalSettings &journal, std::uint32_t shards)
 {
     journal.ringSize = static_cast<std::uint32_t>(reader.number("journal.ring_size", journal.ringSize, MinRing, MaxRing));
     journal.appendsPerSecond = static_cast<double>(reader.number("journal.appends_per_second", 30, 1, 1000));
+    // The platform's rate is for the whole deployment, so each shard's journal gets an equal part of it.
+    const auto budget = static_cast<double>(reader.number("platform.writes_per_second", 300, 1, 1000000));
+    journal.appendsPerSecond = std::min(journal.appendsPerSecond, budget / shards);
     journal.appendBurst = static_cast<double>(reader.number("journal.append_burst", 5, 1, 1000));
     journal.retryDelay = reader.duration("journal.retry_delay", journal.retryDelay);
 }
@@ -97,7 +100,7 @@
 {
     SettingsReader reader(path);
     readInstance(reader, settings);
-    readJournal(reader, settings.journal);
+    readJournal(reader, settings.journal, settings.shardCount);
     readMembership(reader, settings.membership);
     auto policyProblems = readPolicy(reader, settings.rules);
     readLimits(reader, settings);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -122,9 +122,7 @@
         std::this_thread::sleep_for(Milliseconds(1500));
         chaos.strike();
     }
-    const bool isSettled = Deployment::waitFor(Milliseconds(40000), [&] {
-        return deployment.isSettled({0, 1, 2});
-    });
+    const bool isSettled = Deployment::waitFor(Milliseconds(40000), [&] { return deployment.isSettled({0, 1, 2}); });
     const Verdict verdict = workload.finish();
     fmt::print("soak: seed {}, settled {}, {}\n", seed, isSettled, verdict.text());
     return verdict.isClean() && isSettled ? 0 : 1;
