--- /dev/null
+++ b/scripts/measure.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Measures the policy against the baseline: scripts/measure.sh --deployment omaruru|kitaezo [--quick] [--rules] [--seed S]
+source "$(dirname "${BASH_SOURCE[0]}")/common.sh"
+install_packages
+build
+folder=$(mktemp -d)
+trap 'rm -rf "$folder"' EXIT
+"$BUILD/tests/measure" --binaries "$BUILD" --folder "$folder" "$@"
--- a/src/control/controldaemon.cpp
+++ b/src/control/controldaemon.cpp
@@ -43,8 +43,8 @@
 void ControlDaemon::perform(ControlAction &action)
 {
     std::visit(Visitors{[this](SendGossip &send) { m_gossip->send(send.address, encodeGossip(send.message)); },
-                        [this](SendOnControlLink &send) { m_peers->send(send.link, std::move(send.message)); },
-                        [this](SendToControlPeer &send) { m_peers->sendTo(send.address, std::move(send.message)); },
+                        [this](SendOnControlLink &send) { m_peers->send(send.link, send.message); },
+                        [this](SendToControlPeer &send) { m_peers->sendTo(send.address, send.message); },
                         [this](CallConfigStore &call) {
                             m_store->perform(call.operation,
                                              [this](StoreReply reply) { decide([this, reply = std::move(reply)] { m_core.onStoreReply(reply); }); });
--- a/src/core/settingsreader.cpp
+++ b/src/core/settingsreader.cpp
@@ -262,9 +262,7 @@
 
 std::vector<std::string> SettingsReader::problems()
 {
-    if (m_private->problems.empty()) {
-        m_private->checkUnknown(m_private->root, {});
-    }
+    m_private->checkUnknown(m_private->root, {});
     return m_private->problems;
 }
 
--- a/src/entry/callerapi.cpp
+++ b/src/entry/callerapi.cpp
@@ -15,7 +15,7 @@
 namespace
 {
 constexpr const char *Json = "application/json";
-constexpr std::int64_t MaxDeadlineMs = 3600 * 1000;
+constexpr std::int64_t MaxDeadlineMs = std::int64_t(3600) * 1000;
 constexpr std::int64_t MaxAnswerTokens = 1000000;
 constexpr std::size_t MaxNumberDigits = 9;
 constexpr std::size_t MaxIdempotencyKey = 200;
@@ -328,7 +328,7 @@
     if (!body) {
         return tl::make_unexpected(body.error());
     }
-    const auto fields = checkFields(*body, {"messages", "service", "operation", "body", "max_tokens", "deadline_ms", "stream", "must_not_repeat"});
+    auto fields = checkFields(*body, {"messages", "service", "operation", "body", "max_tokens", "deadline_ms", "stream", "must_not_repeat"});
     if (!fields) {
         return fields;
     }
@@ -386,7 +386,7 @@
         call->number = *number;
         return sendCall(*exchange, std::move(*call), sink);
     }
-    const auto allowed = m_core.checkAgent(caller.key, agent);
+    auto allowed = m_core.checkAgent(caller.key, agent);
     if (!allowed) {
         return allowed;
     }
--- a/src/entry/entrycore.h
+++ b/src/entry/entrycore.h
@@ -29,7 +29,7 @@
 {
 public:
     /// Sends to another process and tells by which link.
-    using Sender = std::function<LinkId(const std::string &address, PeerMessage message)>;
+    using Sender = std::function<LinkId(const std::string &address, const PeerMessage &message)>;
 
     /// Gets each answer to a request; the last one is neither an AnswerDelta nor anything after it.
     using ReplyHandler = std::function<void(const PeerMessage &reply)>;
--- a/src/entry/entrydaemon.cpp
+++ b/src/entry/entrydaemon.cpp
@@ -27,7 +27,7 @@
     , m_core(
           EntrySettings{settings.id, settings.domain, settings.shardCount, settings.ownerWait},
           m_metrics,
-          [this](const std::string &address, PeerMessage message) { return m_peers->sendTo(address, std::move(message)); },
+          [this](const std::string &address, const PeerMessage &message) { return m_peers->sendTo(address, message); },
           stableHash(settings.id.value(), processIncarnation()))
     , m_api(m_core, m_metrics, settings.defaultDeadline)
     , m_decisions("decisions")
--- a/src/peerlink/peerlink.cpp
+++ b/src/peerlink/peerlink.cpp
@@ -20,7 +20,7 @@
 {
 constexpr int ProtocolVersion = 1;
 constexpr std::size_t NonceBytes = 32;
-constexpr std::size_t MaxMessageBytes = 32 * 1024 * 1024;
+constexpr std::size_t MaxMessageBytes = std::size_t(32) * 1024 * 1024;
 constexpr std::size_t MaxQueuedMessages = 4096;
 
 using Server = websocketpp::server<websocketpp::config::asio>;
@@ -100,10 +100,10 @@
     endpoint.clear_error_channels(websocketpp::log::elevel::all);
     endpoint.init_asio(&io);
     endpoint.set_max_message_size(MaxMessageBytes);
-    endpoint.set_open_handler([this](websocketpp::connection_hdl handle) { open(handle); });
+    endpoint.set_open_handler([this](const websocketpp::connection_hdl &handle) { open(handle); });
     endpoint.set_message_handler(
-        [this](websocketpp::connection_hdl handle, const typename Endpoint::message_ptr &message) { receive(handle, message->get_payload()); });
-    const auto onGone = [this](websocketpp::connection_hdl handle) {
+        [this](const websocketpp::connection_hdl &handle, const typename Endpoint::message_ptr &message) { receive(handle, message->get_payload()); });
+    const auto onGone = [this](const websocketpp::connection_hdl &handle) {
         if (const LinkPtr link = find(handle)) {
             drop(link);
         }
@@ -115,7 +115,7 @@
 void PeerLink::Private::listen()
 {
     server.set_reuse_addr(true);
-    server.set_tcp_pre_init_handler([this](websocketpp::connection_hdl handle) {
+    server.set_tcp_pre_init_handler([this](const websocketpp::connection_hdl &handle) {
         websocketpp::lib::error_code ec;
         const auto connection = server.get_con_from_hdl(handle, ec);
         if (!ec) {
@@ -378,7 +378,7 @@
     d.thread.join();
 }
 
-LinkId PeerLink::sendTo(const std::string &address, PeerMessage message)
+LinkId PeerLink::sendTo(const std::string &address, const PeerMessage &message)
 {
     Private &d = *m_private;
     LinkId id = 0;
@@ -405,7 +405,7 @@
     return id;
 }
 
-void PeerLink::send(LinkId link, PeerMessage message)
+void PeerLink::send(LinkId link, const PeerMessage &message)
 {
     Private &d = *m_private;
     asio::post(d.io, [&d, link, frame = makeFrame(Frame::Message, encodeMessage(message))]() mutable {
--- a/src/peerlink/peerlink.h
+++ b/src/peerlink/peerlink.h
@@ -46,10 +46,10 @@
 
     /// Sends to an address, dialling first if there is no link to it. Returns the link, whose going down is reported
     /// also when dialling fails.
-    LinkId sendTo(const std::string &address, PeerMessage message);
+    LinkId sendTo(const std::string &address, const PeerMessage &message);
 
     /// Sends on a link. A link that is down drops the message.
-    void send(LinkId link, PeerMessage message);
+    void send(LinkId link, const PeerMessage &message);
 
     /// Bytes sent and received so far, heartbeats included.
     std::uint64_t bytesSent() const;
--- a/src/policy/dispatcher.cpp
+++ b/src/policy/dispatcher.cpp
@@ -17,6 +17,8 @@
 constexpr double HedgeFactor = 3.0;
 constexpr double HedgeSlackMs = 150.0;
 constexpr double SlowFactor = 1.6;
+/// What was seen of a slow endpoint this long ago is to be looked at again.
+constexpr Milliseconds ProbeAfter{2000};
 constexpr double OtherDomainCostMs = 3.0;
 constexpr double DefaultServiceMs = 200.0;
 constexpr Milliseconds MinRetryAfter{200};
@@ -167,6 +169,14 @@
     return expected > static_cast<double>(m_rules.longCall.count());
 }
 
+// An endpoint that was slow when it was last seen gets one call at a time, until that one shows how it does now.
+bool Dispatcher::isBeingProbed(const Endpoint &endpoint, const Pool &pool, Instant now) const
+{
+    const bool wasSlow = pool.pace > 0 && endpoint.state.pace(endpoint.state.observedAt(), pool.pace) > SlowFactor * pool.pace;
+    const bool isStale = now - endpoint.state.observedAt() > ProbeAfter;
+    return m_rules.avoidsSlow && wasSlow && isStale && endpoint.state.running() > 0;
+}
+
 bool Dispatcher::mayTakeSlot(const WaitingCall &call, const Pool &pool) const
 {
     double slots = 0;
@@ -234,7 +244,7 @@
     double bestCost = std::numeric_limits<double>::max();
     for (const EndpointId &id : pool.endpoints) {
         const Endpoint &endpoint = m_endpoints.at(id);
-        if (endpoint.view.isLeaving || !endpoint.state.isUsable(now)) {
+        if (endpoint.view.isLeaving || !endpoint.state.isUsable(now) || isBeingProbed(endpoint, pool, now)) {
             continue;
         }
         constexpr double FailedCostMs = 1e6;
@@ -349,6 +359,14 @@
     return choice.endpoint;
 }
 
+void Dispatcher::onPace(const EndpointId &endpoint, double msPerToken, Instant now)
+{
+    const auto it = m_endpoints.find(endpoint);
+    if (it != m_endpoints.end()) {
+        it->second.state.observePace(msPerToken, now);
+    }
+}
+
 void Dispatcher::onFinished(const WaitingCall &call, const EndpointId &endpoint, const CallObservation &observation, Instant now)
 {
     const auto it = m_endpoints.find(endpoint);
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -81,6 +81,9 @@
     /// A second endpoint for a call whose first one is overdue, if the hedge budget allows.
     std::optional<EndpointId> hedge(const WaitingCall &call, const EndpointId &first, Instant sentAt, Instant now);
 
+    /// A stream under way has shown its pace.
+    void onPace(const EndpointId &endpoint, double msPerToken, Instant now);
+
     /// A sending ended well.
     void onFinished(const WaitingCall &call, const EndpointId &endpoint, const CallObservation &observation, Instant now);
 
@@ -126,6 +129,7 @@
 
     double rank(const WaitingCall &call, Instant now) const;
     bool isLong(const WaitingCall &call, const Pool &pool) const;
+    bool isBeingProbed(const Endpoint &endpoint, const Pool &pool, Instant now) const;
     bool mayTakeSlot(const WaitingCall &call, const Pool &pool) const;
     Choice choose(const WaitingCall &call, Pool &pool, Instant now) const;
     Choice chooseRoundRobin(const WaitingCall &call, Pool &pool, Instant now) const;
--- a/src/policy/endpointstate.cpp
+++ b/src/policy/endpointstate.cpp
@@ -79,6 +79,12 @@
     (void)rules;
 }
 
+void EndpointState::observePace(double msPerToken, Instant now)
+{
+    m_pace = smooth(m_pace, msPerToken);
+    m_observedAt = now;
+}
+
 void EndpointState::observeFailure(Instant now)
 {
     m_usableAt = now + FirstBackoff * (1 << std::min(m_failuresInRow, MaxBackoffDoublings));
@@ -93,6 +99,11 @@
     m_limit = std::max(MinLimit, m_limit * LimitDecrease);
 }
 
+Instant EndpointState::observedAt() const
+{
+    return m_observedAt;
+}
+
 bool EndpointState::isUsable(Instant now) const
 {
     return now >= m_usableAt;
--- a/src/policy/endpointstate.h
+++ b/src/policy/endpointstate.h
@@ -31,6 +31,9 @@
     /// A call has finished here.
     void observe(const CallObservation &observation, Instant now, const PolicyRules &rules);
 
+    /// What a stream under way shows of the pace, long before its call has finished.
+    void observePace(double msPerToken, Instant now);
+
     /// A call has failed here, so the endpoint is left alone for a while that grows with each failure in a row.
     void observeFailure(Instant now);
 
@@ -38,6 +41,9 @@
     void observeOverdue(Instant now);
 
     bool isUsable(Instant now) const;
+
+    /// When the pace was last seen.
+    Instant observedAt() const;
     bool hasRoom(const PolicyRules &rules) const;
     int running() const;
     int runningLong() const;
--- a/src/scheduler/callrunner.cpp
+++ b/src/scheduler/callrunner.cpp
@@ -17,6 +17,8 @@
 constexpr double MaxRetryTokens = 100;
 /// An owner whose records have waited for the store this long counts the store as away.
 constexpr Milliseconds StoreAway{400};
+/// Pieces of a stream over which an endpoint's pace is observed.
+constexpr unsigned PacePieces = 8;
 constexpr std::size_t MaxBacklog = 20000;
 /// Attempt numbers of different processes must differ, since engines cancel by them.
 constexpr unsigned AttemptNumberShift = 20;
@@ -282,7 +284,7 @@
     request.program = call.program;
     request.number = call.number;
     request.fence = shard->fence();
-    request.priority = call.waiting.priority;
+    request.priority = m_context.settings.rules.usesPriority ? call.waiting.priority : PriorityClass::Normal;
     request.operation = call.operation;
     request.body = request.isModel ? buildPrompt(*agent, *program, call.input) : call.body;
     request.maxTokens = call.maxTokens;
@@ -310,7 +312,7 @@
         cancelOthers(*call, attemptId);
     }
     Attempt &attempt = call->attempts.front();
-    attempt.text += text;
+    observePace(attempt);
     const std::size_t offset = call->delivered.size();
     call->delivered += text;
     for (const Subscriber &subscriber : call->subscribers) {
@@ -320,6 +322,20 @@
     }
 }
 
+// An engine sends a piece for each token, so the time between pieces is its pace.
+void CallRunner::observePace(Attempt &attempt)
+{
+    if (attempt.pieces == 0) {
+        attempt.paceSince = m_context.now;
+    }
+    if (++attempt.pieces <= PacePieces) {
+        return;
+    }
+    const std::chrono::duration<double, std::milli> elapsed = m_context.now - attempt.paceSince;
+    m_context.dispatcher.onPace(attempt.endpoint, elapsed.count() / PacePieces, m_context.now);
+    attempt.pieces = 0;
+}
+
 void CallRunner::cancelOthers(RunningCall &call, AttemptId winner)
 {
     for (const Attempt &attempt : call.attempts) {
--- a/src/scheduler/runningcall.h
+++ b/src/scheduler/runningcall.h
@@ -25,7 +25,8 @@
     EndpointId endpoint;
     Instant sentAt;
     std::optional<Instant> firstTokenAt;
-    std::string text; ///< What it has generated, after what it resumed from.
+    unsigned pieces = 0; ///< Pieces of the answer since the pace was last observed.
+    Instant paceSince;
     std::size_t resumedFrom = 0; ///< Bytes of the answer that it was given.
 };
 
--- a/src/scheduler/schedulerdaemon.cpp
+++ b/src/scheduler/schedulerdaemon.cpp
@@ -69,8 +69,8 @@
                                 decide([this, shard, reply = std::move(reply)] { m_core.onStoreReply(shard, reply); });
                             });
                         },
-                        [this](SendOnLink &send) { m_peers->send(send.link, std::move(send.message)); },
-                        [this](SendToPeer &send) { m_peers->sendTo(send.address, std::move(send.message)); },
+                        [this](SendOnLink &send) { m_peers->send(send.link, send.message); },
+                        [this](SendToPeer &send) { m_peers->sendTo(send.address, send.message); },
                         [this](StartAttempt &start) { m_endpoints->send(start.request); },
                         [this](CancelAttempt &cancel) { m_endpoints->cancel(cancel.attempt); },
                         [this](ReleaseMemory &release) { m_endpoints->releaseMemory(release.address, release.program, release.fence); },
--- a/src/settings/instancesettings.cpp
+++ b/src/settings/instancesettings.cpp
@@ -13,7 +13,7 @@
 constexpr std::int64_t MaxShards = 4096;
 constexpr std::int64_t MinRing = 32;
 constexpr std::int64_t MaxRing = 4096;
-constexpr std::int64_t MaxBody = 64 * 1024 * 1024;
+constexpr std::int64_t MaxBody = std::int64_t(64) * 1024 * 1024;
 
 void readInstance(SettingsReader &reader, InstanceSettings &settings)
 {
@@ -107,7 +107,7 @@
     readPeers(reader, settings);
     auto problems = reader.problems();
     for (const std::string &problem : policyProblems) {
-        problems.push_back(path + ": " + problem);
+        problems.push_back(fmt::format("{}: {}", path, problem));
     }
     const bool knowsDomain = std::find(settings.domains.begin(), settings.domains.end(), settings.domain) != settings.domains.end();
     if (problems.empty() && !knowsDomain) {
--- a/tests/unit/coretest.cpp
+++ b/tests/unit/coretest.cpp
@@ -63,10 +63,11 @@
     (void)reader.duration("a.time", Milliseconds(1));
     (void)reader.text("a.missing");
     const auto problems = reader.problems();
-    REQUIRE(problems.size() == 3);
+    REQUIRE(problems.size() == 4);
     REQUIRE(problems[0].find("settingstest.toml:2: a.port: expected an IP number") != std::string::npos);
     REQUIRE(problems[1].find("settingstest.toml:3: a.time") != std::string::npos);
     REQUIRE(problems[2].find("a.missing") != std::string::npos);
+    REQUIRE(problems[3].find("settingstest.toml:4: a.strange") != std::string::npos);
 
     SettingsReader second(path);
     (void)second.text("a.port");
