Streams move off slow endpoints; small differences no longer cost a prefix

Differences of pace and start between endpoints are noise, for which programs left the endpoint that had their prefix.

A repeatable stream on a slow endpoint goes on at another under the hedge budget.

--- /dev/null
+++ b/scripts/mutants.sh
@@ -0,0 +1,68 @@
+#!/usr/bin/env bash
+# Shows that the tests of the promises fail when a mechanism is switched off: each mutant is one edit to a scratch copy of
+# the newest commit, after which a test must fail. Takes a few minutes; not part of CI.
+source "$(dirname "${BASH_SOURCE[0]}")/common.sh"
+install_packages
+scratch=$(mktemp -d)
+trap 'git worktree remove --force "$scratch/tree" 2>/dev/null; rm -rf "$scratch"' EXIT
+git worktree add --quiet --detach "$scratch/tree" HEAD
+cd "$scratch/tree"
+export CCACHE_BASEDIR="$scratch/tree"
+cmake -S . -B build -G Ninja >/dev/null
+ninja -C build unit-tests >/dev/null
+survivors=0
+
+# mutant NAME FILE PERL-EXPRESSION TEST
+mutant() {
+    local name=$1 file=$2 edit=$3 test=$4
+    perl -0pi -e "$edit" "$file"
+    if git diff --quiet; then
+        echo "mutant $name: the edit matches nothing"
+        survivors=$((survivors + 1))
+        return
+    fi
+    if ! ninja -C build unit-tests >build/mutant.log 2>&1; then
+        echo "mutant $name: does not compile"
+        survivors=$((survivors + 1))
+    elif build/tests/unit-tests "$test" >build/mutant.log 2>&1; then
+        echo "mutant $name: SURVIVES \"$test\""
+        survivors=$((survivors + 1))
+    else
+        echo "mutant $name: caught by \"$test\": $(grep -m1 -A1 'FAILED:' build/mutant.log | tail -1 | xargs -0 echo -n | tr -s ' ')"
+    fi
+    git checkout --quiet .
+}
+
+mutant claim-not-awaited src/scheduler/callrunner.cpp 's/call\.awaitedRecord = \*claimed;//' \
+    "A claim is in the journal before the call is sent"
+mutant claims-forgotten-at-takeover src/programs/programtable.cpp 's/if \(!program\.claim\) \{\s+continue;/if (true) {\n            continue;/' \
+    "A call without an outcome is never sent again by a new owner"
+mutant lost-answer-is-retried src/scheduler/callrunner.cpp 's/const bool isSafe = call\.isRepeatable \|\| isSurelyNotRun;/const bool isSafe = call.isRepeatable || !isSurelyNotRun;/' \
+    "A lost answer of a call that must not be repeated is an unknown outcome, not a retry"
+mutant lost-write-is-failure src/journal/shardjournal.cpp 's/(Status::Conflict\) \{\s+m_inFlight->retryAt = now;\s+\} else \{\s+)m_inFlight->retryAt = now \+ m_settings\.retryDelay;/$1lose(JournalEntry{});/' \
+    "A lost answer is settled by reading back, not taken for a failure"
+mutant any-history src/programs/programtable.cpp 's/record\.number != program->nextNumber\(\) \|\| record\.previous != program->historyDigest/record.number != program->nextNumber()/' \
+    "A turn on another history is refused"
+mutant any-order src/programs/programtable.cpp 's/call\.number\.value\(\) == 0 \|\| call\.number > program\.nextNumber\(\)/call.number.value() == 0/' \
+    "Calls of a program run in order"
+mutant takeover-forgets-reservations src/programs/programtable.cpp 's/entry\.program\.spent = entry\.program\.reserved;//' \
+    "A budget can't be overrun, and what a dead owner reserved counts as spent"
+mutant older-ticket-installed src/configuration/configuration.cpp 's/it->second\.ticket >= object\.ticket/it->second.ticket == object.ticket/' \
+    "Racing operators: accepted is kept and nothing reverts"
+mutant always-not-run src/entry/entrycore.cpp 's/const bool isNotRun = [^;]+;/const bool isNotRun = true;/' \
+    "A refusal says \"not run\" only when nobody can have got the call"
+mutant crossed-answers src/entry/entrycore.cpp 's/it == m_pending\.end\(\) \|\| it->second\.link != link/it == m_pending.end()/' \
+    "A call follows its program's owner, and answers of old links are passed over"
+mutant leaving-ignored src/policy/dispatcher.cpp 's/endpoint\.view\.isLeaving \|\| !endpoint\.state\.isUsable\(now\) \|\| isBeingProbed/!endpoint.state.isUsable(now) || isBeingProbed/' \
+    "A leaving endpoint gets nothing"
+mutant stop-without-waiting src/scheduler/shardhost.cpp 's/if \(!m_isBusy\(shard\.id\(\)\)\)/if (true)/' \
+    "A planned stop lets calls finish, then gives the shard up"
+mutant memory-kept src/scheduler/programkeeper.cpp 's/const bool isGone = [^;]+;/const bool isGone = known == nullptr \&\& false;/' \
+    "Memory is released when a program ends, idles out, or is found to be gone"
+mutant idle-owner-never-looks src/journal/shardjournal.cpp 's/now - m_confirmedAt >= OwnershipCheckPeriod/false/' \
+    "An owner that has nothing to append learns that it is deposed"
+mutant unread-slot-is-absent src/journal/shardjournal.cpp 's/if \(sequence < m_settings\.ringSize\) \{/if (true) {/' \
+    "Takeovers in a row never use up the ring"
+
+echo "mutants: $survivors survive or don't apply"
+[ "$survivors" = 0 ]
--- a/src/policy/dispatcher.cpp
+++ b/src/policy/dispatcher.cpp
@@ -19,6 +19,8 @@
 constexpr double SlowFactor = 1.6;
 /// What was seen of a slow endpoint this long ago is to be looked at again.
 constexpr Milliseconds ProbeAfter{2000};
+/// A stream is moved only if that saves at least this.
+constexpr double MinMoveGainMs = 400.0;
 constexpr double OtherDomainCostMs = 3.0;
 constexpr double DefaultServiceMs = 200.0;
 constexpr Milliseconds MinRetryAfter{200};
@@ -139,8 +141,10 @@
         }
     }
     if (!paces.empty()) {
-        std::nth_element(paces.begin(), paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2), paces.end());
-        pool.pace = paces[paces.size() / 2];
+        // The lower of two middle ones, so that in a pool of two the slow one is told from the other.
+        const auto middle = paces.begin() + static_cast<std::ptrdiff_t>((paces.size() - 1) / 2);
+        std::nth_element(paces.begin(), middle, paces.end());
+        pool.pace = *middle;
     }
     pool.serviceTime = observed > 0 ? serviceTime / observed : DefaultServiceMs;
 }
@@ -208,11 +212,14 @@
         }
     }
     const auto prefillTokens = static_cast<double>((call.contextTokens - cached).value());
-    const double pace = m_rules.avoidsSlow ? state.pace(now, pool.pace) : pool.pace;
-    const double slowness = pool.pace > 0 ? std::max(1.0, pace / pool.pace) : 1.0;
+    // Small differences between endpoints are noise, for which no cached prefix is given up.
+    const double seen = state.pace(now, pool.pace);
+    const bool isSlow = m_rules.avoidsSlow && seen > SlowFactor * pool.pace;
+    const double pace = isSlow ? seen : pool.pace;
+    const double slowness = pool.pace > 0 ? pace / pool.pace : 1.0;
     double cost = state.prefillPace() * prefillTokens * slowness;
     cost += pace * static_cast<double>(call.expectedTokens.value());
-    cost += m_rules.avoidsSlow ? state.startDelay() : 0;
+    cost += isSlow ? state.startDelay() : 0;
     cost += pool.serviceTime * 0.25 * state.running() / std::max(1.0, state.limit(m_rules));
     cost += endpoint.view.domain == m_ownDomain ? 0 : OtherDomainCostMs;
     return cost;
@@ -359,6 +366,33 @@
     return choice.endpoint;
 }
 
+std::optional<EndpointId> Dispatcher::move(const WaitingCall &call, const EndpointId &from, Tokens generated, Instant now)
+{
+    const auto it = m_endpoints.find(from);
+    if (!m_rules.moves || !call.isRepeatable || m_hedgeTokens < 1 || it == m_endpoints.end()) {
+        return std::nullopt;
+    }
+    Pool &pool = m_pools[call.pool];
+    refreshPool(pool, now);
+    const EndpointState &state = it->second.state;
+    const double pace = state.pace(now, pool.pace);
+    const auto left = static_cast<double>((call.expectedTokens - generated).value());
+    const double gain = left * (pace - pool.pace) - state.prefillPace() * static_cast<double>((call.contextTokens + generated).value());
+    if (pace < SlowFactor * pool.pace || gain < MinMoveGainMs) {
+        return std::nullopt;
+    }
+    WaitingCall moved = call;
+    moved.failedAt.insert(from);
+    moved.arrived = now - m_rules.maxAffinityWait;
+    const Choice choice = choose(moved, pool, now);
+    if (!choice.endpoint || *choice.endpoint == from) {
+        return std::nullopt;
+    }
+    m_hedgeTokens -= 1;
+    m_endpoints.at(*choice.endpoint).state.begin(call.isLong);
+    return choice.endpoint;
+}
+
 void Dispatcher::onPace(const EndpointId &endpoint, double msPerToken, Instant now)
 {
     const auto it = m_endpoints.find(endpoint);
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -81,6 +81,9 @@
     /// A second endpoint for a call whose first one is overdue, if the hedge budget allows.
     std::optional<EndpointId> hedge(const WaitingCall &call, const EndpointId &first, Instant sentAt, Instant now);
 
+    /// Another endpoint for a stream under way, if it would end so much sooner there that the new prefill is worth it.
+    std::optional<EndpointId> move(const WaitingCall &call, const EndpointId &from, Tokens generated, Instant now);
+
     /// A stream under way has shown its pace.
     void onPace(const EndpointId &endpoint, double msPerToken, Instant now);
 
--- a/src/policy/policyrules.cpp
+++ b/src/policy/policyrules.cpp
@@ -17,6 +17,7 @@
     {"affinity", &PolicyRules::usesAffinity},
     {"avoid-slow", &PolicyRules::avoidsSlow},
     {"early-refusal", &PolicyRules::refusesEarly},
+    {"moves", &PolicyRules::moves},
     {"hedges", &PolicyRules::hedges},
 };
 } // namespace
--- a/src/policy/policyrules.h
+++ b/src/policy/policyrules.h
@@ -19,6 +19,7 @@
     bool usesAffinity = true; ///< A program goes where its prefix is cached, unless waiting there costs more.
     bool avoidsSlow = true; ///< Endpoints that are slower than their peers get less.
     bool refusesEarly = true; ///< A call that can't meet its deadline is refused at once.
+    bool moves = true; ///< A stream on a slow endpoint goes on at another, where it resumes.
     bool hedges = true; ///< A repeatable call without a first token for too long is sent to a second endpoint.
 
     std::size_t maxQueue = 2000; ///< Most waiting calls of one pool; batch calls get a third, normal ones two thirds.
--- a/src/scheduler/callrunner.cpp
+++ b/src/scheduler/callrunner.cpp
@@ -311,8 +311,6 @@
         m_context.metrics.observe("flamingo_first_token_milliseconds", std::chrono::duration<double, std::milli>(m_context.now - call->startedAt).count());
         cancelOthers(*call, attemptId);
     }
-    Attempt &attempt = call->attempts.front();
-    observePace(attempt);
     const std::size_t offset = call->delivered.size();
     call->delivered += text;
     for (const Subscriber &subscriber : call->subscribers) {
@@ -320,20 +318,37 @@
             m_context.reply(subscriber.link, AnswerDelta{subscriber.request, offset, text});
         }
     }
+    ++call->piecesDelivered;
+    if (observePace(call->attempts.front())) {
+        moveIfSlow(*call);
+    }
 }
 
 // An engine sends a piece for each token, so the time between pieces is its pace.
-void CallRunner::observePace(Attempt &attempt)
+bool CallRunner::observePace(Attempt &attempt)
 {
     if (attempt.pieces == 0) {
         attempt.paceSince = m_context.now;
     }
     if (++attempt.pieces <= PacePieces) {
-        return;
+        return false;
     }
     const std::chrono::duration<double, std::milli> elapsed = m_context.now - attempt.paceSince;
     m_context.dispatcher.onPace(attempt.endpoint, elapsed.count() / PacePieces, m_context.now);
     attempt.pieces = 0;
+    return true;
+}
+
+void CallRunner::moveIfSlow(RunningCall &call)
+{
+    const Attempt slow = call.attempts.front();
+    const auto target = m_context.dispatcher.move(call.waiting, slow.endpoint, Tokens(call.piecesDelivered), m_context.now);
+    if (!target) {
+        return;
+    }
+    m_context.metrics.add("flamingo_moves_total");
+    cancelOthers(call, AttemptId());
+    startAttempt(call, *target, fmt::format("moved from {}, which is slow", slow.endpoint.value()));
 }
 
 void CallRunner::cancelOthers(RunningCall &call, AttemptId winner)
--- a/src/scheduler/callrunner.h
+++ b/src/scheduler/callrunner.h
@@ -64,7 +64,8 @@
     void onUnanswered(RunningCall &call, const Attempt &attempt, const EndpointResult &result);
     bool mayRetry(const RunningCall &call, bool isSurelyNotRun) const;
     void retry(RunningCall &call, const EndpointId &failedAt, const std::string &reason);
-    void observePace(Attempt &attempt);
+    bool observePace(Attempt &attempt);
+    void moveIfSlow(RunningCall &call);
     void cancelOthers(RunningCall &call, AttemptId winner);
     void commit(RunningCall &call, Outcome outcome, const std::string &endpoint);
     void answer(RunningCall &call, bool isDurable);
--- a/src/scheduler/shardhost.cpp
+++ b/src/scheduler/shardhost.cpp
@@ -231,6 +231,39 @@
     }
 }
 
+void ShardHost::onOpened(const Shard &shard)
+{
+    logChange("shard-taken", "shard={} fence={} programs={}", shard.id().value(), shard.fence().value(), shard.table().size());
+    Attempt &attempt = m_attempts[shard.id()];
+    attempt.askedAt.reset();
+    attempt.pendingAt.reset();
+    attempt.takenAt = m_context.now;
+}
+
+// In a cut both sides may want a shard: its home domain keeps trying, the other gives way.
+void ShardHost::onLost(ShardId shard, const ShardLost &lost)
+{
+    logChange("shard-lost", "shard={} to={}", shard.value(), lost.newOwner.value());
+    Attempt &attempt = m_attempts[shard];
+    if (m_context.now - attempt.takenAt > LossMemory) {
+        attempt.losses = 0;
+    }
+    const unsigned doublings = std::min(attempt.losses++, MaxLossDoublings);
+    attempt.takeNotBefore = m_context.now + (isHome(shard) ? HomeLossPause : ForeignLossBackoff * (1U << doublings));
+}
+
+void ShardHost::onReleased(ShardId shard)
+{
+    logChange("shard-released", "shard={}", shard.value());
+    auto members = m_context.members;
+    members.erase(m_context.settings.instance);
+    const auto asked = m_handoverTo.find(shard);
+    const auto to = asked != m_handoverTo.end() ? std::optional<InstanceId>(asked->second) : placeShard(shard, m_context.settings.domains, members);
+    if (to && members.count(*to) != 0) {
+        m_context.actions.emplace_back(SendToPeer{members.at(*to).schedulerAddress, ShardFreed{shard}});
+    }
+}
+
 void ShardHost::pump(ShardId id)
 {
     const auto it = m_shards.find(id);
@@ -241,36 +274,15 @@
     bool isGone = false;
     for (const ShardEvent &event : shard.takeEvents()) {
         m_onEvent(shard, event);
-        std::visit(Visitors{[&](const ShardOpened &) {
-                                logChange("shard-taken", "shard={} fence={} programs={}", id.value(), shard.fence().value(), shard.table().size());
-                                Attempt &attempt = m_attempts[id];
-                                attempt.askedAt.reset();
-                                attempt.pendingAt.reset();
-                                attempt.takenAt = m_context.now;
-                            },
+        std::visit(Visitors{[&](const ShardOpened &) { onOpened(shard); },
                             [](const ShardCommitted &) {},
                             [&](const ShardLost &lost) {
-                                logChange("shard-lost", "shard={} to={}", id.value(), lost.newOwner.value());
-                                Attempt &attempt = m_attempts[id];
-                                if (m_context.now - attempt.takenAt > LossMemory) {
-                                    attempt.losses = 0;
-                                }
-                                // In a cut both sides may want a shard: its home domain keeps trying, the other gives way.
-                                const unsigned doublings = std::min(attempt.losses++, MaxLossDoublings);
-                                attempt.takeNotBefore = m_context.now + (isHome(id) ? HomeLossPause : ForeignLossBackoff * (1U << doublings));
+                                onLost(id, lost);
                                 isGone = true;
                             },
                             [&](const ShardReleased &) {
-                                logChange("shard-released", "shard={}", id.value());
+                                onReleased(id);
                                 isGone = true;
-                                auto members = m_context.members;
-                                members.erase(m_context.settings.instance);
-                                const auto asked = m_handoverTo.find(id);
-                                const auto to = asked != m_handoverTo.end() ? std::optional<InstanceId>(asked->second)
-                                                                            : placeShard(id, m_context.settings.domains, members);
-                                if (to && members.count(*to) != 0) {
-                                    m_context.actions.emplace_back(SendToPeer{members.at(*to).schedulerAddress, ShardFreed{id}});
-                                }
                             }},
                    event);
     }
--- a/src/scheduler/shardhost.h
+++ b/src/scheduler/shardhost.h
@@ -66,6 +66,9 @@
     void take(ShardId shard);
     void giveUp(Shard &shard);
     void pump(ShardId shard);
+    void onOpened(const Shard &shard);
+    void onLost(ShardId shard, const ShardLost &lost);
+    void onReleased(ShardId shard);
     bool isSettled();
     bool isHome(ShardId shard) const;
     bool mustWaitForOwner(ShardId shard, Attempt &attempt);
--- a/tests/measure/measure.cpp
+++ b/tests/measure/measure.cpp
@@ -364,7 +364,7 @@
     }
     if (arguments.count("rules") != 0) {
         for (const char *rule :
-             {"priority", "least-service", "urgent-reserve", "long-share", "adaptive-limits", "affinity", "avoid-slow", "early-refusal", "hedges"}) {
+             {"priority", "least-service", "urgent-reserve", "long-share", "adaptive-limits", "affinity", "avoid-slow", "early-refusal", "moves", "hedges"}) {
             Summary row{fmt::format("without {}", rule), {once(false, rule, false, seed)}};
             print(row, plan, json);
         }
--- a/tests/unit/policytest.cpp
+++ b/tests/unit/policytest.cpp
@@ -193,3 +193,24 @@
     REQUIRE(sent[1].endpoint == EndpointId("b"));
     REQUIRE(sent[3].call == CallId(4));
 }
+
+TEST_CASE("A stream on a slow endpoint is moved if that saves time, and one that must not be repeated is not")
+{
+    const Instant now{std::chrono::seconds(100)};
+    auto dispatcher = makeDispatcher({}, {endpoint("slow", 8), endpoint("a", 8), endpoint("b", 8)});
+    auto call = waitingCall(1, PriorityClass::Normal, now);
+    call.expectedTokens = Tokens(500);
+    for (int n = 0; n < 20; ++n) {
+        dispatcher.onPace(EndpointId("slow"), 40, now);
+        dispatcher.onPace(EndpointId("a"), 10, now);
+        dispatcher.onPace(EndpointId("b"), 10, now);
+    }
+    REQUIRE_FALSE(dispatcher.move(call, EndpointId("a"), Tokens(8), now));
+    REQUIRE_FALSE(dispatcher.move(call, EndpointId("slow"), Tokens(495), now));
+    call.isRepeatable = false;
+    REQUIRE_FALSE(dispatcher.move(call, EndpointId("slow"), Tokens(8), now));
+    call.isRepeatable = true;
+    const auto target = dispatcher.move(call, EndpointId("slow"), Tokens(8), now);
+    REQUIRE(target);
+    REQUIRE(*target != EndpointId("slow"));
+}
