"Not run" after a lost try is no longer said; oversized bodies get their error

Cause, found by reading: a repeatable call whose first try was lost and whose later tries could not be sent was refused as no-endpoint, which says "not run"; so was one whose retry found no endpoint, or that was moved and then failed. A body over the limit closed the connection without the typed error. A call that must not be repeated was cancelled at its endpoint when its shard was lost.

Change: a call remembers that a sending may have run; giving it up then is endpoint-failed. Entries check the size themselves. Such calls are not cancelled.

Not mended: a repeatable call that an entry forwarded to two owners in turn (docs/PROMISES.md).

--- a/src/entry/entrydaemon.cpp
+++ b/src/entry/entrydaemon.cpp
@@ -6,6 +6,8 @@
 #include "core/stopsignal.h"
 #include "http/errorbody.h"
 
+#include <fmt/format.h>
+
 #include <future>
 #include <thread>
 
@@ -20,6 +22,8 @@
 /// After the last answer, so that it leaves before the connections close.
 constexpr Milliseconds DrainFlushTime{300};
 constexpr std::size_t HttpThreads = 2;
+/// A body over the limit gets a typed error; one that is so many times larger costs its connection.
+constexpr std::size_t HardLimitFactor = 4;
 } // namespace
 
 EntryDaemon::EntryDaemon(const InstanceSettings &settings)
@@ -55,6 +59,11 @@
         exchange->respond(200, "text/plain", m_metrics.render());
         return;
     }
+    if (exchange->body().size() > m_settings.maxBodyBytes) {
+        m_metrics.addRefusal(ErrorKind::RequestTooLarge);
+        respondError(*exchange, {ErrorKind::RequestTooLarge, fmt::format("the limit is {} bytes", m_settings.maxBodyBytes), std::nullopt});
+        return;
+    }
     const bool isTaken = m_decisions.tryPost([this, exchange] {
         setTime();
         if (exchange->path() == "/healthz") {
@@ -105,8 +114,9 @@
         }
     });
     m_decisions.start();
-    m_http = std::make_unique<HttpServer>(HttpServer::Settings{m_settings.entryHttp.host, m_settings.entryHttp.port, HttpThreads, m_settings.maxBodyBytes},
-                                          [this](const HttpExchangePtr &exchange) { onHttp(exchange); });
+    m_http = std::make_unique<HttpServer>(
+        HttpServer::Settings{m_settings.entryHttp.host, m_settings.entryHttp.port, HttpThreads, m_settings.maxBodyBytes * HardLimitFactor},
+        [this](const HttpExchangePtr &exchange) { onHttp(exchange); });
     logChange("started", "instance={} domain={}", m_settings.id.value(), m_settings.domain.value());
     waitForStopSignal();
     waitForDrain();
--- a/src/scheduler/callrunner.cpp
+++ b/src/scheduler/callrunner.cpp
@@ -243,18 +243,23 @@
     call.stage = RunningCall::Stage::Queued;
     const auto queued = m_context.dispatcher.enqueue(call.waiting, m_context.now);
     if (!queued) {
-        giveUpUnsent(call, queued.error().kind, queued.error().detail);
+        giveUp(call, queued.error().kind, queued.error().detail);
     }
 }
 
-// Nothing of the call is at an endpoint, so "not run" is true; its claim is taken back before anybody is told.
-void CallRunner::giveUpUnsent(RunningCall &call, ErrorKind kind, const std::string &detail)
+// If no sending can have run, "not run" is true, and a claim is taken back before anybody is told. Otherwise the call is
+// a repeatable one: a call that must not be repeated never waits again after a sending that may have run.
+void CallRunner::giveUp(RunningCall &call, ErrorKind kind, const std::string &detail)
 {
+    note(call, fmt::format("refused: {}: {}", errorInfo(kind).name, detail));
+    if (call.mayHaveRun) {
+        refuse(call, {ErrorKind::EndpointFailed, detail, std::nullopt});
+        return;
+    }
     Shard *shard = shardOfCall(call);
     if (shard && !call.isRepeatable) {
         (void)shard->propose(ClaimWithdrawn{call.program, call.number});
     }
-    note(call, fmt::format("refused: {}: {}", errorInfo(kind).name, detail));
     refuse(call, {kind, detail, m_context.dispatcher.retryAfter(call.waiting.pool)});
 }
 
@@ -267,7 +272,7 @@
     if (!spec || !agent) {
         m_context.dispatcher.onFailed(call.waiting, endpoint, false, m_context.now);
         if (call.attempts.empty()) {
-            giveUpUnsent(call, ErrorKind::NoEndpoint, "the endpoint or the agent has been removed");
+            giveUp(call, ErrorKind::NoEndpoint, "the endpoint or the agent has been removed");
         }
         return;
     }
@@ -347,6 +352,7 @@
         return;
     }
     m_context.metrics.add("flamingo_moves_total");
+    call.mayHaveRun = true;
     cancelOthers(call, AttemptId());
     startAttempt(call, *target, fmt::format("moved from {}, which is slow", slow.endpoint.value()));
 }
@@ -413,6 +419,7 @@
     using Status = EndpointResult::Status;
     const bool isNotRun = result.status == Status::NotSent || result.status == Status::Refused || result.status == Status::Leaving;
     const bool isFault = result.status == Status::NotSent || result.status == Status::Lost;
+    call.mayHaveRun = call.mayHaveRun || !isNotRun;
     m_context.dispatcher.onFailed(call.waiting, attempt.endpoint, isFault, m_context.now);
     if (result.status == Status::Leaving) {
         m_context.dispatcher.setLeaving(attempt.endpoint);
@@ -439,7 +446,7 @@
         return;
     }
     if (isNotRun) {
-        giveUpUnsent(call, ErrorKind::NoEndpoint, result.detail);
+        giveUp(call, ErrorKind::NoEndpoint, result.detail);
     } else if (call.isRepeatable) {
         refuse(call, {ErrorKind::EndpointFailed, result.detail, std::nullopt});
     } else {
@@ -525,8 +532,10 @@
     RunningCall &call = it->second;
     for (const Attempt &attempt : call.attempts) {
         m_context.dispatcher.onFailed(call.waiting, attempt.endpoint, false, m_context.now);
-        m_context.actions.emplace_back(CancelAttempt{attempt.id});
         m_callByAttempt.erase(attempt.id);
+        if (call.isRepeatable) {
+            m_context.actions.emplace_back(CancelAttempt{attempt.id});
+        }
     }
     const auto running = m_callByProgram.find(call.program);
     if (running != m_callByProgram.end() && running->second == id) {
@@ -588,11 +597,7 @@
 {
     for (const CallId id : m_context.dispatcher.takeExpired(m_context.now)) {
         if (RunningCall *call = find(id)) {
-            if (call->tries > 0 && call->isRepeatable) {
-                refuse(*call, {ErrorKind::EndpointFailed, "the deadline passed before another try", std::nullopt});
-            } else {
-                giveUpUnsent(*call, ErrorKind::DeadlineUnreachable, "the deadline passed in the queue");
-            }
+            giveUp(*call, ErrorKind::DeadlineUnreachable, "the deadline passed in the queue");
         }
     }
     std::vector<CallId> late;
@@ -608,7 +613,7 @@
         if (call.stage == RunningCall::Stage::Committing) {
             answer(call, false);
         } else {
-            giveUpUnsent(call, call.isRepeatable ? ErrorKind::BudgetUnconfirmed : ErrorKind::StoreUnavailable, "the journal could not be written in time");
+            giveUp(call, call.isRepeatable ? ErrorKind::BudgetUnconfirmed : ErrorKind::StoreUnavailable, "the journal could not be written in time");
         }
     }
 }
--- a/src/scheduler/callrunner.h
+++ b/src/scheduler/callrunner.h
@@ -58,7 +58,7 @@
     void startAttempt(RunningCall &call, const EndpointId &endpoint, const std::string &reason);
     void hedgeOverdue();
     void expireWaiting();
-    void giveUpUnsent(RunningCall &call, ErrorKind kind, const std::string &detail);
+    void giveUp(RunningCall &call, ErrorKind kind, const std::string &detail);
 
     void onAnswered(RunningCall &call, const Attempt &attempt, const EndpointResult &result);
     void onUnanswered(RunningCall &call, const Attempt &attempt, const EndpointResult &result);
--- a/src/scheduler/runningcall.h
+++ b/src/scheduler/runningcall.h
@@ -54,6 +54,7 @@
     WaitingCall waiting;
     std::vector<Attempt> attempts;
     unsigned tries = 0;
+    bool mayHaveRun = false; ///< A sending ended, or was given up, without it being sure that it had not run.
     std::int64_t piecesDelivered = 0;
     std::string delivered; ///< The part of the answer that has been passed on.
     std::vector<Subscriber> subscribers;
--- a/tests/promises/operatortest.cpp
+++ b/tests/promises/operatortest.cpp
@@ -240,6 +240,7 @@
     REQUIRE(kindOf("POST", "/v1/programs/zero/calls/1", {{"service", "dispatch"}, {"operation", "book"}}) == "unknown-program");
     REQUIRE(kindOf("POST", "/v1/programs", {{"agent", "nobody"}}) == "unknown-agent");
     REQUIRE(kindOf("GET", "/v1/nowhere", nullptr) == "not-found");
+    REQUIRE(kindOf("POST", call, {{"messages", std::string(5 * 1024 * 1024, 'x')}}) == "request-too-large");
     ProgramClient stranger(http, {deployment.entryPort(0)}, "wrong key");
     REQUIRE(stranger.send("POST", call, {{"service", "dispatch"}, {"operation", "book"}}, Milliseconds(5000), true).errorKind == "unauthenticated");
     ProgramClient other(http, {deployment.entryPort(1)}, Deployment::callerKey("kitaezo"));
--- a/tests/unit/schedulertest.cpp
+++ b/tests/unit/schedulertest.cpp
@@ -361,3 +361,20 @@
     const std::string kind = bench.last<Refused>()->kind;
     REQUIRE((kind == "budget-exhausted" || kind == "turn-limit-reached"));
 }
+
+TEST_CASE("A refusal after a sending that may have run doesn't say \"not run\"", "[promises]")
+{
+    Bench bench("a");
+    bench.start();
+    bench.submit(1, "", 3000);
+    bench.result(bench.answer(Status::Lost));
+    for (int n = 0; n < 10 && !bench.last<Refused>(); ++n) {
+        bench.run(Milliseconds(800));
+        if (!bench.last<Refused>()) {
+            bench.result(bench.answer(Status::NotSent));
+        }
+    }
+    REQUIRE(bench.last<Refused>());
+    REQUIRE(bench.last<Refused>()->kind == "endpoint-failed");
+    REQUIRE(errorInfo(ErrorKind::EndpointFailed).runState == RunState::MayHaveRun);
+}
