--- a/src/scheduler/callrunner.cpp
+++ b/src/scheduler/callrunner.cpp
@@ -44,56 +44,50 @@
 
 void CallRunner::onSubmit(LinkId link, const SubmitCall &request)
 {
-    const auto shard = m_shards.ownerOf(request.program);
-    if (!shard) {
-        m_context.refuse(link, request.request, shard.error());
-        return;
-    }
-    const auto program = (*shard)->table().findFor(request.caller, request.program);
-    if (!program) {
-        m_context.refuse(link, request.request, program.error());
+    const auto owned = m_shards.findFor(request.caller, request.program);
+    if (!owned) {
+        m_context.refuse(link, request.request, owned.error());
         return;
     }
-    auto call = describe(request, **program, (*shard)->id());
+    Shard &shard = *owned->shard;
+    const Program &program = *owned->program;
+    auto call = describe(request, program, shard.id());
     if (!call) {
         m_context.refuse(link, request.request, call.error());
         return;
     }
-    const AgentSpec *agent = m_context.configuration.agent((*program)->start.agent);
+    const AgentSpec *agent = m_context.configuration.agent(program.start.agent);
     const auto admission =
-        (*shard)->table().admit({call->program, call->number, call->digest, call->mostCost}, {agent->maxTurns, agent->maxDuration}, m_context.nowMs);
+        shard.table().admit({call->program, call->number, call->digest, call->mostCost}, {agent->maxTurns, agent->maxDuration}, m_context.nowMs);
     if (!admission) {
         m_context.refuse(link, request.request, admission.error());
         return;
     }
     if (const auto *replay = std::get_if<Replay>(&*admission)) {
         const Turn &turn = replay->turn;
-        const bool isDurable = (*shard)->isDurable(request.program);
+        const bool isDurable = shard.isDurable(request.program);
         m_context.metrics.add("flamingo_answers_replayed_total");
         m_context.reply(link, AnswerDone{request.request, request.program, turn.number, turn.outcome, turn.digest, isDurable, {}});
     } else if (std::holds_alternative<Attach>(*admission)) {
         subscribe(m_calls.at(m_callByProgram.at(request.program)), link, request.request, request.wantsDeltas);
     } else {
-        begin(std::move(*call), **shard, link, request);
+        begin(std::move(*call), shard, link, request);
     }
 }
 
 void CallRunner::onFetch(LinkId link, const FetchAnswer &request)
 {
-    const auto shard = m_shards.ownerOf(request.program);
-    if (!shard) {
-        m_context.refuse(link, request.request, shard.error());
-        return;
-    }
-    const auto program = (*shard)->table().findFor(request.caller, request.program);
-    if (!program) {
-        m_context.refuse(link, request.request, program.error());
+    const auto owned = m_shards.findFor(request.caller, request.program);
+    if (!owned) {
+        m_context.refuse(link, request.request, owned.error());
         return;
     }
+    Shard &shard = *owned->shard;
+    const Program &program = *owned->program;
     const auto running = m_callByProgram.find(request.program);
-    if (request.number.value() >= 1 && request.number < (*program)->nextNumber()) {
-        const Turn &turn = (*program)->turns[request.number.value() - 1];
-        const bool isDurable = (*shard)->isDurable(request.program);
+    if (request.number.value() >= 1 && request.number < program.nextNumber()) {
+        const Turn &turn = program.turns[request.number.value() - 1];
+        const bool isDurable = shard.isDurable(request.program);
         m_context.reply(link, AnswerDone{request.request, request.program, turn.number, turn.outcome, turn.digest, isDurable, {}});
     } else if (running != m_callByProgram.end() && m_calls.at(running->second).number == request.number) {
         subscribe(m_calls.at(running->second), link, request.request, true);
--- a/src/scheduler/programkeeper.cpp
+++ b/src/scheduler/programkeeper.cpp
@@ -86,26 +86,23 @@
 
 void ProgramKeeper::onEnd(LinkId link, const EndProgram &request)
 {
-    const auto shard = m_shards.ownerOf(request.program);
-    if (!shard) {
-        m_context.refuse(link, request.request, shard.error());
-        return;
-    }
-    const auto program = (*shard)->table().findFor(request.caller, request.program);
-    if (!program) {
-        m_context.refuse(link, request.request, program.error());
+    const auto owned = m_shards.findFor(request.caller, request.program);
+    if (!owned) {
+        m_context.refuse(link, request.request, owned.error());
         return;
     }
+    Shard &shard = *owned->shard;
+    const Program &program = *owned->program;
     if (m_calls.isRunning(request.program)) {
         m_context.refuse(link, request.request, {ErrorKind::CallConflict, "a call is under way", Milliseconds(200)});
         return;
     }
-    if (!(*program)->endReason) {
-        end(**shard, request.program, request.reason);
+    if (!program.endReason) {
+        end(shard, request.program, request.reason);
     }
-    const RecordIndex last = (*shard)->lastRecord(request.program);
-    const Waiting waiting{link, request.request, request.program, (*shard)->id(), false, last, m_context.now};
-    if ((*shard)->isCommitted(last)) {
+    const RecordIndex last = shard.lastRecord(request.program);
+    const Waiting waiting{link, request.request, request.program, shard.id(), false, last, m_context.now};
+    if (shard.isCommitted(last)) {
         answer(waiting, true);
     } else {
         m_waiting.push_back(waiting);
--- a/src/scheduler/shardhost.cpp
+++ b/src/scheduler/shardhost.cpp
@@ -55,6 +55,19 @@
     return shard;
 }
 
+Result<OwnedProgram> ShardHost::findFor(const CallerId &caller, const ProgramId &program)
+{
+    const auto shard = ownerOf(program);
+    if (!shard) {
+        return tl::make_unexpected(shard.error());
+    }
+    const auto found = (*shard)->table().findFor(caller, program);
+    if (!found) {
+        return tl::make_unexpected(found.error());
+    }
+    return OwnedProgram{*shard, *found};
+}
+
 std::vector<OwnedShard> ShardHost::owned() const
 {
     std::vector<OwnedShard> owned;
--- a/src/scheduler/shardhost.h
+++ b/src/scheduler/shardhost.h
@@ -11,6 +11,12 @@
 namespace flamingo
 {
 
+/// A program and the shard that it is on, both owned by this instance.
+struct OwnedProgram {
+    Shard *shard = nullptr;
+    const Program *program = nullptr;
+};
+
 /// The shards of this instance. Decides which to take, to ask for and to give up, from the members that are known;
 /// whether a taking succeeds is decided by the shard's journal.
 class ShardHost
@@ -27,9 +33,12 @@
     /// The shard if this instance owns it, handed over ones included until they are released.
     Shard *find(ShardId shard);
 
-    /// The owned shard of a program; NotOwner with a hint otherwise.
+    /// The owned shard of a program; NotOwner when another instance must be asked.
     Result<Shard *> ownerOf(const ProgramId &program);
 
+    /// A caller's program on an owned shard. Another caller's program is unknown.
+    Result<OwnedProgram> findFor(const CallerId &caller, const ProgramId &program);
+
     void onStoreReply(ShardId shard, const StoreReply &reply);
     void onRequestHandover(LinkId link, const RequestHandover &request);
     void onHandoverPending(ShardId shard);
--- a/tests/slopes/slopes.cpp
+++ b/tests/slopes/slopes.cpp
@@ -387,6 +387,31 @@
     }
 }
 
+// Bytes and time of tickets against their pace and their number of objects, at one size.
+void measureTickets(int members, int objects, int periodMs)
+{
+    ControlFabric fabric(members, std::min(members, 15));
+    fabric.run(Milliseconds(30000));
+    (void)fabric.takePeerBytes();
+    constexpr int WindowMs = 60000;
+    fabric.run(Milliseconds(WindowMs));
+    const auto idle = static_cast<double>(fabric.takePeerBytes());
+    int ticket = 0;
+    for (int ms = 0; ms < WindowMs; ms += periodMs) {
+        ++ticket;
+        for (int n = 0; n < objects; ++n) {
+            fabric.introduce(ticket % members, agentObject(ticket * 100 + n, static_cast<std::uint64_t>(ticket)));
+        }
+        fabric.run(Milliseconds(periodMs));
+    }
+    const double spent = static_cast<double>(fabric.takePeerBytes()) - idle;
+    line(fmt::format("tickets members={} objects_each={} one_every_ms={} bytes_per_object_and_member={:.0f}",
+                     members,
+                     objects,
+                     periodMs,
+                     spent / members / ticket / objects));
+}
+
 void measureControl(int members)
 {
     const double before = residentBytes();
@@ -447,6 +472,12 @@
              for (const int members : {7, 50, 150, 460}) {
                  measureControl(members);
              }
+             for (const int periodMs : {500, 2880, 10000}) {
+                 measureTickets(150, 1, periodMs);
+             }
+             for (const int objects : {5, 20}) {
+                 measureTickets(150, objects, 2880);
+             }
          }},
     };
     for (const auto &[name, measure] : parts) {
