Dead code removed; mutants match test names with commas

Cause, found by reading and by a run of scripts/mutants.sh: unused parameters and members, a client call that nobody used. In that run three of seven mutants seemed to survive because a comma in a test's name ends a Catch2 pattern, so that no test ran.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -14,7 +14,9 @@
 
 # mutant NAME FILE PERL-EXPRESSION TEST
 mutant() {
-    local name=$1 file=$2 edit=$3 test=$4
+    local name=$1 file=$2 edit=$3
+    # A comma in a test's name would be read as the end of one pattern.
+    local test=${4//,/\\,}
     perl -0pi -e "$edit" "$file"
     if git diff --quiet; then
         echo "mutant $name: the edit matches nothing"
@@ -24,7 +26,7 @@
     if ! ninja -C build unit-tests >build/mutant.log 2>&1; then
         echo "mutant $name: does not compile"
         survivors=$((survivors + 1))
-    elif build/tests/unit-tests "$test" >build/mutant.log 2>&1; then
+    elif build/tests/unit-tests -w NoTests "$test" >build/mutant.log 2>&1; then
         echo "mutant $name: SURVIVES \"$test\""
         survivors=$((survivors + 1))
     else
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -117,17 +117,6 @@
     });
 }
 
-void StoreClient::listKeys(const std::string &prefix, std::function<void(std::vector<std::string>)> onKeys)
-{
-    m_metrics.add("flamingo_store_calls_total", "call=\"list\"");
-    m_client.send(makeRequest("GET", "/v1/keys?prefix=" + prefix), [onKeys = std::move(onKeys)](const HttpOutcome &outcome) {
-        const auto json = outcome && outcome->status == StatusOk ? parseJson(outcome->body) : std::nullopt;
-        if (json && json->is_object()) {
-            onKeys(json->value("keys", std::vector<std::string>()));
-        }
-    });
-}
-
 void StoreClient::listInstances(std::function<void(std::vector<ListedInstance>)> onList)
 {
     m_metrics.add("flamingo_store_calls_total", "call=\"instances\"");
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -37,9 +37,6 @@
     /// Waits on the platform's side until a key with the prefix changes after the revision.
     void watch(const std::string &prefix, std::uint64_t afterRevision, std::function<void(WatchResult result)> onResult);
 
-    /// The names of the keys with the prefix; the handler isn't called when the store can't be reached.
-    void listKeys(const std::string &prefix, std::function<void(std::vector<std::string> keys)> onKeys);
-
     /// The platform's list; the handler isn't called when it can't be reached.
     void listInstances(std::function<void(std::vector<ListedInstance> instances)> onList);
 
--- a/src/policy/dispatcher.cpp
+++ b/src/policy/dispatcher.cpp
@@ -407,7 +407,7 @@
     if (it == m_endpoints.end()) {
         return;
     }
-    it->second.state.observe(observation, now, m_rules);
+    it->second.state.observe(observation, now);
     it->second.state.end(call.isLong);
 }
 
--- a/src/policy/endpointstate.cpp
+++ b/src/policy/endpointstate.cpp
@@ -52,7 +52,7 @@
     m_runningLong -= isLong ? 1 : 0;
 }
 
-void EndpointState::observe(const CallObservation &observation, Instant now, const PolicyRules &rules)
+void EndpointState::observe(const CallObservation &observation, Instant now)
 {
     m_failuresInRow = 0;
     m_observedAt = now;
@@ -76,7 +76,6 @@
     } else if (m_running + 1 >= static_cast<int>(m_limit)) {
         m_limit = std::min(static_cast<double>(m_slots), m_limit + 1 / m_limit);
     }
-    (void)rules;
 }
 
 void EndpointState::observePace(double msPerToken, Instant now)
--- a/src/policy/endpointstate.h
+++ b/src/policy/endpointstate.h
@@ -29,7 +29,7 @@
     void end(bool isLong);
 
     /// A call has finished here.
-    void observe(const CallObservation &observation, Instant now, const PolicyRules &rules);
+    void observe(const CallObservation &observation, Instant now);
 
     /// What a stream under way shows of the pace, long before its call has finished.
     void observePace(double msPerToken, Instant now);
--- a/src/programs/programtable.cpp
+++ b/src/programs/programtable.cpp
@@ -183,12 +183,11 @@
     return Run{};
 }
 
-void ProgramTable::setRunning(const ProgramId &program, std::optional<Digest> request, Tokens mostCost)
+void ProgramTable::setRunning(const ProgramId &program, std::optional<Digest> request)
 {
     const auto it = m_programs.find(program);
     if (it != m_programs.end()) {
         it->second.running = std::move(request);
-        it->second.runningCost = mostCost;
     }
 }
 
--- a/src/programs/programtable.h
+++ b/src/programs/programtable.h
@@ -59,7 +59,7 @@
     Result<Admission> admit(const CallRequest &call, const ProgramLimits &limits, std::int64_t nowMs) const;
 
     /// Marks the program's next call as under way, or as no longer so. Not part of the durable state.
-    void setRunning(const ProgramId &program, std::optional<Digest> request, Tokens mostCost);
+    void setRunning(const ProgramId &program, std::optional<Digest> request);
 
     /// Whether the budget that a call needs is covered by what the journal has reserved.
     bool isReserved(const ProgramId &program, Tokens mostCost) const;
@@ -87,7 +87,6 @@
     struct Entry {
         Program program;
         std::optional<Digest> running;
-        Tokens runningCost;
     };
 
     Result<void> applyAlternative(const ProgramStarted &record);
--- a/src/scheduler/callrunner.cpp
+++ b/src/scheduler/callrunner.cpp
@@ -135,7 +135,6 @@
     }
     RunningCall call;
     call.shard = shard;
-    call.caller = request.caller;
     call.program = request.program;
     call.number = request.number.value_or(program.nextNumber());
     call.digest = requestDigest(request);
@@ -182,7 +181,7 @@
     const auto service = m_serviceByProgram.find(call.program);
     call.waiting.serviceSoFar = service == m_serviceByProgram.end() ? Milliseconds(0) : service->second;
     call.subscribers.push_back({link, request.request, request.wantsDeltas});
-    shard.table().setRunning(call.program, call.digest, call.mostCost);
+    shard.table().setRunning(call.program, call.digest);
     const auto it = m_calls.emplace(call.id, std::move(call)).first;
     m_callByProgram[it->second.program] = it->first;
     m_context.metrics.add("flamingo_calls_total", it->second.service.empty() ? "kind=\"model\"" : "kind=\"service\"");
@@ -486,7 +485,7 @@
     m_serviceByProgram[call.program] += std::chrono::duration_cast<Milliseconds>(m_context.now - call.startedAt);
     m_retryTokens = std::min(MaxRetryTokens, m_retryTokens + m_context.settings.retryBudget);
     const auto committed = shard->propose(TurnCommitted{call.program, call.number, call.digest, program->historyDigest, call.input, call.outcome});
-    shard->table().setRunning(call.program, std::nullopt, Tokens(0));
+    shard->table().setRunning(call.program, std::nullopt);
     m_callByProgram.erase(call.program);
     if (!committed) {
         refuse(call, committed.error());
@@ -535,7 +534,7 @@
     if (running != m_callByProgram.end() && running->second == id) {
         m_callByProgram.erase(running);
         if (Shard *shard = shardOfCall(call)) {
-            shard->table().setRunning(call.program, std::nullopt, Tokens(0));
+            shard->table().setRunning(call.program, std::nullopt);
         }
     }
     m_calls.erase(it);
--- a/src/scheduler/runningcall.h
+++ b/src/scheduler/runningcall.h
@@ -37,7 +37,6 @@
 
     CallId id;
     ShardId shard;
-    CallerId caller;
     ProgramId program;
     CallNumber number;
     Digest digest; ///< Of the request.
--- a/src/scheduler/schedulercontext.h
+++ b/src/scheduler/schedulercontext.h
@@ -7,10 +7,8 @@
 #include "policy/dispatcher.h"
 #include "scheduler/actions.h"
 
-#include <deque>
 #include <map>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace flamingo
--- a/tests/harness/deployment.cpp
+++ b/tests/harness/deployment.cpp
@@ -356,7 +356,7 @@
     return outcome ? outcome->body : "";
 }
 
-nlohmann::json Deployment::get(std::uint16_t port, const std::string &path, const std::string &)
+nlohmann::json Deployment::get(std::uint16_t port, const std::string &path)
 {
     return parseJson(text(port, path)).value_or(nlohmann::json::object());
 }
--- a/tests/harness/deployment.h
+++ b/tests/harness/deployment.h
@@ -64,7 +64,7 @@
     std::vector<std::string> routesBetween(const std::string &domainA, const std::string &domainB) const;
     std::vector<std::string> routesToStore(int n) const;
 
-    nlohmann::json get(std::uint16_t port, const std::string &path, const std::string &token = {});
+    nlohmann::json get(std::uint16_t port, const std::string &path);
     nlohmann::json status(int n);
     std::string text(std::uint16_t port, const std::string &path);
 
--- a/tests/measure/idle.cpp
+++ b/tests/measure/idle.cpp
@@ -28,9 +28,7 @@
 void print(const std::string &name, std::vector<double> values)
 {
     std::sort(values.begin(), values.end());
-    const auto at = [&](double share) {
-        return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
-    };
+    const auto at = [&](double share) { return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))]; };
     fmt::print("{}: n={} p50={:.2f} ms p95={:.2f} ms p99={:.2f} ms\n", name, values.size(), at(0.5), at(0.95), at(0.99));
 }
 } // namespace
@@ -66,9 +64,7 @@
             request.body = R"({"what":"crane"})";
             (void)http.sendAndWait(std::move(request));
         }));
-        through.push_back(timed([&] {
-            (void)client.operate("lookup", "crane");
-        }));
+        through.push_back(timed([&] { (void)client.operate("lookup", "crane"); }));
         store.push_back(timed([&] {
             HttpRequest request;
             request.url = fmt::format("http://127.0.0.1:{}/v1/kv/shard/0/journal/0", deployment.storePort());
--- a/tests/unit/programtest.cpp
+++ b/tests/unit/programtest.cpp
@@ -40,11 +40,11 @@
     REQUIRE(table.admit(call(2), {}, 0).error().kind == ErrorKind::CallOutOfOrder);
     REQUIRE(table.admit(call(0), {}, 0).error().kind == ErrorKind::CallOutOfOrder);
     REQUIRE(std::holds_alternative<Run>(*table.admit(call(1), {}, 0)));
-    table.setRunning(Prog, digestOf("q1"), Tokens(1));
+    table.setRunning(Prog, digestOf("q1"));
     REQUIRE(std::holds_alternative<Attach>(*table.admit(call(1), {}, 0)));
     REQUIRE(table.admit(call(2), {}, 0).error().kind == ErrorKind::CallOutOfOrder);
     REQUIRE(table.apply(turn(table, 1, "answer", 1)));
-    table.setRunning(Prog, std::nullopt, Tokens(0));
+    table.setRunning(Prog, std::nullopt);
     const auto replay = table.admit(call(1), {}, 0);
     REQUIRE(std::get<Replay>(*replay).turn.outcome.text == "answer");
     REQUIRE(std::holds_alternative<Run>(*table.admit(call(2), {}, 0)));
