--- a/src/journal/shardjournal.cpp
+++ b/src/journal/shardjournal.cpp
@@ -236,6 +236,11 @@
         reportOpened();
         return;
     }
+    // An entry that is needed for the replay is never overwritten, also when takeovers have used up the whole ring.
+    if (m_next - m_snapshot.replayFrom >= m_settings.ringSize) {
+        m_restartAt = now + m_settings.retryDelay;
+        return;
+    }
     m_fence = FencingNumber(m_fence.value() + 1);
     m_state = State::Claiming;
     startEntry(makeEntry(), 0, now);
