--- a/src/journal/shardjournal.cpp
+++ b/src/journal/shardjournal.cpp
@@ -238,7 +238,7 @@
     }
     // An entry that is needed for the replay is never overwritten, also when takeovers have used up the whole ring.
     if (m_next - m_snapshot.replayFrom >= m_settings.ringSize) {
-        m_restartAt = now + m_settings.retryDelay;
+        m_restartAt = now + OwnershipCheckPeriod;
         return;
     }
     m_fence = FencingNumber(m_fence.value() + 1);
--- a/src/membership/placement.cpp
+++ b/src/membership/placement.cpp
@@ -5,9 +5,14 @@
 namespace flamingo
 {
 
+DomainId homeDomain(ShardId shard, const std::vector<DomainId> &domains)
+{
+    return domains.empty() ? DomainId() : domains[shard.value() % domains.size()];
+}
+
 std::optional<InstanceId> placeShard(ShardId shard, const std::vector<DomainId> &domains, const std::map<InstanceId, MemberFact> &members)
 {
-    const DomainId home = domains.empty() ? DomainId() : domains[shard.value() % domains.size()];
+    const DomainId home = homeDomain(shard, domains);
     std::optional<InstanceId> best;
     bool isBestAtHome = false;
     std::uint64_t bestWeight = 0;
--- a/src/membership/placement.h
+++ b/src/membership/placement.h
@@ -9,8 +9,10 @@
 namespace flamingo
 {
 
+/// The home domain of shard s: number s modulo the number of domains, in the order of the settings.
+DomainId homeDomain(ShardId shard, const std::vector<DomainId> &domains);
+
 /// Which instance a shard belongs on, by rendezvous hashing: the members of the shard's home domain go first, then all.
-/// The home domain of shard s is number s modulo the number of domains, in the order of the settings.
 std::optional<InstanceId> placeShard(ShardId shard, const std::vector<DomainId> &domains, const std::map<InstanceId, MemberFact> &members);
 
 /// Whether the instance's scheduler is there, also while it is leaving.
--- a/src/policy/dispatcher.cpp
+++ b/src/policy/dispatcher.cpp
@@ -338,6 +338,20 @@
     return expired;
 }
 
+std::optional<EndpointId> Dispatcher::takeElsewhere(const WaitingCall &call, const EndpointId &from, Pool &pool, Instant now)
+{
+    WaitingCall other = call;
+    other.failedAt.insert(from);
+    other.arrived = now - m_rules.maxAffinityWait;
+    const Choice choice = choose(other, pool, now);
+    if (!choice.endpoint || *choice.endpoint == from) {
+        return std::nullopt;
+    }
+    m_hedgeTokens -= 1;
+    m_endpoints.at(*choice.endpoint).state.begin(call.isLong);
+    return choice.endpoint;
+}
+
 std::optional<EndpointId> Dispatcher::hedge(const WaitingCall &call, const EndpointId &first, Instant sentAt, Instant now)
 {
     if (!m_rules.hedges || !call.isRepeatable || m_hedgeTokens < 1) {
@@ -353,17 +367,11 @@
     if (static_cast<double>(toMilliseconds(now - sentAt)) < HedgeFactor * expected + HedgeSlackMs) {
         return std::nullopt;
     }
-    WaitingCall second = call;
-    second.failedAt.insert(first);
-    second.arrived = now - m_rules.maxAffinityWait;
-    const Choice choice = choose(second, pool, now);
-    if (!choice.endpoint || *choice.endpoint == first) {
-        return std::nullopt;
+    auto second = takeElsewhere(call, first, pool, now);
+    if (second) {
+        it->second.state.observeOverdue(now);
     }
-    it->second.state.observeOverdue(now);
-    m_hedgeTokens -= 1;
-    m_endpoints.at(*choice.endpoint).state.begin(call.isLong);
-    return choice.endpoint;
+    return second;
 }
 
 std::optional<EndpointId> Dispatcher::move(const WaitingCall &call, const EndpointId &from, Tokens generated, Instant now)
@@ -381,16 +389,7 @@
     if (pace < SlowFactor * pool.pace || gain < MinMoveGainMs) {
         return std::nullopt;
     }
-    WaitingCall moved = call;
-    moved.failedAt.insert(from);
-    moved.arrived = now - m_rules.maxAffinityWait;
-    const Choice choice = choose(moved, pool, now);
-    if (!choice.endpoint || *choice.endpoint == from) {
-        return std::nullopt;
-    }
-    m_hedgeTokens -= 1;
-    m_endpoints.at(*choice.endpoint).state.begin(call.isLong);
-    return choice.endpoint;
+    return takeElsewhere(call, from, pool, now);
 }
 
 void Dispatcher::onPace(const EndpointId &endpoint, double msPerToken, Instant now)
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -132,6 +132,8 @@
 
     double rank(const WaitingCall &call, Instant now) const;
     bool isLong(const WaitingCall &call, const Pool &pool) const;
+    /// Takes a slot for the call at another endpoint than this one, out of the hedge budget.
+    std::optional<EndpointId> takeElsewhere(const WaitingCall &call, const EndpointId &from, Pool &pool, Instant now);
     bool isBeingProbed(const Endpoint &endpoint, const Pool &pool, Instant now) const;
     bool mayTakeSlot(const WaitingCall &call, const Pool &pool) const;
     Choice choose(const WaitingCall &call, Pool &pool, Instant now) const;
--- a/src/scheduler/shardhost.cpp
+++ b/src/scheduler/shardhost.cpp
@@ -128,8 +128,7 @@
 
 bool ShardHost::isHome(ShardId shard) const
 {
-    const auto &domains = m_context.settings.domains;
-    return domains[shard.value() % domains.size()] == m_context.settings.domain;
+    return homeDomain(shard, m_context.settings.domains) == m_context.settings.domain;
 }
 
 void ShardHost::consider(ShardId id)
