--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -205,6 +205,11 @@
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeader);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer.get());
     curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
+    if (request.method != "GET") {
+        // On a kept connection that breaks before the answer libcurl sends again by itself, and what changes
+        // something may run twice.
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    }
     if (request.method == "POST" || request.method == "PUT") {
         curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
