--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -143,6 +143,7 @@
     m_loop.timers().every(now, HousekeepingPeriod, [this](Instant at) {
         m_budgets.forgetIdle(BudgetIdle, at);
         m_turnStore.removeExpired(at);
+        logSummary();
     });
     logChange("started", "instance={} domain={} version={}", m_settings.instance.value(), m_settings.domain.value(), FLAMINGO_VERSION);
     m_loop.run();
@@ -291,6 +292,23 @@
     });
 }
 
+// What the metrics page counts, for times of which only the log is left.
+void InstanceDaemon::logSummary()
+{
+    const auto calls = [this](const char *name) { return m_metrics.counter("flamingo_store_calls_total", fmt::format("call=\"{}\"", name)); };
+    logChange("summary",
+              "store_reads={} store_lists={} store_watches={} store_commits={} store_forwards={} store_failures={} programs={} history_bytes={} waiting={}",
+              calls("read"),
+              calls("list"),
+              calls("watch"),
+              calls("commit"),
+              calls("forward"),
+              m_metrics.counter("flamingo_store_failures_total"),
+              m_budgets.programs(),
+              m_history.memoryBytes(),
+              m_placement.waiting());
+}
+
 void InstanceDaemon::beginDrain()
 {
     if (m_drainingSince) {
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -39,6 +39,7 @@
     void leaveFleet();
     void refreshDetours();
     void onMetrics(const ServerConnectionPtr &connection);
+    void logSummary();
     void beginDrain();
     void checkDrain(Instant now);
     ConnectionLimits callerLimits() const;
--- a/src/instance/relay.cpp
+++ b/src/instance/relay.cpp
@@ -133,6 +133,7 @@
     } else if (grant.verdict == BudgetVerdict::Unsure) {
         refuse(503, "budget-unsure", StoreRetry);
     } else if (grant.chain.status == TurnLookup::Status::Absent) {
+        logChange("turn-unknown", "id={} previous={} home={}", m_facts.id.value(), m_facts.previousTurn->value(), grant.home.value());
         refuse(404, "no-such-turn");
     } else if (grant.chain.status == TurnLookup::Status::Unsure) {
         refuse(503, "history-unsure", StoreRetry);
