--- a/src/instance/registryfeed.cpp
+++ b/src/instance/registryfeed.cpp
@@ -126,7 +126,9 @@
     if (!feed.isAway) {
         feed.isAway = true;
         logChange("store-lost", "prefix={} reason=\"{}\"", feed.prefix, failure.detail);
-        m_directory.onStoreAway();
+        if (&feed == &m_endpoints) {
+            m_directory.onStoreAway();
+        }
     }
     m_timers.at(now() + RetryDelay, [this, &feed](Instant) { retry(feed); });
 }
@@ -147,7 +149,7 @@
     }
     feed.isAway = false;
     logChange("store-regained", "prefix={}", feed.prefix);
-    if (!m_operator.isAway && !m_endpoints.isAway) {
+    if (&feed == &m_endpoints) {
         m_directory.onStoreBack(now());
         m_timers.at(now() + EndpointDirectory::ReturnTime + Milliseconds(1), [this](Instant at) {
             if (m_directory.dropLapsed(at)) {
