--- a/src/instance/registryfeed.cpp
+++ b/src/instance/registryfeed.cpp
@@ -11,7 +11,9 @@
 constexpr Milliseconds WatchTime{2000};
 /// Instances that come or go are also noticed by the calls to them, so their list may be behind.
 constexpr Milliseconds InstanceWatchTime{10000};
-constexpr Milliseconds RetryDelay{150};
+constexpr Milliseconds RetryDelay{300};
+/// The list of instances can wait until the other two are there again.
+constexpr Milliseconds InstanceRetryDelay{2000};
 
 Instant now()
 {
@@ -130,7 +132,7 @@
             m_directory.onStoreAway();
         }
     }
-    m_timers.at(now() + RetryDelay, [this, &feed](Instant) { retry(feed); });
+    m_timers.at(now() + (&feed == &m_instances && feed.isLoaded ? InstanceRetryDelay : RetryDelay), [this, &feed](Instant) { retry(feed); });
 }
 
 void RegistryFeed::retry(Feed &feed)
