A cut-off instance has its callers sent elsewhere

Cause: in a cut of a failure domain its instances reached neither the store nor the programs' homes, stayed in rotation and answered 503 for six seconds.

Ruled out: staying ready and serving first turns on credit; what follows them needs the budget, which nobody in the domain can tell.

Change: an instance that reaches neither store nor instances elsewhere is not ready, closes connections with its next answer and asks only homes in its own domain.

--- a/src/http/connectionset.cpp
+++ b/src/http/connectionset.cpp
@@ -19,17 +19,15 @@
 {
     const auto connection = std::make_shared<ServerConnection>(std::move(socket), m_hooks);
     m_connections.emplace(connection.get(), connection);
-    if (m_isClosing) {
-        connection->closeWhenIdle();
-    }
+    connection->setClosing(m_isClosing);
     connection->start();
 }
 
-void ConnectionSet::beginClosing()
+void ConnectionSet::setClosing(bool isClosing)
 {
-    m_isClosing = true;
+    m_isClosing = isClosing;
     for (const auto &[pointer, connection] : m_connections) {
-        connection->closeWhenIdle();
+        connection->setClosing(isClosing);
     }
 }
 
--- a/src/http/connectionset.h
+++ b/src/http/connectionset.h
@@ -18,8 +18,8 @@
     /// Throws std::exception when the address can't be listened on.
     ConnectionSet(asio::io_context &context, const asio::ip::tcp::endpoint &address, RequestHandler onRequest, std::function<ConnectionLimits()> limits);
 
-    /// From now on each answer closes its connection.
-    void beginClosing();
+    /// Whether from now on each answer closes its connection.
+    void setClosing(bool isClosing);
 
     void stopAccepting();
 
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -129,7 +129,7 @@
 {
     m_stage = Stage::Answering;
     m_timer.cancel();
-    m_closesAfterAnswer = m_closesAfterAnswer || !m_request.head.keepsConnection;
+    m_closesAfterAnswer = !m_request.head.keepsConnection;
     m_hooks.onRequest(shared_from_this(), std::move(m_request));
     m_request = {};
 }
@@ -142,13 +142,14 @@
     respond(status, {}, {});
 }
 
-std::string ServerConnection::headText(int status, const HeaderFields &fields) const
+std::string ServerConnection::headText(int status, const HeaderFields &fields)
 {
     std::string text = fmt::format("HTTP/1.1 {} {}\r\n", status, reasonPhrase(status));
     for (const HeaderField &field : fields.all()) {
         text += fmt::format("{}: {}\r\n", field.name, field.value);
     }
-    if (m_closesAfterAnswer) {
+    if (m_closesAfterAnswer || m_isClosing) {
+        m_closesAfterAnswer = true;
         text += "Connection: close\r\n";
     }
     return text;
@@ -212,9 +213,9 @@
     close();
 }
 
-void ServerConnection::closeWhenIdle()
+void ServerConnection::setClosing(bool isClosing)
 {
-    m_closesAfterAnswer = true;
+    m_isClosing = isClosing;
 }
 
 void ServerConnection::closeIfIdle()
@@ -243,7 +244,7 @@
 {
     m_onGone = nullptr;
     m_sendsChunks = false;
-    if (m_closesAfterAnswer) {
+    if (m_closesAfterAnswer || m_isClosing) {
         beginLingeringClose();
         return;
     }
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -67,8 +67,8 @@
     /// Ends the connection without completing the answer, so that the caller sees that it broke off.
     void abort();
 
-    /// Closes once nothing is under way; answers from now on say that the connection will close.
-    void closeWhenIdle();
+    /// Whether answers from now on say that the connection will close, and close it.
+    void setClosing(bool isClosing);
 
     /// Closes now if no request has begun to arrive.
     void closeIfIdle();
@@ -99,7 +99,7 @@
     void callerGone();
     void armTimer(Milliseconds after);
     void onTimer();
-    std::string headText(int status, const HeaderFields &fields) const;
+    std::string headText(int status, const HeaderFields &fields);
 
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_timer;
@@ -116,7 +116,8 @@
     bool m_isWriting = false;
     bool m_isReading = false;
     bool m_sendsChunks = false;
-    bool m_closesAfterAnswer = false;
+    bool m_closesAfterAnswer = false; ///< For this answer, since the caller wants it.
+    bool m_isClosing = false; ///< For each answer.
     bool m_isParsing = false;
 };
 
--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -68,7 +68,7 @@
     , m_store(m_loop.context(), m_settings.store, m_metrics)
     , m_budgetStore(m_store)
     , m_turnStore(m_store)
-    , m_fleet(m_settings.instance)
+    , m_fleet(m_settings.instance, m_settings.domain)
     , m_placement(rules(), m_settings.domain, m_directory)
     , m_budgets(newHolder(m_settings.instance), m_budgetStore)
     , m_history(m_turnStore, historyBytes(m_settings))
@@ -77,6 +77,7 @@
     , m_home(m_budgets, m_history, m_settings.instance)
     , m_homes(m_loop.context(), m_fleet, m_home, m_peerLinks)
     , m_feed(m_store, m_loop.timers(), m_routes, m_directory, m_fleet, {[this] { m_placement.refreshEndpoints(); }, [this] { refreshDetours(); }})
+    , m_isolation(m_loop.timers(), m_fleet, m_peerLinks, [this] { return m_store.isSuspect(); }, [this](bool isIsolated) { onIsolation(isIsolated); })
     , m_relays{m_loop.timers(), m_routes, m_directory, m_placement, m_endpoints, m_homes, m_turnStore, m_metrics}
     , m_signals(m_loop.context(), SIGTERM, SIGINT, SIGHUP)
 {
@@ -108,7 +109,7 @@
 
 void InstanceDaemon::enterFleet()
 {
-    const FleetMember member{m_settings.instance, m_settings.peers.value_or(SocketAddress())};
+    const FleetMember member{m_settings.instance, m_settings.domain, m_settings.peers.value_or(SocketAddress())};
     m_fleet.put(member);
     platform::StoreTransaction transaction;
     transaction.writes.push_back({RegistryFeed::InstancePrefix + member.id.value(), member.encode()});
@@ -139,6 +140,7 @@
     awaitSignals();
     enterFleet();
     m_feed.start();
+    m_isolation.start();
     const Instant now = std::chrono::steady_clock::now();
     m_loop.timers().every(now, HousekeepingPeriod, [this](Instant at) {
         m_budgets.forgetIdle(BudgetIdle, at);
@@ -213,7 +215,15 @@
 
 bool InstanceDaemon::isReady() const
 {
-    return !m_drainingSince && m_feed.isLoaded();
+    return !m_drainingSince && m_feed.isLoaded() && !m_isolation.isIsolated();
+}
+
+// Kept connections would bring callers back here, so each is closed with its next answer while the instance is cut off.
+void InstanceDaemon::onIsolation(bool isIsolated)
+{
+    if (m_callers && !m_drainingSince) {
+        m_callers->setClosing(isIsolated);
+    }
 }
 
 void InstanceDaemon::onRequest(const ServerConnectionPtr &connection, ServerRequest request)
@@ -272,6 +282,11 @@
     constexpr int StatusNotFound = 404;
     const std::string_view prefix = StorePathPrefix;
     const std::string &target = request.head.target;
+    if (target == IsolationWatch::PingPath) {
+        constexpr int StatusOk = 200;
+        connection->respond(StatusOk, {}, {});
+        return;
+    }
     if (target == HomeClient::BeginPath) {
         onTurnBegin(connection, request.body);
         return;
@@ -321,7 +336,7 @@
         return;
     }
     leaveFleet();
-    m_callers->beginClosing();
+    m_callers->setClosing(true);
     m_loop.timers().every(*m_drainingSince, DrainCheckPeriod, [this](Instant now) { checkDrain(now); });
 }
 
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -3,6 +3,7 @@
 #include "core/eventloop.h"
 #include "core/metrics.h"
 #include "http/connectionset.h"
+#include "instance/isolationwatch.h"
 #include "instance/lastingstores.h"
 #include "instance/placement.h"
 #include "instance/programhome.h"
@@ -43,6 +44,7 @@
     void beginDrain();
     void checkDrain(Instant now);
     ConnectionLimits callerLimits() const;
+    void onIsolation(bool isIsolated);
     bool isReady() const;
 
     platform::BootSettings m_settings;
@@ -62,6 +64,7 @@
     ProgramHome m_home;
     HomeClient m_homes;
     RegistryFeed m_feed;
+    IsolationWatch m_isolation;
     RelayContext m_relays;
     asio::signal_set m_signals;
     std::unique_ptr<ConnectionSet> m_callers;
--- a/src/instance/lastingstores.cpp
+++ b/src/instance/lastingstores.cpp
@@ -15,6 +15,8 @@
 constexpr int MaxSaveTries = 2;
 /// The most keys in one transaction.
 constexpr std::size_t MaxRemovals = 30;
+/// The store answers within a few milliseconds when all is well.
+constexpr Milliseconds LateAnswer{60};
 /// Turns are kept this much longer than they must, so that clocks and outages don't matter.
 constexpr int RetentionFactor = 2;
 
@@ -76,6 +78,11 @@
     removeKeys(m_store, keys);
 }
 
+bool PlatformBudgetStore::isImpaired() const
+{
+    return m_store.isAway() || m_store.lastLatency() > LateAnswer;
+}
+
 PlatformTurnStore::PlatformTurnStore(platform::PlatformStore &store)
     : m_store(store)
 {
--- a/src/instance/lastingstores.h
+++ b/src/instance/lastingstores.h
@@ -18,6 +18,7 @@
 
     void swap(const ProgramId &program, std::uint64_t expectedRevision, const std::string &bytes, std::function<void(SwapResult)> onResult) override;
     void remove(const std::vector<ProgramId> &programs) override;
+    bool isImpaired() const override;
 
 private:
     platform::PlatformStore &m_store;
--- a/src/instance/programhome.cpp
+++ b/src/instance/programhome.cpp
@@ -50,7 +50,7 @@
 
 std::string TurnBegin::encode() const
 {
-    Json json = {{"program", program}, {"most", most}};
+    Json json = {{"program", program}, {"most", most}, {"first", isFirst}};
     if (budget) {
         json["budget"] = *budget;
     }
@@ -66,6 +66,7 @@
         TurnBegin begin;
         begin.program = json.at("program").get<ProgramId>();
         begin.most = json.at("most").get<Tokens>();
+        begin.isFirst = json.at("first").get<bool>();
         if (json.contains("budget")) {
             begin.budget = json.at("budget").get<Tokens>();
         }
@@ -146,7 +147,7 @@
         lookUp(BudgetVerdict::Reserved);
         return;
     }
-    m_budgets.reserve(begin.program, *begin.budget, begin.most, std::chrono::steady_clock::now(), lookUp);
+    m_budgets.reserve({begin.program, *begin.budget, begin.most, begin.isFirst}, std::chrono::steady_clock::now(), lookUp);
 }
 
 void ProgramHome::end(const TurnEnd &end)
--- a/src/instance/programhome.h
+++ b/src/instance/programhome.h
@@ -19,6 +19,7 @@
     ProgramId program;
     std::optional<Tokens> budget; ///< None for turns without one.
     Tokens most; ///< What the turn generates at most.
+    bool isFirst = false; ///< No turn of the program can have run before.
     std::optional<RequestId> previous; ///< The turn that it continues from.
 
     std::string encode() const;
--- a/src/instance/registryfeed.cpp
+++ b/src/instance/registryfeed.cpp
@@ -125,6 +125,11 @@
         list(feed, {});
         return;
     }
+    if (feed.isLoaded && ++feed.failuresInRow == 1) {
+        // A waiting watch may be cut at any time; the next one shows whether the store is away.
+        retry(feed);
+        return;
+    }
     if (!feed.isAway) {
         feed.isAway = true;
         logChange("store-lost", "prefix={} reason=\"{}\"", feed.prefix, failure.detail);
@@ -146,6 +151,7 @@
 
 void RegistryFeed::onAnswer(Feed &feed)
 {
+    feed.failuresInRow = 0;
     if (!feed.isAway) {
         return;
     }
--- a/src/instance/registryfeed.h
+++ b/src/instance/registryfeed.h
@@ -42,6 +42,7 @@
         platform::Revision after = 0;
         bool isLoaded = false;
         bool isAway = false;
+        int failuresInRow = 0;
         std::vector<platform::StoreItem> listed; ///< Pages of a listing under way.
         platform::Revision listedAt = 0;
     };
--- a/src/instance/relay.cpp
+++ b/src/instance/relay.cpp
@@ -109,6 +109,7 @@
     if (hasBudget) {
         begin.budget = m_facts.tokenBudget;
         begin.most = *m_facts.maxOutput;
+        begin.isFirst = m_facts.isFirstTurn();
     }
     if (needsHistory) {
         begin.previous = m_facts.previousTurn;
--- a/src/serving/budgetledger.cpp
+++ b/src/serving/budgetledger.cpp
@@ -14,8 +14,10 @@
 {
 using Json = nlohmann::json;
 
-/// Part of what is left of a budget that a holder takes at once; one more holder can still do the same.
-constexpr std::int64_t GrantDivisor = 2;
+/// Part of what is left of a budget that a holder takes at once: enough for nearly every program, with a rest for the
+/// next holder if this one dies.
+constexpr std::int64_t GrantNumerator = 2;
+constexpr std::int64_t GrantDenominator = 3;
 /// Tries of one grant before its turns are refused for now.
 constexpr int MaxTries = 3;
 } // namespace
@@ -73,18 +75,30 @@
     return true;
 }
 
-void BudgetLedger::reserve(const ProgramId &program, Tokens budget, Tokens most, Instant now, VerdictHandler onVerdict)
+void BudgetLedger::reserve(const TurnRequest &turn, Instant now, VerdictHandler onVerdict)
 {
-    Account &account = m_accounts[program];
+    const auto [it, isNew] = m_accounts.try_emplace(turn.program);
+    Account &account = it->second;
+    const ProgramId &program = turn.program;
+    const Tokens most = turn.most;
     if (account.revision == 0 && account.record.granted.empty()) {
-        account.budget = budget;
-        account.record.budget = budget;
+        account.budget = turn.budget;
+        account.record.budget = turn.budget;
     }
     account.usedAt = now;
     if (tryReserve(account, most)) {
         onVerdict(BudgetVerdict::Reserved);
         return;
     }
+    if (isNew && turn.isFirst && most <= turn.budget && m_store.isImpaired()) {
+        // Most likely nothing has been granted yet; if another home has, this one turn is what a budget may be exceeded
+        // by. With the store at hand it isn't needed, so that a program whose home changes often can't get it twice.
+        account.reserved = account.reserved + most;
+        account.failuresInRow = 0;
+        ask(program, account);
+        onVerdict(BudgetVerdict::Reserved);
+        return;
+    }
     account.waiters.push_back({most, std::move(onVerdict)});
     if (!account.isAsking) {
         account.failuresInRow = 0;
@@ -99,14 +113,14 @@
         wanted = wanted + waiter.most;
     }
     const Tokens remaining = account.record.remaining();
-    // What this holder has left unreserved helps to cover what is wanted.
+    // What this holder has left unreserved helps to cover what is wanted; it is negative after a first turn on credit.
     const Tokens unused = held(account) - account.spent - account.reserved;
-    const Tokens least = account.waiters.front().most - unused;
+    const Tokens least = (account.waiters.empty() ? Tokens(0) : account.waiters.front().most) - unused;
     if (remaining < least) {
         failWaiters(account, verdictWithoutRoom(account));
         return;
     }
-    const Tokens part(remaining.value() / GrantDivisor);
+    const Tokens part(remaining.value() * GrantNumerator / GrantDenominator);
     const Tokens grant = std::min(remaining, std::max(wanted - unused, part));
     BudgetRecord proposed = account.record;
     proposed.granted[m_self] = held(account) + grant;
--- a/src/serving/budgetledger.h
+++ b/src/serving/budgetledger.h
@@ -49,6 +49,17 @@
     virtual ~BudgetStore() = default;
     virtual void swap(const ProgramId &program, std::uint64_t expectedRevision, const std::string &bytes, std::function<void(SwapResult)> onResult) = 0;
     virtual void remove(const std::vector<ProgramId> &programs) = 0;
+
+    /// Whether answers are late or missing at present.
+    virtual bool isImpaired() const = 0;
+};
+
+/// A turn that wants to run.
+struct TurnRequest {
+    ProgramId program;
+    Tokens budget; ///< Of the whole program.
+    Tokens most; ///< What the turn generates at most.
+    bool isFirst = false; ///< No turn of the program can have run before.
 };
 
 enum class BudgetVerdict {
@@ -67,8 +78,9 @@
 
     BudgetLedger(HolderId self, BudgetStore &store);
 
-    /// Reserves a turn's most. The handler is called once, at once when the holder has enough.
-    void reserve(const ProgramId &program, Tokens budget, Tokens most, Instant now, VerdictHandler onVerdict);
+    /// Reserves a turn's most. The handler is called once, at once when the holder has enough, and for a program's first
+    /// turn while the store is impaired.
+    void reserve(const TurnRequest &turn, Instant now, VerdictHandler onVerdict);
 
     /// A reserved turn has ended and has generated so many tokens that may have reached the caller.
     void settle(const ProgramId &program, Tokens reserved, Tokens used, Instant now);
--- a/src/serving/callfacts.h
+++ b/src/serving/callfacts.h
@@ -37,6 +37,14 @@
     std::vector<PromptPart> promptParts; ///< In the prompt's order; the last is the request's or session's own.
     std::optional<std::string> lastEvent; ///< The last event that the caller has, when it resumes a stream.
     std::optional<RequestId> previousTurn;
+
+    /// Whether the prompt holds nothing that an earlier turn of the program could have made: a shared part, and its own.
+    bool isFirstTurn() const
+    {
+        constexpr std::size_t FirstTurnParts = 2;
+        return !previousTurn && !lastEvent && promptParts.size() <= FirstTurnParts;
+    }
+
     std::string object; ///< The object that the request is about; empty when it says none.
 };
 
--- a/src/serving/fleet.cpp
+++ b/src/serving/fleet.cpp
@@ -17,7 +17,7 @@
 
 std::string FleetMember::encode() const
 {
-    return nlohmann::json{{"peers", peers.text()}}.dump();
+    return nlohmann::json{{"domain", domain}, {"peers", peers.text()}}.dump();
 }
 
 std::optional<FleetMember> FleetMember::decode(const InstanceId &id, const std::string &bytes)
@@ -30,11 +30,12 @@
     if (!address) {
         return std::nullopt;
     }
-    return FleetMember{id, *address};
+    return FleetMember{id, DomainId(json.value("domain", "")), *address};
 }
 
-Fleet::Fleet(InstanceId self)
+Fleet::Fleet(InstanceId self, DomainId ownDomain)
     : m_self(std::move(self))
+    , m_ownDomain(std::move(ownDomain))
 {
 }
 
@@ -71,12 +72,18 @@
     m_isLeaving = true;
 }
 
+void Fleet::setCutOff(bool isCutOff)
+{
+    m_isCutOff = isCutOff;
+}
+
 std::vector<InstanceId> Fleet::homes(const ProgramId &program, Instant now) const
 {
     std::vector<std::pair<std::uint64_t, InstanceId>> ranked;
     const auto rank = [&](const InstanceId &id) { ranked.emplace_back(stableHash(program.value(), stableHash(id.value())), id); };
     for (const auto &[id, member] : m_members) {
-        if (id != m_self && now >= member.usableAt) {
+        const bool isReachable = now >= member.usableAt && (!m_isCutOff || member.member.domain == m_ownDomain);
+        if (id != m_self && isReachable) {
             rank(id);
         }
     }
@@ -113,4 +120,12 @@
     return members;
 }
 
+std::vector<FleetMember> Fleet::othersElsewhere() const
+{
+    std::vector<FleetMember> members = others();
+    const auto isNear = [this](const FleetMember &member) { return member.domain == m_ownDomain; };
+    members.erase(std::remove_if(members.begin(), members.end(), isNear), members.end());
+    return members;
+}
+
 } // namespace flamingo
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -15,6 +15,7 @@
 /// Another instance as it has entered itself.
 struct FleetMember {
     InstanceId id;
+    DomainId domain;
     SocketAddress peers; ///< Where other instances connect.
 
     std::string encode() const;
@@ -27,7 +28,7 @@
 class Fleet
 {
 public:
-    explicit Fleet(InstanceId self);
+    Fleet(InstanceId self, DomainId ownDomain);
 
     void put(const FleetMember &member);
     void remove(const InstanceId &id);
@@ -39,6 +40,9 @@
     /// This instance is about to stop and takes no programs any more.
     void setLeaving();
 
+    /// Whether instances of other failure domains can't be reached at all.
+    void setCutOff(bool isCutOff);
+
     /// Instances for a program, the best first. This instance counts as reachable.
     std::vector<InstanceId> homes(const ProgramId &program, Instant now) const;
 
@@ -46,6 +50,9 @@
     const InstanceId &self() const;
     std::vector<FleetMember> others() const;
 
+    /// The other instances outside this one's failure domain.
+    std::vector<FleetMember> othersElsewhere() const;
+
 private:
     struct Member {
         FleetMember member;
@@ -54,7 +61,9 @@
     };
 
     InstanceId m_self;
+    DomainId m_ownDomain;
     bool m_isLeaving = false;
+    bool m_isCutOff = false;
     std::map<InstanceId, Member> m_members;
 };
 
