Budgets stay with a living holder, and go back to the store on a planned stop

Ruled out: taking less at once, which costs a call a turn.

Change: a new home sends turns on to a holder that lives; a leaving home writes back what is neither spent nor reserved and takes no turns.

--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -72,7 +72,8 @@
     , m_turnStore(m_store)
     , m_fleet(m_settings.instance, m_settings.domain)
     , m_placement(rules(), m_settings.domain, m_directory)
-    , m_budgets(newHolder(m_settings.instance), m_budgetStore)
+    , m_holder(newHolder(m_settings.instance))
+    , m_budgets(m_holder, m_budgetStore, [this](const HolderId &holder) { return m_fleet.liveHolder(holder, std::chrono::steady_clock::now()).has_value(); })
     , m_history(m_turnStore, historyBytes(m_settings))
     , m_endpoints(m_loop.context(), {MaxIdlePerEndpoint, EndpointUnacknowledged})
     , m_peerLinks(m_loop.context(), {MaxIdlePerPeer, PeerUnacknowledged})
@@ -111,7 +112,7 @@
 
 void InstanceDaemon::enterFleet()
 {
-    const FleetMember member{m_settings.instance, m_settings.domain, m_settings.peers.value_or(SocketAddress())};
+    const FleetMember member{m_settings.instance, m_settings.domain, m_settings.peers.value_or(SocketAddress()), m_holder};
     m_fleet.put(member);
     platform::StoreTransaction transaction;
     transaction.writes.push_back({RegistryFeed::InstancePrefix + member.id.value(), member.encode()});
@@ -256,9 +257,11 @@
 {
     constexpr int StatusOk = 200;
     constexpr int StatusBadRequest = 400;
+    constexpr int StatusUnavailable = 503;
     const auto begin = TurnBegin::decode(body);
-    if (!begin) {
-        connection->respond(StatusBadRequest, {}, {});
+    if (!begin || m_drainingSince) {
+        // A leaving home has given its budgets back, so the next one is to be asked.
+        connection->respond(begin ? StatusUnavailable : StatusBadRequest, {}, {});
         return;
     }
     m_home.begin(*begin, [weak = std::weak_ptr<ServerConnection>(connection)](const TurnGrant &grant) {
@@ -339,6 +342,7 @@
         return;
     }
     leaveFleet();
+    m_budgets.beginRelease(*m_drainingSince);
     m_callers->setClosing(true);
     m_loop.timers().every(*m_drainingSince, DrainCheckPeriod, [this](Instant now) { checkDrain(now); });
 }
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -57,6 +57,7 @@
     EndpointDirectory m_directory;
     Fleet m_fleet;
     Placement m_placement;
+    HolderId m_holder;
     BudgetLedger m_budgets;
     TurnHistory m_history;
     LinkPool m_endpoints;
--- a/src/instance/programhome.cpp
+++ b/src/instance/programhome.cpp
@@ -83,7 +83,7 @@
 
 std::string TurnBegin::encode() const
 {
-    Json json = {{"program", program}, {"most", most}, {"first", isFirst}};
+    Json json = {{"program", program}, {"most", most}, {"first", isFirst}, {"referred", isReferred}};
     addSession(json, session);
     if (budget) {
         json["budget"] = *budget;
@@ -101,6 +101,7 @@
         begin.program = json.at("program").get<ProgramId>();
         begin.most = json.at("most").get<Tokens>();
         begin.session = takeSession(json);
+        begin.isReferred = json.at("referred").get<bool>();
         begin.isFirst = json.at("first").get<bool>();
         if (json.contains("budget")) {
             begin.budget = json.at("budget").get<Tokens>();
@@ -114,7 +115,7 @@
 
 std::string TurnGrant::encode() const
 {
-    Json json = {{"verdict", static_cast<int>(verdict)}, {"lookup", static_cast<int>(chain.status)}, {"ids", chain.ids}, {"text", binary(chain.text)}};
+    Json json = {{"verdict", static_cast<int>(verdict)}, {"lookup", static_cast<int>(chain.status)}, {"ids", chain.ids}, {"text", binary(chain.text)}, {"holder", holder}};
     addPrefix(json, cachedAt);
     return toBytes(json);
 }
@@ -128,6 +129,7 @@
         grant.chain.ids = json.at("ids").get<std::vector<RequestId>>();
         grant.chain.text = text(json.at("text"));
         grant.cachedAt = takePrefix(json);
+        grant.holder = json.at("holder").get<HolderId>();
         return grant;
     });
 }
@@ -171,13 +173,14 @@
 
 void ProgramHome::begin(const TurnBegin &begin, std::function<void(TurnGrant)> onGrant)
 {
-    const auto lookUp = [this, begin, onGrant = std::move(onGrant)](BudgetVerdict verdict) {
+    const auto lookUp = [this, begin, onGrant = std::move(onGrant)](const BudgetAnswer &answer) {
         TurnGrant grant;
-        grant.verdict = verdict;
+        grant.verdict = answer.verdict;
+        grant.holder = answer.holder;
         grant.home = m_self;
         grant.cachedAt = prefixOf(begin);
         grant.chain.status = TurnLookup::Status::Found;
-        if (verdict != BudgetVerdict::Reserved || !begin.previous) {
+        if (answer.verdict != BudgetVerdict::Reserved || !begin.previous) {
             onGrant(std::move(grant));
             return;
         }
@@ -187,10 +190,10 @@
         });
     };
     if (!begin.budget) {
-        lookUp(BudgetVerdict::Reserved);
+        lookUp({BudgetVerdict::Reserved, {}});
         return;
     }
-    m_budgets.reserve({begin.program, *begin.budget, begin.most, begin.isFirst}, std::chrono::steady_clock::now(), lookUp);
+    m_budgets.reserve({begin.program, *begin.budget, begin.most, begin.isFirst, begin.isReferred}, std::chrono::steady_clock::now(), lookUp);
 }
 
 void ProgramHome::end(const TurnEnd &end)
@@ -253,10 +256,14 @@
         asking->onGrant({});
         return;
     }
-    const InstanceId home = asking->homes[asking->next++];
+    ask(asking, asking->homes[asking->next++]);
+}
+
+void HomeClient::ask(const std::shared_ptr<Asking> &asking, const InstanceId &home)
+{
     const FleetMember *member = m_fleet.find(home);
     if (home == m_fleet.self() || !member) {
-        m_local.begin(asking->begin, asking->onGrant);
+        m_local.begin(asking->begin, [this, asking](TurnGrant grant) { onGrant(asking, std::move(grant)); });
         return;
     }
     post(*member, BeginPath, asking->begin.encode(), [this, asking, home](const std::optional<std::string> &answer) {
@@ -269,10 +276,29 @@
         }
         m_fleet.markUp(home);
         grant->home = home;
-        asking->onGrant(std::move(*grant));
+        onGrant(asking, std::move(*grant));
     });
 }
 
+void HomeClient::onGrant(const std::shared_ptr<Asking> &asking, TurnGrant grant)
+{
+    const auto holder = grant.verdict == BudgetVerdict::Elsewhere && !asking->begin.isReferred
+        ? m_fleet.liveHolder(grant.holder, std::chrono::steady_clock::now())
+        : std::nullopt;
+    if (holder) {
+        asking->begin.isReferred = true;
+        ask(asking, *holder);
+        return;
+    }
+    if (grant.verdict == BudgetVerdict::Elsewhere) {
+        // This instance can't reach the holder; the home takes what the store has left.
+        asking->begin.isReferred = true;
+        ask(asking, grant.home);
+        return;
+    }
+    asking->onGrant(std::move(grant));
+}
+
 void HomeClient::end(const InstanceId &home, const TurnEnd &end)
 {
     const FleetMember *member = m_fleet.find(home);
--- a/src/instance/programhome.h
+++ b/src/instance/programhome.h
@@ -28,6 +28,7 @@
     std::optional<Tokens> budget; ///< None for turns without one.
     Tokens most; ///< What the turn generates at most.
     bool isFirst = false; ///< No turn of the program can have run before.
+    bool isReferred = false; ///< Another instance has sent it here.
     std::optional<RequestId> previous; ///< The turn that it continues from.
 
     std::string encode() const;
@@ -39,6 +40,7 @@
     BudgetVerdict verdict = BudgetVerdict::Unsure;
     TurnChain chain; ///< Found and empty for a turn that continues from none.
     std::optional<CachedPrefix> cachedAt;
+    HolderId holder; ///< Who has the budget, when it is elsewhere.
     InstanceId home; ///< To which the turn's end is reported.
 
     std::string encode() const;
@@ -99,6 +101,8 @@
 private:
     struct Asking;
 
+    void ask(const std::shared_ptr<Asking> &asking, const InstanceId &home);
+    void onGrant(const std::shared_ptr<Asking> &asking, TurnGrant grant);
     void askNext(const std::shared_ptr<Asking> &asking);
     void post(const FleetMember &member, const char *path, std::string body, std::function<void(std::optional<std::string> answer)> onAnswer);
 
--- a/src/instance/relay.cpp
+++ b/src/instance/relay.cpp
@@ -133,7 +133,7 @@
     }
     if (grant.verdict == BudgetVerdict::Spent) {
         refuse(402, "budget-spent");
-    } else if (grant.verdict == BudgetVerdict::Unsure) {
+    } else if (grant.verdict != BudgetVerdict::Reserved) {
         refuse(503, "budget-unsure", StoreRetry);
     } else if (grant.chain.status == TurnLookup::Status::Absent) {
         logChange("turn-unknown", "id={} previous={} home={}", m_facts.id.value(), m_facts.previousTurn->value(), grant.home.value());
--- a/src/serving/budgetledger.cpp
+++ b/src/serving/budgetledger.cpp
@@ -20,6 +20,8 @@
 constexpr std::int64_t GrantDenominator = 3;
 /// Tries of one grant before its turns are refused for now.
 constexpr int MaxTries = 3;
+/// Programs without a turn for this long have most likely ended, so there is nobody to give their budget back to.
+constexpr Milliseconds ReleaseRecent{15000};
 } // namespace
 
 Tokens BudgetRecord::remaining() const
@@ -54,9 +56,10 @@
     return record;
 }
 
-BudgetLedger::BudgetLedger(HolderId self, BudgetStore &store)
+BudgetLedger::BudgetLedger(HolderId self, BudgetStore &store, LivenessCheck isLive)
     : m_self(std::move(self))
     , m_store(store)
+    , m_isLive(std::move(isLive))
 {
 }
 
@@ -75,8 +78,12 @@
     return true;
 }
 
-void BudgetLedger::reserve(const TurnRequest &turn, Instant now, VerdictHandler onVerdict)
+void BudgetLedger::reserve(const TurnRequest &turn, Instant now, AnswerHandler onAnswer)
 {
+    if (m_isReleasing) {
+        onAnswer({});
+        return;
+    }
     const auto [it, isNew] = m_accounts.try_emplace(turn.program);
     Account &account = it->second;
     const ProgramId &program = turn.program;
@@ -87,7 +94,7 @@
     }
     account.usedAt = now;
     if (tryReserve(account, most)) {
-        onVerdict(BudgetVerdict::Reserved);
+        onAnswer({BudgetVerdict::Reserved, {}});
         return;
     }
     if (isNew && turn.isFirst && most <= turn.budget && m_store.isImpaired()) {
@@ -96,10 +103,16 @@
         account.reserved = account.reserved + most;
         account.failuresInRow = 0;
         ask(program, account);
-        onVerdict(BudgetVerdict::Reserved);
+        onAnswer({BudgetVerdict::Reserved, {}});
+        return;
+    }
+    account.isReferred = turn.isReferred;
+    const auto holder = liveHolder(account);
+    if (holder) {
+        onAnswer({BudgetVerdict::Elsewhere, *holder});
         return;
     }
-    account.waiters.push_back({most, std::move(onVerdict)});
+    account.waiters.push_back({most, std::move(onAnswer)});
     if (!account.isAsking) {
         account.failuresInRow = 0;
         ask(program, account);
@@ -117,7 +130,7 @@
     const Tokens unused = held(account) - account.spent - account.reserved;
     const Tokens least = (account.waiters.empty() ? Tokens(0) : account.waiters.front().most) - unused;
     if (remaining < least) {
-        failWaiters(account, verdictWithoutRoom(account));
+        failWaiters(account, {verdictWithoutRoom(account), {}});
         return;
     }
     const Tokens part(remaining.value() * GrantNumerator / GrantDenominator);
@@ -144,14 +157,18 @@
         const auto present = result.revision == 0 ? std::optional<BudgetRecord>() : BudgetRecord::decode(result.bytes);
         if (result.revision != 0 && !present) {
             logChange("budget-unreadable", "program={} revision={}", program.value(), result.revision);
-            failWaiters(account, BudgetVerdict::Unsure);
+            failWaiters(account, {});
             return;
         }
         const Tokens budget = account.budget;
         account.record = present.value_or(BudgetRecord{budget, {}});
         account.revision = result.revision;
+        if (const auto holder = liveHolder(account)) {
+            failWaiters(account, {BudgetVerdict::Elsewhere, *holder});
+            return;
+        }
     } else if (++account.failuresInRow >= MaxTries || result.status == SwapResult::Status::Refused) {
-        failWaiters(account, BudgetVerdict::Unsure);
+        failWaiters(account, {});
         return;
     }
     serveWaiters(program);
@@ -161,10 +178,10 @@
 {
     Account &account = m_accounts.at(program);
     std::vector<Waiter> waiting = std::exchange(account.waiters, {});
-    std::vector<VerdictHandler> served;
+    std::vector<AnswerHandler> served;
     for (Waiter &waiter : waiting) {
         if (tryReserve(account, waiter.most)) {
-            served.push_back(std::move(waiter.onVerdict));
+            served.push_back(std::move(waiter.onAnswer));
         } else {
             account.waiters.push_back(std::move(waiter));
         }
@@ -172,8 +189,8 @@
     if (!account.waiters.empty()) {
         ask(program, account);
     }
-    for (const VerdictHandler &onVerdict : served) {
-        onVerdict(BudgetVerdict::Reserved);
+    for (const AnswerHandler &onAnswer : served) {
+        onAnswer({BudgetVerdict::Reserved, {}});
     }
 }
 
@@ -184,12 +201,75 @@
     return othersHold ? BudgetVerdict::Unsure : BudgetVerdict::Spent;
 }
 
-void BudgetLedger::failWaiters(Account &account, BudgetVerdict verdict)
+void BudgetLedger::failWaiters(Account &account, const BudgetAnswer &answer)
 {
     const std::vector<Waiter> waiting = std::exchange(account.waiters, {});
     for (const Waiter &waiter : waiting) {
-        waiter.onVerdict(verdict);
+        waiter.onAnswer(answer);
+    }
+}
+
+// Homes change when instances come and go, but a budget stays where it was granted as long as its holder lives.
+std::optional<HolderId> BudgetLedger::liveHolder(const Account &account) const
+{
+    if (account.isReferred || held(account).value() > 0) {
+        return std::nullopt;
     }
+    std::optional<HolderId> best;
+    Tokens most(0);
+    for (const auto &[holder, tokens] : account.record.granted) {
+        if (holder != m_self && tokens > most && m_isLive(holder)) {
+            best = holder;
+            most = tokens;
+        }
+    }
+    return best;
+}
+
+void BudgetLedger::beginRelease(Instant now)
+{
+    m_isReleasing = true;
+    for (auto &[program, account] : m_accounts) {
+        if (now - account.usedAt < ReleaseRecent) {
+            release(program, account);
+        }
+    }
+}
+
+void BudgetLedger::release(const ProgramId &program, Account &account)
+{
+    const Tokens needed = account.spent + account.reserved;
+    if (account.isAsking || held(account) <= needed) {
+        return;
+    }
+    BudgetRecord proposed = account.record;
+    proposed.granted[m_self] = needed;
+    account.isAsking = true;
+    m_store.swap(program, account.revision, proposed.encode(), [this, program, proposed](const SwapResult &result) { onReleased(program, proposed, result); });
+}
+
+void BudgetLedger::onReleased(const ProgramId &program, const BudgetRecord &proposed, const SwapResult &result)
+{
+    const auto it = m_accounts.find(program);
+    if (it == m_accounts.end()) {
+        return;
+    }
+    Account &account = it->second;
+    account.isAsking = false;
+    if (result.status == SwapResult::Status::Done) {
+        account.record = proposed;
+        account.revision = result.revision;
+        release(program, account);
+        return;
+    }
+    const auto present = result.status == SwapResult::Status::Conflict ? BudgetRecord::decode(result.bytes) : std::nullopt;
+    if (present) {
+        account.record = *present;
+        account.revision = result.revision;
+        release(program, account);
+        return;
+    }
+    logChange("budget-not-released", "program={} tokens={}", program.value(), (held(account) - account.spent).value());
 }
 
 void BudgetLedger::settle(const ProgramId &program, Tokens reserved, Tokens used, Instant now)
@@ -202,6 +282,9 @@
     account.reserved = account.reserved - reserved;
     account.spent = account.spent + std::min(used, reserved);
     account.usedAt = now;
+    if (m_isReleasing) {
+        release(program, account);
+    }
 }
 
 void BudgetLedger::forgetIdle(Milliseconds idle, Instant now)
--- a/src/serving/budgetledger.h
+++ b/src/serving/budgetledger.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "serving/holderid.h"
 
 #include <functional>
 #include <map>
@@ -13,9 +14,6 @@
 namespace flamingo
 {
 
-/// One life of one process that may hold parts of budgets.
-using HolderId = StrongId<struct HolderTag, std::string>;
-
 /// A program's budget as the store keeps it: the whole, and what each holder has been granted of it. What is granted to
 /// a holder that has died counts as spent.
 struct BudgetRecord {
@@ -60,12 +58,20 @@
     Tokens budget; ///< Of the whole program.
     Tokens most; ///< What the turn generates at most.
     bool isFirst = false; ///< No turn of the program can have run before.
+    bool isReferred = false; ///< Another instance has sent it here, so it isn't sent on.
 };
 
 enum class BudgetVerdict {
     Reserved,
     Spent, ///< Not even one more turn of this size fits.
     Unsure, ///< The store didn't answer, or other holders have what is left.
+    Elsewhere, ///< Another holder has the program's budget and lives.
+};
+
+/// The answer to a turn that wants to run.
+struct BudgetAnswer {
+    BudgetVerdict verdict = BudgetVerdict::Unsure;
+    HolderId holder; ///< Who has the budget, for Elsewhere.
 };
 
 /// Keeps programs within their token budgets over all instances. A holder takes large parts of a budget from the store
@@ -74,17 +80,22 @@
 class BudgetLedger
 {
 public:
-    using VerdictHandler = std::function<void(BudgetVerdict verdict)>;
+    using AnswerHandler = std::function<void(const BudgetAnswer &answer)>;
+    using LivenessCheck = std::function<bool(const HolderId &holder)>;
 
-    BudgetLedger(HolderId self, BudgetStore &store);
+    /// The check tells whether another holder can be asked.
+    BudgetLedger(HolderId self, BudgetStore &store, LivenessCheck isLive);
 
     /// Reserves a turn's most. The handler is called once, at once when the holder has enough, and for a program's first
     /// turn while the store is impaired.
-    void reserve(const TurnRequest &turn, Instant now, VerdictHandler onVerdict);
+    void reserve(const TurnRequest &turn, Instant now, AnswerHandler onAnswer);
 
     /// A reserved turn has ended and has generated so many tokens that may have reached the caller.
     void settle(const ProgramId &program, Tokens reserved, Tokens used, Instant now);
 
+    /// Gives back what is neither spent nor reserved, and what turns under way leave over; takes no turns any more.
+    void beginRelease(Instant now);
+
     /// Forgets programs that have been idle for so long, and removes their records.
     void forgetIdle(Milliseconds idle, Instant now);
 
@@ -93,7 +104,7 @@
 private:
     struct Waiter {
         Tokens most;
-        VerdictHandler onVerdict;
+        AnswerHandler onAnswer;
     };
     struct Account {
         Tokens budget;
@@ -103,6 +114,7 @@
         Tokens reserved;
         std::vector<Waiter> waiters;
         bool isAsking = false;
+        bool isReferred = false; ///< A waiter was sent here by the holder's stand-in, so nobody is asked before it.
         int failuresInRow = 0;
         Instant usedAt{};
     };
@@ -112,11 +124,16 @@
     void ask(const ProgramId &program, Account &account);
     void onSwapped(const ProgramId &program, const BudgetRecord &proposed, const SwapResult &result);
     void serveWaiters(const ProgramId &program);
-    void failWaiters(Account &account, BudgetVerdict verdict);
+    static void failWaiters(Account &account, const BudgetAnswer &answer);
     BudgetVerdict verdictWithoutRoom(const Account &account) const;
+    std::optional<HolderId> liveHolder(const Account &account) const;
+    void release(const ProgramId &program, Account &account);
+    void onReleased(const ProgramId &program, const BudgetRecord &proposed, const SwapResult &result);
 
     HolderId m_self;
     BudgetStore &m_store;
+    LivenessCheck m_isLive;
+    bool m_isReleasing = false;
     std::unordered_map<ProgramId, Account> m_accounts;
 };
 
--- a/src/serving/fleet.cpp
+++ b/src/serving/fleet.cpp
@@ -17,7 +17,7 @@
 
 std::string FleetMember::encode() const
 {
-    return nlohmann::json{{"domain", domain}, {"peers", peers.text()}}.dump();
+    return nlohmann::json{{"domain", domain}, {"peers", peers.text()}, {"holder", holder}}.dump();
 }
 
 std::optional<FleetMember> FleetMember::decode(const InstanceId &id, const std::string &bytes)
@@ -30,7 +30,7 @@
     if (!address) {
         return std::nullopt;
     }
-    return FleetMember{id, DomainId(json.value("domain", "")), *address};
+    return FleetMember{id, DomainId(json.value("domain", "")), *address, HolderId(json.value("holder", ""))};
 }
 
 Fleet::Fleet(InstanceId self, DomainId ownDomain)
@@ -77,13 +77,27 @@
     m_isCutOff = isCutOff;
 }
 
+bool Fleet::isReachable(const Member &member, Instant now) const
+{
+    return now >= member.usableAt && (!m_isCutOff || member.member.domain == m_ownDomain);
+}
+
+std::optional<InstanceId> Fleet::liveHolder(const HolderId &holder, Instant now) const
+{
+    for (const auto &[id, member] : m_members) {
+        if (member.member.holder == holder && id != m_self && isReachable(member, now)) {
+            return id;
+        }
+    }
+    return std::nullopt;
+}
+
 std::vector<InstanceId> Fleet::homes(const ProgramId &program, Instant now) const
 {
     std::vector<std::pair<std::uint64_t, InstanceId>> ranked;
     const auto rank = [&](const InstanceId &id) { ranked.emplace_back(stableHash(program.value(), stableHash(id.value())), id); };
     for (const auto &[id, member] : m_members) {
-        const bool isReachable = now >= member.usableAt && (!m_isCutOff || member.member.domain == m_ownDomain);
-        if (id != m_self && isReachable) {
+        if (id != m_self && isReachable(member, now)) {
             rank(id);
         }
     }
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/settingsreader.h"
 #include "core/time.h"
+#include "serving/holderid.h"
 
 #include <map>
 #include <optional>
@@ -17,6 +18,7 @@
     InstanceId id;
     DomainId domain;
     SocketAddress peers; ///< Where other instances connect.
+    HolderId holder; ///< Under which this life of it takes parts of budgets.
 
     std::string encode() const;
     static std::optional<FleetMember> decode(const InstanceId &id, const std::string &bytes);
@@ -47,6 +49,10 @@
     std::vector<InstanceId> homes(const ProgramId &program, Instant now) const;
 
     const FleetMember *find(const InstanceId &id) const;
+
+    /// The instance that holds under this name and can be reached, if there is one.
+    std::optional<InstanceId> liveHolder(const HolderId &holder, Instant now) const;
+
     const InstanceId &self() const;
     std::vector<FleetMember> others() const;
 
@@ -60,6 +66,8 @@
         Instant usableAt{};
     };
 
+    bool isReachable(const Member &member, Instant now) const;
+
     InstanceId m_self;
     DomainId m_ownDomain;
     bool m_isLeaving = false;
