--- a/src/instance/isolationwatch.cpp
+++ b/src/instance/isolationwatch.cpp
@@ -30,6 +30,11 @@
     m_timers.every(std::chrono::steady_clock::now(), CheckPeriod, [this](Instant now) { check(now); });
 }
 
+bool IsolationWatch::isStoreOutage() const
+{
+    return m_lastAnswer && !m_isIsolated;
+}
+
 bool IsolationWatch::isIsolated() const
 {
     return m_isIsolated;
@@ -38,14 +43,12 @@
 void IsolationWatch::check(Instant now)
 {
     if (!m_isStoreSuspect()) {
-        m_awaySince.reset();
+        m_suspectSince.reset();
+        m_lastAnswer.reset();
         setIsolated(false);
         return;
     }
-    if (!m_awaySince) {
-        m_awaySince = now;
-        m_lastAnswer = now;
-    }
+    m_suspectSince = m_suspectSince.value_or(now);
     const std::vector<FleetMember> members = m_fleet.othersElsewhere();
     if (members.empty()) {
         return;
@@ -53,7 +56,7 @@
     for (std::size_t n = 0; n < std::min(PingsAtOnce, members.size()); ++n) {
         ping(members[m_next++ % members.size()]);
     }
-    setIsolated(now - m_lastAnswer > SilenceLimit);
+    setIsolated(now - m_lastAnswer.value_or(*m_suspectSince) > SilenceLimit);
 }
 
 void IsolationWatch::ping(const FleetMember &member)
--- a/src/instance/isolationwatch.h
+++ b/src/instance/isolationwatch.h
@@ -24,6 +24,9 @@
     void start();
     bool isIsolated() const;
 
+    /// Whether the store is away while instances of other failure domains answer, so that all instances miss it alike.
+    bool isStoreOutage() const;
+
 private:
     void check(Instant now);
     void ping(const FleetMember &member);
@@ -34,8 +37,8 @@
     LinkPool &m_peers;
     std::function<bool()> m_isStoreSuspect;
     std::function<void(bool)> m_onChange;
-    std::optional<Instant> m_awaySince;
-    Instant m_lastAnswer{};
+    std::optional<Instant> m_suspectSince;
+    std::optional<Instant> m_lastAnswer; ///< Since the store became suspect.
     std::size_t m_next = 0;
     bool m_isIsolated = false;
 };
--- a/src/instance/lastingstores.cpp
+++ b/src/instance/lastingstores.cpp
@@ -52,8 +52,9 @@
 }
 } // namespace
 
-PlatformBudgetStore::PlatformBudgetStore(platform::PlatformStore &store)
+PlatformBudgetStore::PlatformBudgetStore(platform::PlatformStore &store, std::function<bool()> isOutage)
     : m_store(store)
+    , m_isOutage(std::move(isOutage))
 {
 }
 
@@ -80,7 +81,7 @@
 
 bool PlatformBudgetStore::isImpaired() const
 {
-    return m_store.isAway() || m_store.lastLatency() > LateAnswer;
+    return m_isOutage() || (!m_store.isSuspect() && m_store.lastLatency() > LateAnswer);
 }
 
 PlatformTurnStore::PlatformTurnStore(platform::PlatformStore &store)
--- a/src/instance/lastingstores.h
+++ b/src/instance/lastingstores.h
@@ -14,7 +14,8 @@
 class PlatformBudgetStore : public BudgetStore
 {
 public:
-    explicit PlatformBudgetStore(platform::PlatformStore &store);
+    /// The check tells whether the store is away for all instances alike.
+    PlatformBudgetStore(platform::PlatformStore &store, std::function<bool()> isOutage);
 
     void swap(const ProgramId &program, std::uint64_t expectedRevision, const std::string &bytes, std::function<void(SwapResult)> onResult) override;
     void remove(const std::vector<ProgramId> &programs) override;
@@ -22,6 +23,7 @@
 
 private:
     platform::PlatformStore &m_store;
+    std::function<bool()> m_isOutage;
 };
 
 /// Turns in the platform's store, a key a turn, removed by the instance that wrote them once their retention is over.
--- a/src/instance/placement.cpp
+++ b/src/instance/placement.cpp
@@ -70,6 +70,13 @@
     pump();
 }
 
+void Placement::onTimer()
+{
+    if (!m_waiting.empty()) {
+        pump();
+    }
+}
+
 Milliseconds Placement::retryAfter(const PoolId &pool) const
 {
     return m_dispatcher.retryAfter(pool);
--- a/src/instance/placement.h
+++ b/src/instance/placement.h
@@ -33,6 +33,9 @@
     void onFinished(const WaitingCall &call, const EndpointId &endpoint, const CallObservation &observation);
     void onFailed(const WaitingCall &call, const EndpointId &endpoint, bool isFault);
 
+    /// Looks again at what waits: endpoints become usable by time alone, after a failure or a wait for a cached prefix.
+    void onTimer();
+
     Milliseconds retryAfter(const PoolId &pool) const;
     std::size_t waiting() const;
 
--- a/src/serving/budgetledger.cpp
+++ b/src/serving/budgetledger.cpp
@@ -101,6 +101,7 @@
         // Most likely nothing has been granted yet; if another home has, this one turn is what a budget may be exceeded
         // by. With the store at hand it isn't needed, so that a program whose home changes often can't get it twice.
         account.reserved = account.reserved + most;
+        account.hasDebt = true;
         account.failuresInRow = 0;
         ask(program, account);
         onAnswer({BudgetVerdict::Reserved, {}});
@@ -272,6 +273,17 @@
     logChange("budget-not-released", "program={} tokens={}", program.value(), (held(account) - account.spent).value());
 }
 
+void BudgetLedger::coverDebts()
+{
+    for (auto &[program, account] : m_accounts) {
+        account.hasDebt = account.hasDebt && account.spent + account.reserved > held(account);
+        if (account.hasDebt && !account.isAsking) {
+            account.failuresInRow = 0;
+            ask(program, account);
+        }
+    }
+}
+
 void BudgetLedger::settle(const ProgramId &program, Tokens reserved, Tokens used, Instant now)
 {
     const auto it = m_accounts.find(program);
--- a/src/serving/budgetledger.h
+++ b/src/serving/budgetledger.h
@@ -93,6 +93,9 @@
     /// A reserved turn has ended and has generated so many tokens that may have reached the caller.
     void settle(const ProgramId &program, Tokens reserved, Tokens used, Instant now);
 
+    /// Asks again for what first turns have run on without a grant.
+    void coverDebts();
+
     /// Gives back what is neither spent nor reserved, and what turns under way leave over; takes no turns any more.
     void beginRelease(Instant now);
 
@@ -114,6 +117,7 @@
         Tokens reserved;
         std::vector<Waiter> waiters;
         bool isAsking = false;
+        bool hasDebt = false; ///< A first turn has run without a grant.
         bool isReferred = false; ///< A waiter was sent here by the holder's stand-in, so nobody is asked before it.
         int failuresInRow = 0;
         Instant usedAt{};
--- /dev/null
+++ b/tests/platform/registrytest.cpp
@@ -0,0 +1,206 @@
+#include "platform/testinstance.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <thread>
+
+using namespace flamingo;
+
+namespace
+{
+using Peer = ScriptedEndpoint::Peer;
+
+void answerOk(Peer &peer, const ReceivedRequest &request)
+{
+    peer.write(ScriptedEndpoint::answer(request, "ok"));
+}
+
+/// A stateful turn's answer: what the endpoint was sent, in one event.
+void answerChat(Peer &peer, const ReceivedRequest &request)
+{
+    peer.write(ScriptedEndpoint::answerHead(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+    peer.write(ScriptedEndpoint::chunk(ScriptedEndpoint::event(1, "said")) + "0\r\n\r\n");
+}
+
+std::string turnLines(const std::string &program, int budget, int most, const std::string &previous = {}, int parts = 3)
+{
+    std::string prefix = "aa:100";
+    for (int n = 1; n < parts; ++n) {
+        prefix += fmt::format(",b{}:10", n);
+    }
+    std::string lines = fmt::format("X-Program-Id: {}\r\nX-Session-Id: s\r\nX-Token-Budget: {}\r\nX-Token-Usage: 110,{}\r\nX-Prompt-Prefix: {}\r\n",
+                                    program,
+                                    budget,
+                                    most,
+                                    prefix);
+    return previous.empty() ? lines : lines + "X-Previous-Turn: " + previous + "\r\n";
+}
+} // namespace
+
+TEST_CASE("Without a configuration an instance isn't ready and says that it has not run a request", "[platform]")
+{
+    KvStandin store;
+    TestInstance instance(store, 1);
+    REQUIRE(eventually([&] { return instance.send(callerRequest("/book/a", "a1"), Milliseconds(300)).status == 503; }));
+    CHECK_FALSE(instance.isReady());
+}
+
+TEST_CASE("A configuration is in force within two seconds and an older one never is again", "[platform]")
+{
+    KvStandin store;
+    ScriptedEndpoint endpoint(answerOk);
+    store.put("op/config", testConfiguration(7));
+    enterEndpoint(store, "i-1", endpoint);
+    TestInstance instance(store, 1);
+    REQUIRE(instance.awaitReady());
+    CHECK(instance.send(callerRequest("/new/a", "a1")).status == 404);
+    const std::string added = R"(,{"name":"r-new","host":"h.example","prefix":"/new/","type":"idempotent","timeout-ms":3000,"service":"app"})";
+    store.put("op/config", testConfiguration(9, added));
+    CHECK(eventually([&] { return instance.send(callerRequest("/new/a", "a2")).status == 200; }, Milliseconds(2000)));
+    store.put("op/config", testConfiguration(8));
+    std::this_thread::sleep_for(Milliseconds(300));
+    CHECK(instance.send(callerRequest("/new/a", "a3")).status == 200);
+    store.compact();
+    store.put("op/config", testConfiguration(10));
+    CHECK(eventually([&] { return instance.send(callerRequest("/new/a", "a4")).status == 404; }, Milliseconds(4000)));
+}
+
+TEST_CASE("An entry that can't be read names no endpoint and the others hold", "[platform]")
+{
+    KvStandin store;
+    ScriptedEndpoint endpoint(answerOk);
+    store.put("op/config", testConfiguration(1));
+    store.put("servers/i-0", "\x01\x02");
+    store.put("servers/i-2", R"({"service":"app","address":17,"zone":"z","slots":"many","state":"ready"})");
+    store.put("servers/i-3", R"({"service":"app","address":"127.0.0.1:1","zone":"z","slots":3,"state":"dancing"})");
+    enterEndpoint(store, "i-1", endpoint);
+    TestInstance instance(store, 1);
+    REQUIRE(instance.awaitReady());
+    for (int n = 0; n < 5; ++n) {
+        CHECK(instance.send(callerRequest("/book/a", "a" + std::to_string(n))).status == 200);
+    }
+    CHECK(endpoint.requests().size() == 5);
+}
+
+TEST_CASE("A leaving endpoint gets nothing new", "[platform]")
+{
+    KvStandin store;
+    ScriptedEndpoint leaving(answerOk);
+    ScriptedEndpoint staying(answerOk);
+    store.put("op/config", testConfiguration(1));
+    enterEndpoint(store, "i-1", leaving);
+    TestInstance instance(store, 1);
+    REQUIRE(instance.awaitReady());
+    CHECK(instance.send(callerRequest("/book/a", "a0")).status == 200);
+    enterEndpoint(store, "i-2", staying);
+    enterEndpoint(store, "i-1", leaving, "draining");
+    REQUIRE(eventually([&] { return instance.log().find("endpoint=i-1 state=leaving") != std::string::npos; }, Milliseconds(1000)));
+    for (int n = 0; n < 5; ++n) {
+        CHECK(instance.send(callerRequest("/book/a", "b" + std::to_string(n))).status == 200);
+    }
+    CHECK(leaving.requests().size() == 1);
+}
+
+TEST_CASE("Endpoints serve on while the store is away, and one that lapsed meanwhile is gone two seconds after", "[platform]")
+{
+    KvStandin store;
+    ScriptedEndpoint endpoint(answerOk);
+    store.put("op/config", testConfiguration(1));
+    enterEndpoint(store, "i-1", endpoint);
+    TestInstance instance(store, 1);
+    REQUIRE(instance.awaitReady());
+    store.setTrouble(KvStandin::Trouble::Refuses);
+    REQUIRE(eventually([&] { return instance.log().find("event=store-lost prefix=servers/") != std::string::npos; }, Milliseconds(6000)));
+    CHECK(instance.send(callerRequest("/book/a", "a1")).status == 200);
+    store.remove("servers/i-1");
+    store.setTrouble(KvStandin::Trouble::None);
+    REQUIRE(eventually([&] { return instance.log().find("event=store-regained prefix=servers/") != std::string::npos; }));
+    CHECK(instance.send(callerRequest("/book/a", "a2")).status == 200);
+    CHECK(eventually([&] { return instance.send(callerRequest("/book/a", "a3")).status == 503; }, Milliseconds(2500)));
+    CHECK(instance.isReady());
+}
+
+TEST_CASE("A program's budget holds over two instances, a kill and a restart", "[platform]")
+{
+    constexpr int Budget = 200;
+    constexpr int Most = 58;
+    KvStandin store;
+    ScriptedEndpoint endpoint(answerChat);
+    store.put("op/config", testConfiguration(1));
+    enterEndpoint(store, "i-1", endpoint);
+    TestInstance first(store, 1);
+    TestInstance second(store, 2);
+    REQUIRE(first.awaitReady());
+    REQUIRE(second.awaitReady());
+    int served = 0;
+    int refused = 0;
+    for (int n = 0; n < 24; ++n) {
+        if (n == 12) {
+            first.killAndRestart();
+            REQUIRE(first.awaitReady());
+        }
+        const TestInstance &instance = n % 2 == 0 ? first : second;
+        const CallerAnswer answer = instance.send(callerRequest("/stream/a", fmt::format("p{}", n), turnLines("p1", Budget, Most)));
+        CHECK((answer.status == 200 || answer.status == 402 || answer.status == 503));
+        served += answer.status == 200 ? 1 : 0;
+        refused += answer.status == 402 ? 1 : 0;
+    }
+    // Each turn generated one event of 29 tokens; while another turn of 58 fits in 200 none may be refused.
+    CHECK(served * 29 <= Budget + Most);
+    CHECK(served >= 3);
+    CHECK(endpoint.requests().size() == static_cast<std::size_t>(served));
+}
+
+TEST_CASE("A stateful turn continues at another instance, after a kill, and never from a turn that doesn't exist", "[platform]")
+{
+    KvStandin store;
+    ScriptedEndpoint endpoint(answerChat);
+    store.put("op/config", testConfiguration(1));
+    enterEndpoint(store, "i-1", endpoint);
+    TestInstance first(store, 1);
+    TestInstance second(store, 2);
+    REQUIRE(first.awaitReady());
+    REQUIRE(second.awaitReady());
+    CHECK(first.send(callerRequest("/chat/a", "t1", turnLines("p1", 5000, 58, {}, 2), "hello ")).isWhole);
+    CHECK(second.send(callerRequest("/chat/a", "t2", turnLines("p1", 5000, 58, "t1"), "and ")).isWhole);
+    first.killAndRestart();
+    second.killAndRestart();
+    REQUIRE(first.awaitReady());
+    CHECK(first.send(callerRequest("/chat/a", "t3", turnLines("p2", 5000, 58, "t2"), "then")).isWhole);
+    const auto requests = endpoint.requests();
+    REQUIRE(requests.size() == 3);
+    CHECK(requests[1].body == "hello said\nand ");
+    CHECK(requests[2].body == "hello said\nand said\nthen");
+    CHECK(first.send(callerRequest("/chat/a", "t4", turnLines("p2", 5000, 58, "t9"), "x")).status == 404);
+    store.setTrouble(KvStandin::Trouble::Refuses);
+    const CallerAnswer unsure = first.send(callerRequest("/chat/a", "t5", turnLines("p2", 5000, 58, "t8"), "x"));
+    CHECK(unsure.status == 503);
+    CHECK(unsure.fields.find("Retry-After") != nullptr);
+}
+
+TEST_CASE("A write whose answer is lost counts once", "[platform]")
+{
+    KvStandin store;
+    ScriptedEndpoint endpoint(answerChat);
+    store.put("op/config", testConfiguration(1));
+    enterEndpoint(store, "i-1", endpoint);
+    TestInstance instance(store, 1);
+    REQUIRE(instance.awaitReady());
+    store.setTrouble(KvStandin::Trouble::LosesAnswers);
+    std::thread healer([&] {
+        eventually([&] { return !store.keys("budget/").empty(); });
+        store.setTrouble(KvStandin::Trouble::None);
+    });
+    const CallerAnswer answer = instance.send(callerRequest("/stream/a", "u1", turnLines("p1", 300, 58)));
+    healer.join();
+    CHECK(answer.status == 200);
+    int served = 1;
+    for (int n = 0; n < 12; ++n) {
+        const CallerAnswer later = instance.send(callerRequest("/stream/a", fmt::format("v{}", n), turnLines("p1", 300, 58)));
+        UNSCOPED_INFO("status " << later.status);
+        served += later.status == 200 ? 1 : 0;
+    }
+    CHECK(served * 29 <= 300 + 58);
+    CHECK(served >= 8);
+}
--- /dev/null
+++ b/tests/platform/scriptedendpoint.cpp
@@ -0,0 +1,145 @@
+#include "platform/scriptedendpoint.h"
+
+#include <fmt/format.h>
+
+namespace flamingo
+{
+
+ScriptedEndpoint::Peer::Peer(ScriptedEndpoint &owner, asio::ip::tcp::socket socket)
+    : m_owner(owner)
+    , m_socket(std::move(socket))
+{
+}
+
+void ScriptedEndpoint::Peer::start()
+{
+    read();
+}
+
+void ScriptedEndpoint::Peer::read()
+{
+    m_socket.async_read_some(asio::buffer(m_buffer), [self = shared_from_this()](const asio::error_code &ec, std::size_t n) {
+        if (self->m_isClosed) {
+            return;
+        }
+        if (ec) {
+            ++self->m_owner.m_closedByCaller;
+            self->close();
+            return;
+        }
+        self->onBytes({self->m_buffer.data(), n});
+        if (!self->m_isClosed) {
+            self->read();
+        }
+    });
+}
+
+void ScriptedEndpoint::Peer::onBytes(std::string_view bytes)
+{
+    while (!bytes.empty() && !m_isClosed) {
+        const auto event = m_parser.feed(bytes);
+        if (event == MessageParser::Event::Head) {
+            m_request = {std::move(m_parser.head()), {}};
+        } else if (event == MessageParser::Event::Body) {
+            m_request.body += m_parser.body();
+        } else if (event == MessageParser::Event::Complete) {
+            {
+                const std::lock_guard<std::mutex> lock(m_owner.m_mutex);
+                m_owner.m_requests.push_back(m_request);
+            }
+            m_owner.m_script(*this, m_request);
+        } else if (event == MessageParser::Event::Error) {
+            close();
+        }
+    }
+}
+
+void ScriptedEndpoint::Peer::write(std::string bytes)
+{
+    asio::error_code ignored;
+    asio::write(m_socket, asio::buffer(bytes), ignored);
+}
+
+void ScriptedEndpoint::Peer::writeLater(Milliseconds after, std::string bytes)
+{
+    m_owner.m_thread.loop.timers().at(std::chrono::steady_clock::now() + after, [self = shared_from_this(), bytes = std::move(bytes)](Instant) {
+        if (!self->m_isClosed) {
+            self->write(bytes);
+        }
+    });
+}
+
+void ScriptedEndpoint::Peer::closeLater(Milliseconds after)
+{
+    m_owner.m_thread.loop.timers().at(std::chrono::steady_clock::now() + after, [self = shared_from_this()](Instant) { self->close(); });
+}
+
+void ScriptedEndpoint::Peer::close()
+{
+    m_isClosed = true;
+    asio::error_code ignored;
+    m_socket.close(ignored);
+}
+
+ScriptedEndpoint::ScriptedEndpoint(Script script)
+    : m_script(std::move(script))
+{
+    m_thread.call([this] {
+        m_acceptor = std::make_unique<asio::ip::tcp::acceptor>(m_thread.loop.context(), asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        m_port = m_acceptor->local_endpoint().port();
+        accept();
+    });
+}
+
+ScriptedEndpoint::~ScriptedEndpoint()
+{
+    m_thread.call([this] { m_acceptor->close(); });
+}
+
+void ScriptedEndpoint::accept()
+{
+    m_acceptor->async_accept([this](const asio::error_code &ec, asio::ip::tcp::socket socket) {
+        if (!ec) {
+            std::make_shared<Peer>(*this, std::move(socket))->start();
+            accept();
+        }
+    });
+}
+
+SocketAddress ScriptedEndpoint::address() const
+{
+    return {"127.0.0.1", m_port};
+}
+
+std::vector<ReceivedRequest> ScriptedEndpoint::requests() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_requests;
+}
+
+int ScriptedEndpoint::closedByCaller() const
+{
+    return m_closedByCaller;
+}
+
+std::string ScriptedEndpoint::answerHead(const ReceivedRequest &request, const std::string &lines, int status)
+{
+    return fmt::format("HTTP/1.1 {} X\r\nX-Attempt-Id: {}\r\nX-Server-Signature: proof\r\n{}\r\n", status, request.head.fields.value("X-Attempt-Id"), lines);
+}
+
+std::string ScriptedEndpoint::answer(const ReceivedRequest &request, const std::string &body, int status)
+{
+    return answerHead(request, fmt::format("Content-Length: {}\r\n", body.size()), status) + body;
+}
+
+std::string ScriptedEndpoint::chunk(const std::string &bytes)
+{
+    return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+}
+
+std::string ScriptedEndpoint::event(int number, const std::string &data)
+{
+    return fmt::format("id: {}\ndata: {}\n\n", number, data);
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/tests/platform/testinstance.cpp
@@ -0,0 +1,209 @@
+#include "platform/testinstance.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <sstream>
+#include <thread>
+#include <unistd.h>
+
+namespace flamingo
+{
+
+namespace
+{
+constexpr int CallersPort = 18149;
+constexpr int ReadyPort = 18141;
+constexpr int PeersPort = 18144;
+
+std::string settingsText(const std::string &ip, int number, const SocketAddress &store)
+{
+    return fmt::format(R"(node-name = "edge-{0}"
+ip = "{1}"
+zone = "zone-{0}"
+heartbeat-ms = 1200
+unknown-key = 1
+seed-nodes = ["127.0.1.1:{4}", "127.0.1.2:{4}"]
+[listen]
+frontend = "{1}:{2}"
+ready = "{1}:{3}"
+control-plane = "{1}:{4}"
+[limits]
+memory-mb = 110
+[bounds]
+drain-ms = 2000
+grace-s = 8
+[platform]
+address = "{5}"
+)",
+                       number,
+                       ip,
+                       CallersPort,
+                       ReadyPort,
+                       PeersPort,
+                       store.text());
+}
+
+asio::ip::tcp::socket connected(asio::io_context &context, const std::string &ip, int port)
+{
+    asio::ip::tcp::socket socket(context);
+    asio::error_code ec;
+    socket.connect({asio::ip::make_address(ip), static_cast<std::uint16_t>(port)}, ec);
+    return socket;
+}
+} // namespace
+
+TestInstance::TestInstance(const KvStandin &store, int number)
+    : m_ip(fmt::format("127.0.1.{}", number))
+    , m_folder(std::filesystem::temp_directory_path() / fmt::format("flamingo-instance-{}-{}", getpid(), number))
+{
+    std::filesystem::create_directories(m_folder);
+    std::ofstream(m_folder / "boot.toml") << settingsText(m_ip, number, store.address());
+    start();
+}
+
+TestInstance::~TestInstance()
+{
+    m_process.reset();
+    std::filesystem::remove_all(m_folder);
+}
+
+void TestInstance::start()
+{
+    m_process = std::make_unique<ChildProcess>(
+        std::vector<std::string>{std::string(BINARY_FOLDER) + "/src/flamingo-instance", "--settings", (m_folder / "boot.toml").string()},
+        (m_folder / "log").string());
+}
+
+void TestInstance::killAndRestart()
+{
+    m_process->kill();
+    start();
+}
+
+ChildProcess &TestInstance::process()
+{
+    return *m_process;
+}
+
+std::string TestInstance::log() const
+{
+    std::stringstream text;
+    text << std::ifstream(m_folder / "log").rdbuf();
+    return text.str();
+}
+
+bool TestInstance::isReady() const
+{
+    asio::io_context context;
+    auto socket = connected(context, m_ip, ReadyPort);
+    asio::error_code ec;
+    asio::write(socket, asio::buffer(std::string("GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n")), ec);
+    std::string buf;
+    asio::read_until(socket, asio::dynamic_buffer(buf), "\r\n", ec);
+    return buf.rfind("HTTP/1.1 200", 0) == 0;
+}
+
+bool TestInstance::awaitReady() const
+{
+    return eventually([this] { return isReady(); });
+}
+
+CallerAnswer TestInstance::send(const std::string &bytes, Milliseconds limit) const
+{
+    asio::io_context context;
+    auto socket = connected(context, m_ip, CallersPort);
+    asio::error_code ignored;
+    asio::write(socket, asio::buffer(bytes), ignored);
+    MessageParser parser(MessageParser::Kind::Responses);
+    CallerAnswer answer;
+    std::array<char, 8192> buf{};
+    bool isOver = false;
+    std::function<void()> read = [&] {
+        socket.async_read_some(asio::buffer(buf), [&](const asio::error_code &ec, std::size_t n) {
+            std::string_view rest(buf.data(), n);
+            while (!ec && !rest.empty() && !isOver) {
+                const auto event = parser.feed(rest);
+                if (event == MessageParser::Event::Head) {
+                    answer.status = parser.head().status;
+                    answer.fields = parser.head().fields;
+                } else if (event == MessageParser::Event::Body) {
+                    answer.body += parser.body();
+                } else if (event == MessageParser::Event::Complete) {
+                    answer.isWhole = true;
+                    isOver = true;
+                } else if (event == MessageParser::Event::Error) {
+                    isOver = true;
+                }
+            }
+            if (!ec && !isOver) {
+                read();
+            }
+        });
+    };
+    read();
+    context.run_for(limit);
+    return answer;
+}
+
+void TestInstance::sendAndLeave(const std::string &bytes, Milliseconds after) const
+{
+    asio::io_context context;
+    auto socket = connected(context, m_ip, CallersPort);
+    asio::error_code ignored;
+    asio::write(socket, asio::buffer(bytes), ignored);
+    std::this_thread::sleep_for(after);
+}
+
+std::string testConfiguration(int version, const std::string &extraRoutes)
+{
+    const auto route = [](const std::string &name, const std::string &type, const std::string &more) {
+        return fmt::format(
+            R"({{"name":"r-{0}","host":"h.example","prefix":"/{0}/","type":"{1}","timeout-ms":3000,"slo-ms":250,"priority":0,"service":"app","max-attempts":2{2}}})",
+            name,
+            type,
+            more);
+    };
+    return fmt::format(
+        R"({{"version":{},"routes":[{},{},{},{}{}],"services":[{{"name":"app","health-path":"/healthz","max-conns":100,"backend":{{"slots":16,"chunk-tokens":29}}}}],"limits":{{"max-header-bytes":16384,"max-body-bytes":100000,"header-timeout-ms":3000,"idle-timeout-ms":15000}}}})",
+        version,
+        route("book", "non_idempotent", ""),
+        route("ask", "idempotent", ""),
+        route("stream", "streaming", R"(,"resumable":true,"retention-s":60.0)"),
+        route("chat", "streaming", R"(,"resumable":false,"stateful":true,"retention-s":60.0)"),
+        extraRoutes);
+}
+
+void enterEndpoint(KvStandin &store, const std::string &id, const ScriptedEndpoint &endpoint, const std::string &state)
+{
+    store.put("servers/" + id,
+              fmt::format(R"({{"service":"app","address":"{}","zone":"zone-1","version":"v1","slots":16,"state":"{}","cold-left-ms":0,"sequence":1}})",
+                          endpoint.address().text(),
+                          state));
+}
+
+std::string callerRequest(const std::string &path, const std::string &attempt, const std::string &lines, const std::string &body)
+{
+    return fmt::format("POST {} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {}\r\nX-Deadline-Ms: 3000\r\n{}Content-Length: {}\r\n\r\n{}",
+                       path,
+                       attempt,
+                       lines,
+                       body.size(),
+                       body);
+}
+
+bool eventually(const std::function<bool()> &condition, Milliseconds limit)
+{
+    constexpr Milliseconds Pause{20};
+    const Instant end = std::chrono::steady_clock::now() + limit;
+    while (std::chrono::steady_clock::now() < end) {
+        if (condition()) {
+            return true;
+        }
+        std::this_thread::sleep_for(Pause);
+    }
+    return condition();
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/tests/platform/testinstance.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "harness/childprocess.h"
+#include "platform/kvstandin.h"
+#include "platform/scriptedendpoint.h"
+
+#include <filesystem>
+#include <memory>
+#include <string>
+
+namespace flamingo
+{
+
+/// What a caller got.
+struct CallerAnswer {
+    int status = 0; ///< 0 when no head came.
+    HeaderFields fields;
+    std::string body;
+    bool isWhole = false; ///< The answer ended as its framing says.
+};
+
+/// A running flamingo-instance with settings as the platform gives them. Each has a loopback address of its own.
+class TestInstance
+{
+public:
+    TestInstance(const KvStandin &store, int number);
+    ~TestInstance();
+
+    /// Waits until it is ready; false after some seconds.
+    bool awaitReady() const;
+    bool isReady() const;
+
+    /// Sends raw bytes and reads one answer, or until the time is over.
+    CallerAnswer send(const std::string &bytes, Milliseconds limit = Milliseconds(5000)) const;
+
+    /// Sends raw bytes, waits and closes without reading.
+    void sendAndLeave(const std::string &bytes, Milliseconds after) const;
+
+    ChildProcess &process();
+
+    /// Kills the process and starts another one in its place.
+    void killAndRestart();
+
+    std::string log() const;
+
+private:
+    void start();
+
+    std::string m_ip;
+    std::filesystem::path m_folder;
+    std::unique_ptr<ChildProcess> m_process;
+};
+
+/// A deployment's configuration with a plain route for calls that must not be repeated, one for repeatable calls, one
+/// for streams that can resume and one for stateful turns, each on the pool "app".
+std::string testConfiguration(int version, const std::string &extraRoutes = {});
+
+/// Enters an endpoint in the store.
+void enterEndpoint(KvStandin &store, const std::string &id, const ScriptedEndpoint &endpoint, const std::string &state = "ready");
+
+/// A request's bytes; the path chooses the route: /book/, /ask/, /stream/ or /chat/.
+std::string callerRequest(const std::string &path, const std::string &attempt, const std::string &lines = {}, const std::string &body = "x");
+
+/// Waits until the condition holds, for some seconds.
+bool eventually(const std::function<bool()> &condition, Milliseconds limit = Milliseconds(5000));
+
+} // namespace flamingo
