--- a/tests/platform/kvstandin.cpp
+++ b/tests/platform/kvstandin.cpp
@@ -63,7 +63,7 @@
 
 KvStandin::~KvStandin()
 {
-    m_thread.call([this] { m_server->stopAccepting(); });
+    m_thread.stop();
 }
 
 SocketAddress KvStandin::address() const
--- a/tests/platform/loopthread.h
+++ b/tests/platform/loopthread.h
@@ -19,8 +19,16 @@
 
     ~LoopThread()
     {
-        asio::post(loop.context(), [this] { loop.stop(); });
-        m_thread.join();
+        stop();
+    }
+
+    /// Ends the thread; what its handlers use may be destroyed from then on.
+    void stop()
+    {
+        if (m_thread.joinable()) {
+            asio::post(loop.context(), [this] { loop.stop(); });
+            m_thread.join();
+        }
     }
 
     /// Runs a function on the loop's thread and waits for its result.
--- a/tests/platform/scriptedendpoint.cpp
+++ b/tests/platform/scriptedendpoint.cpp
@@ -93,7 +93,7 @@
 
 ScriptedEndpoint::~ScriptedEndpoint()
 {
-    m_thread.call([this] { m_acceptor->close(); });
+    m_thread.stop();
 }
 
 void ScriptedEndpoint::accept()
