No turn runs on credit

What looks like a first turn comes again, and a new home can't know.

Ruled out: credit at homes that have been up for long; their view of other homes is late just when the store is away.

Change: the store grants each turn. A slow store delays first turns again, and a program that begins in an outage is refused at once.

--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -24,7 +24,6 @@
 constexpr Milliseconds KillMargin{400};
 constexpr Milliseconds HousekeepingPeriod{5000};
 constexpr Milliseconds PlacementPeriod{40};
-constexpr Milliseconds DebtPeriod{300};
 /// Programs may come back for as long as their turns are kept; their budgets are kept well beyond.
 constexpr Milliseconds BudgetIdle{180000};
 /// A prompt that nobody has continued for this long has left the endpoint's cache.
@@ -70,7 +69,7 @@
 InstanceDaemon::InstanceDaemon(platform::BootSettings settings)
     : m_settings(std::move(settings))
     , m_store(m_loop.context(), m_settings.store, m_metrics)
-    , m_budgetStore(m_store, [this] { return m_isolation.isStoreOutage(); })
+    , m_budgetStore(m_store)
     , m_turnStore(m_store)
     , m_fleet(m_settings.instance, m_settings.domain)
     , m_placement(rules(), m_settings.domain, m_directory)
@@ -148,7 +147,6 @@
     m_isolation.start();
     const Instant now = std::chrono::steady_clock::now();
     m_loop.timers().every(now, PlacementPeriod, [this](Instant) { m_placement.onTimer(); });
-    m_loop.timers().every(now, DebtPeriod, [this](Instant) { m_budgets.coverDebts(); });
     m_loop.timers().every(now, HousekeepingPeriod, [this](Instant at) {
         m_budgets.forgetIdle(BudgetIdle, at);
         m_turnStore.removeExpired(at);
--- a/src/instance/isolationwatch.cpp
+++ b/src/instance/isolationwatch.cpp
@@ -30,11 +30,6 @@
     m_timers.every(std::chrono::steady_clock::now(), CheckPeriod, [this](Instant now) { check(now); });
 }
 
-bool IsolationWatch::isStoreOutage() const
-{
-    return m_lastAnswer && !m_isIsolated;
-}
-
 bool IsolationWatch::isIsolated() const
 {
     return m_isIsolated;
--- a/src/instance/isolationwatch.h
+++ b/src/instance/isolationwatch.h
@@ -24,9 +24,6 @@
     void start();
     bool isIsolated() const;
 
-    /// Whether the store is away while instances of other failure domains answer, so that all instances miss it alike.
-    bool isStoreOutage() const;
-
 private:
     void check(Instant now);
     void ping(const FleetMember &member);
--- a/src/instance/lastingstores.cpp
+++ b/src/instance/lastingstores.cpp
@@ -15,8 +15,6 @@
 constexpr int MaxSaveTries = 2;
 /// The most keys in one transaction.
 constexpr std::size_t MaxRemovals = 30;
-/// The store answers within a few milliseconds when all is well.
-constexpr Milliseconds LateAnswer{60};
 /// Turns are kept this much longer than they must, so that clocks and outages don't matter.
 constexpr int RetentionFactor = 2;
 
@@ -52,9 +50,8 @@
 }
 } // namespace
 
-PlatformBudgetStore::PlatformBudgetStore(platform::PlatformStore &store, std::function<bool()> isOutage)
+PlatformBudgetStore::PlatformBudgetStore(platform::PlatformStore &store)
     : m_store(store)
-    , m_isOutage(std::move(isOutage))
 {
 }
 
@@ -79,11 +76,6 @@
     removeKeys(m_store, keys);
 }
 
-bool PlatformBudgetStore::isImpaired() const
-{
-    return m_isOutage() || (!m_store.isSuspect() && m_store.lastLatency() > LateAnswer);
-}
-
 PlatformTurnStore::PlatformTurnStore(platform::PlatformStore &store)
     : m_store(store)
 {
--- a/src/instance/lastingstores.h
+++ b/src/instance/lastingstores.h
@@ -14,16 +14,13 @@
 class PlatformBudgetStore : public BudgetStore
 {
 public:
-    /// The check tells whether the store is away for all instances alike.
-    PlatformBudgetStore(platform::PlatformStore &store, std::function<bool()> isOutage);
+    explicit PlatformBudgetStore(platform::PlatformStore &store);
 
     void swap(const ProgramId &program, std::uint64_t expectedRevision, const std::string &bytes, std::function<void(SwapResult)> onResult) override;
     void remove(const std::vector<ProgramId> &programs) override;
-    bool isImpaired() const override;
 
 private:
     platform::PlatformStore &m_store;
-    std::function<bool()> m_isOutage;
 };
 
 /// Turns in the platform's store, a key a turn, removed by the instance that wrote them once their retention is over.
--- a/src/instance/programhome.cpp
+++ b/src/instance/programhome.cpp
@@ -83,7 +83,7 @@
 
 std::string TurnBegin::encode() const
 {
-    Json json = {{"program", program}, {"most", most}, {"first", isFirst}, {"referred", isReferred}};
+    Json json = {{"program", program}, {"most", most}, {"referred", isReferred}};
     addSession(json, session);
     if (budget) {
         json["budget"] = *budget;
@@ -102,7 +102,6 @@
         begin.most = json.at("most").get<Tokens>();
         begin.session = takeSession(json);
         begin.isReferred = json.at("referred").get<bool>();
-        begin.isFirst = json.at("first").get<bool>();
         if (json.contains("budget")) {
             begin.budget = json.at("budget").get<Tokens>();
         }
@@ -193,7 +192,7 @@
         lookUp({BudgetVerdict::Reserved, {}});
         return;
     }
-    m_budgets.reserve({begin.program, *begin.budget, begin.most, begin.isFirst, begin.isReferred}, std::chrono::steady_clock::now(), lookUp);
+    m_budgets.reserve({begin.program, *begin.budget, begin.most, begin.isReferred}, std::chrono::steady_clock::now(), lookUp);
 }
 
 void ProgramHome::end(const TurnEnd &end)
--- a/src/instance/programhome.h
+++ b/src/instance/programhome.h
@@ -27,7 +27,6 @@
     std::optional<SessionId> session; ///< The line of turns.
     std::optional<Tokens> budget; ///< None for turns without one.
     Tokens most; ///< What the turn generates at most.
-    bool isFirst = false; ///< No turn of the program can have run before.
     bool isReferred = false; ///< Another instance has sent it here.
     std::optional<RequestId> previous; ///< The turn that it continues from.
 
--- a/src/instance/relay.cpp
+++ b/src/instance/relay.cpp
@@ -110,7 +110,6 @@
     if (hasBudget) {
         begin.budget = m_facts.tokenBudget;
         begin.most = *m_facts.maxOutput;
-        begin.isFirst = m_facts.isFirstTurn();
     }
     if (needsHistory) {
         begin.previous = m_facts.previousTurn;
--- a/src/serving/budgetledger.cpp
+++ b/src/serving/budgetledger.cpp
@@ -84,8 +84,7 @@
         onAnswer({});
         return;
     }
-    const auto [it, isNew] = m_accounts.try_emplace(turn.program);
-    Account &account = it->second;
+    Account &account = m_accounts[turn.program];
     const ProgramId &program = turn.program;
     const Tokens most = turn.most;
     if (account.revision == 0 && account.record.granted.empty()) {
@@ -97,16 +96,6 @@
         onAnswer({BudgetVerdict::Reserved, {}});
         return;
     }
-    if (isNew && turn.isFirst && most <= turn.budget && m_store.isImpaired()) {
-        // Most likely nothing has been granted yet; if another home has, this one turn is what a budget may be exceeded
-        // by. With the store at hand it isn't needed, so that a program whose home changes often can't get it twice.
-        account.reserved = account.reserved + most;
-        account.hasDebt = true;
-        account.failuresInRow = 0;
-        ask(program, account);
-        onAnswer({BudgetVerdict::Reserved, {}});
-        return;
-    }
     account.isReferred = turn.isReferred;
     const auto holder = liveHolder(account);
     if (holder) {
@@ -127,9 +116,9 @@
         wanted = wanted + waiter.most;
     }
     const Tokens remaining = account.record.remaining();
-    // What this holder has left unreserved helps to cover what is wanted; it is negative after a first turn on credit.
+    // What this holder has left unreserved helps to cover what is wanted.
     const Tokens unused = held(account) - account.spent - account.reserved;
-    const Tokens least = (account.waiters.empty() ? Tokens(0) : account.waiters.front().most) - unused;
+    const Tokens least = account.waiters.front().most - unused;
     if (remaining < least) {
         failWaiters(account, {verdictWithoutRoom(account), {}});
         return;
@@ -273,17 +262,6 @@
     logChange("budget-not-released", "program={} tokens={}", program.value(), (held(account) - account.spent).value());
 }
 
-void BudgetLedger::coverDebts()
-{
-    for (auto &[program, account] : m_accounts) {
-        account.hasDebt = account.hasDebt && account.spent + account.reserved > held(account);
-        if (account.hasDebt && !account.isAsking) {
-            account.failuresInRow = 0;
-            ask(program, account);
-        }
-    }
-}
-
 void BudgetLedger::settle(const ProgramId &program, Tokens reserved, Tokens used, Instant now)
 {
     const auto it = m_accounts.find(program);
--- a/src/serving/budgetledger.h
+++ b/src/serving/budgetledger.h
@@ -47,9 +47,6 @@
     virtual ~BudgetStore() = default;
     virtual void swap(const ProgramId &program, std::uint64_t expectedRevision, const std::string &bytes, std::function<void(SwapResult)> onResult) = 0;
     virtual void remove(const std::vector<ProgramId> &programs) = 0;
-
-    /// Whether answers are late or missing at present.
-    virtual bool isImpaired() const = 0;
 };
 
 /// A turn that wants to run.
@@ -57,7 +54,6 @@
     ProgramId program;
     Tokens budget; ///< Of the whole program.
     Tokens most; ///< What the turn generates at most.
-    bool isFirst = false; ///< No turn of the program can have run before.
     bool isReferred = false; ///< Another instance has sent it here, so it isn't sent on.
 };
 
@@ -86,16 +82,12 @@
     /// The check tells whether another holder can be asked.
     BudgetLedger(HolderId self, BudgetStore &store, LivenessCheck isLive);
 
-    /// Reserves a turn's most. The handler is called once, at once when the holder has enough, and for a program's first
-    /// turn while the store is impaired.
+    /// Reserves a turn's most. The handler is called once, at once when the holder has enough.
     void reserve(const TurnRequest &turn, Instant now, AnswerHandler onAnswer);
 
     /// A reserved turn has ended and has generated so many tokens that may have reached the caller.
     void settle(const ProgramId &program, Tokens reserved, Tokens used, Instant now);
 
-    /// Asks again for what first turns have run on without a grant.
-    void coverDebts();
-
     /// Gives back what is neither spent nor reserved, and what turns under way leave over; takes no turns any more.
     void beginRelease(Instant now);
 
@@ -117,7 +109,6 @@
         Tokens reserved;
         std::vector<Waiter> waiters;
         bool isAsking = false;
-        bool hasDebt = false; ///< A first turn has run without a grant.
         bool isReferred = false; ///< A waiter was sent here by the holder's stand-in, so nobody is asked before it.
         int failuresInRow = 0;
         Instant usedAt{};
--- a/src/serving/callfacts.h
+++ b/src/serving/callfacts.h
@@ -40,14 +40,6 @@
     std::optional<std::string> lastEvent; ///< The last event that the caller has, when it resumes a stream.
     std::optional<RequestId> previousTurn;
 
-    /// Whether the prompt holds nothing that an earlier turn of the program could have made: a shared part, and its own.
-    bool isFirstTurn() const
-    {
-        constexpr std::size_t FirstTurnParts = 2;
-        return !previousTurn && !lastEvent && promptParts.size() <= FirstTurnParts;
-    }
-
-
     /// Tokens of the prompt that only this request or its session has; parts that many share are cached nearly everywhere.
     Tokens ownTokens() const
     {
--- a/tests/unit/servingtest.cpp
+++ b/tests/unit/servingtest.cpp
@@ -53,11 +53,6 @@
         }
     }
 
-    bool isImpaired() const override
-    {
-        return isOutage;
-    }
-
     Tokens granted(const std::string &program) const
     {
         const auto record = BudgetRecord::decode(records.at(ProgramId(program)).bytes);
@@ -68,7 +63,6 @@
     int calls = 0;
     int answersToLose = 0;
     bool isRefusing = false;
-    bool isOutage = false;
 };
 
 struct Holder {
@@ -77,10 +71,10 @@
     {
     }
 
-    BudgetAnswer reserve(int budget, int most, bool isFirst = false, bool isReferred = false)
+    BudgetAnswer reserve(int budget, int most, bool isReferred = false)
     {
         BudgetAnswer answer;
-        ledger.reserve({ProgramId("p"), Tokens(budget), Tokens(most), isFirst, isReferred}, Start, [&](const BudgetAnswer &it) { answer = it; });
+        ledger.reserve({ProgramId("p"), Tokens(budget), Tokens(most), isReferred}, Start, [&](const BudgetAnswer &it) { answer = it; });
         return answer;
     }
 
@@ -178,7 +172,7 @@
     const BudgetAnswer answer = second.reserve(900, 300);
     CHECK(answer.verdict == BudgetVerdict::Elsewhere);
     CHECK(answer.holder == HolderId("a"));
-    CHECK(second.reserve(900, 300, false, true).verdict == BudgetVerdict::Reserved);
+    CHECK(second.reserve(900, 300, true).verdict == BudgetVerdict::Reserved);
 }
 
 TEST_CASE("A leaving holder gives back what nobody has used", "[serving]")
@@ -204,24 +198,14 @@
     CHECK(store.granted("p") == Tokens(600));
 }
 
-TEST_CASE("A first turn runs on credit in an outage only, and its debt is asked for until it is covered", "[serving]")
+TEST_CASE("No home lets a turn run that the store has not granted, however often homes change in an outage", "[serving][promises]")
 {
     MemoryBudgets store;
     store.isRefusing = true;
-    Holder home(store, "a");
-    CHECK(home.reserve(900, 300, true).verdict == BudgetVerdict::Unsure);
-    store.isOutage = true;
-    Holder other(store, "b");
-    CHECK(other.reserve(900, 300, true).verdict == BudgetVerdict::Reserved);
-    CHECK(other.reserve(900, 300, true).verdict == BudgetVerdict::Unsure);
-    other.settle(300, 120);
-    other.ledger.coverDebts();
-    store.isRefusing = false;
-    store.isOutage = false;
-    other.ledger.coverDebts();
-    CHECK(store.granted("p") >= Tokens(120));
-    CHECK(home.reserve(900, 300).verdict == BudgetVerdict::Reserved);
-    CHECK(store.granted("p") <= Tokens(900));
+    for (int n = 0; n < 4; ++n) {
+        Holder home(store, "h" + std::to_string(n));
+        CHECK(home.reserve(900, 300).verdict == BudgetVerdict::Unsure);
+    }
 }
 
 TEST_CASE("Budgets hold over any number of holders that come and go", "[serving][promises]")
