Silent connections found by keep-alive; watches stay at two seconds

Back to two seconds, with a test that fails at 20 s.

Kept: TCP keep-alive on all outgoing connections.

--- a/src/http/linkpool.cpp
+++ b/src/http/linkpool.cpp
@@ -19,6 +19,9 @@
 /// Part of the peer's own idle limit after which a kept connection isn't used any more, since the peer may be closing it.
 constexpr int IdleLimitPercent = 70;
 constexpr Milliseconds DefaultKeepTime{4000};
+constexpr int KeepAliveIdleSeconds = 1;
+constexpr int KeepAliveIntervalSeconds = 1;
+constexpr int KeepAliveProbes = 2;
 
 /// The "timeout" of a Keep-Alive field, a little shortened; the default when there is none.
 Milliseconds keepTime(const MessageHead &head)
@@ -151,12 +154,24 @@
         m_isConnected = true;
         asio::error_code ignored;
         m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-        const auto limit = static_cast<unsigned>(m_pool->m_settings.unacknowledgedLimit.count());
-        m_socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(limit), ignored);
+        const auto limit = static_cast<int>(m_pool->m_settings.unacknowledgedLimit.count());
+        setTcpOption<TCP_USER_TIMEOUT>(limit);
+        // A connection that has gone silent shows itself while it waits for an answer.
+        m_socket.set_option(asio::socket_base::keep_alive(true), ignored);
+        setTcpOption<TCP_KEEPIDLE>(KeepAliveIdleSeconds);
+        setTcpOption<TCP_KEEPINTVL>(KeepAliveIntervalSeconds);
+        setTcpOption<TCP_KEEPCNT>(KeepAliveProbes);
         write();
         read();
     }
 
+    template<int Option>
+    void setTcpOption(int value)
+    {
+        asio::error_code ignored;
+        m_socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, Option>(value), ignored);
+    }
+
     void write()
     {
         asio::async_write(m_socket, asio::buffer(m_out), [self = shared_from_this()](const asio::error_code &ec, std::size_t) {
--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -34,7 +34,7 @@
 constexpr std::size_t MaxIdlePerEndpoint = 6;
 constexpr Milliseconds EndpointUnacknowledged{1200};
 /// A call that another instance sends on may be a watch, which waits on the store's side.
-constexpr Milliseconds ForwardLimit{12000};
+constexpr Milliseconds ForwardLimit{22000};
 constexpr const char *StorePathPrefix = "/store";
 constexpr std::size_t MaxDetours = 3;
 constexpr std::size_t MaxIdlePerPeer = 4;
--- a/src/instance/registryfeed.cpp
+++ b/src/instance/registryfeed.cpp
@@ -7,7 +7,8 @@
 
 namespace
 {
-/// A silent connection is noticed this much later, plus the store client's slack.
+/// A store that drops history may leave a waiting watch without what has changed, so each is asked again before an older
+/// configuration or a leaving endpoint would be used for too long.
 constexpr Milliseconds WatchTime{2000};
 /// Instances that come or go are also noticed by the calls to them, so their list may be behind.
 constexpr Milliseconds InstanceWatchTime{10000};
--- a/tests/platform/kvstandin.h
+++ b/tests/platform/kvstandin.h
@@ -24,6 +24,7 @@
         None,
         Refuses, ///< Answers 503 to everything.
         Silent, ///< Answers nothing.
+        Deaf, ///< Waiting watches hear nothing and history is dropped; all else is answered.
         LosesAnswers, ///< Makes changes without answering.
     };
 
--- a/tests/platform/registrytest.cpp
+++ b/tests/platform/registrytest.cpp
@@ -66,6 +66,20 @@
     CHECK(eventually([&] { return instance.send(callerRequest("/new/a", "a4")).status == 404; }, Milliseconds(4000)));
 }
 
+TEST_CASE("A watch that hears nothing while history is dropped hides a configuration for two seconds at most", "[platform]")
+{
+    KvStandin store;
+    ScriptedEndpoint endpoint(answerOk);
+    store.put("op/config", testConfiguration(1));
+    enterEndpoint(store, "i-1", endpoint);
+    TestInstance instance(store, 1);
+    REQUIRE(instance.awaitReady());
+    store.setTrouble(KvStandin::Trouble::Deaf);
+    const std::string added = R"(,{"name":"r-new","host":"h.example","prefix":"/new/","type":"idempotent","timeout-ms":3000,"service":"app"})";
+    store.put("op/config", testConfiguration(2, added));
+    CHECK(eventually([&] { return instance.send(callerRequest("/new/a", "a1")).status == 200; }, Milliseconds(2500)));
+}
+
 TEST_CASE("An entry that can't be read names no endpoint and the others hold", "[platform]")
 {
     KvStandin store;
