--- a/src/archive/archivedaemon.cpp
+++ b/src/archive/archivedaemon.cpp
@@ -3,6 +3,7 @@
 #include "core/commandline.h"
 #include "core/log.h"
 #include "platform/recordcodec.h"
+#include "serving/fleet.h"
 
 #include <csignal>
 
@@ -13,11 +14,29 @@
 {
 constexpr Milliseconds WatchTime{20000};
 constexpr Milliseconds RetryDelay{500};
+constexpr Milliseconds BringPeriod{1000};
+/// The archive with the other copy has had its time to bring a turn to the store.
+constexpr Milliseconds OtherCopyLimit{3000};
+/// A store call's limits on entries and bytes, with room for the coding.
+constexpr std::size_t MaxBatchTurns = 30;
+constexpr std::size_t MaxBatchBytes = 500000;
+constexpr Milliseconds EmptyCheckPeriod{100};
+constexpr Milliseconds KillMargin{500};
+constexpr Milliseconds HousekeepingPeriod{5000};
+constexpr std::size_t MaxIdlePerPeer = 2;
+constexpr Milliseconds PeerUnacknowledged{800};
+
+constexpr int StatusOk = 200;
+constexpr int StatusBadRequest = 400;
+constexpr int StatusNotFound = 404;
+constexpr int StatusUnavailable = 503;
 } // namespace
 
 ArchiveDaemon::ArchiveDaemon(platform::BootSettings settings)
     : m_settings(std::move(settings))
     , m_store(m_loop.context(), m_settings.store, m_metrics)
+    , m_turnStore(m_store)
+    , m_links(m_loop.context(), {MaxIdlePerPeer, PeerUnacknowledged})
     , m_signals(m_loop.context(), SIGTERM, SIGINT, SIGHUP)
 {
 }
@@ -26,23 +45,218 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     awaitSignals();
+    const Instant now = std::chrono::steady_clock::now();
+    if (!m_settings.dataFolder.empty()) {
+        m_log = std::make_unique<TurnLog>(m_settings.dataFolder);
+        for (const RequestId &id : m_log->turns()) {
+            m_keptSince[id] = now - OtherCopyLimit;
+        }
+        listen();
+        enterFleet();
+        m_loop.timers().every(now, BringPeriod, [this](Instant at) { bringToStore(at); });
+    }
+    m_loop.timers().every(now, HousekeepingPeriod, [this](Instant at) { m_turnStore.removeExpired(at); });
     readRetireRequest();
-    logChange("started", "instance={} domain={} version={}", m_settings.instance.value(), m_settings.domain.value(), FLAMINGO_VERSION);
+    logChange("started",
+              "instance={} domain={} version={} turns={}",
+              m_settings.instance.value(),
+              m_settings.domain.value(),
+              FLAMINGO_VERSION,
+              m_log ? m_log->size() : 0);
     m_loop.run();
-    logChange("stopped", "instance={}", m_settings.instance.value());
+    logChange("stopped", "instance={} turns={}", m_settings.instance.value(), m_log ? m_log->size() : 0);
     return ExitOk;
 }
 
+void ArchiveDaemon::listen()
+{
+    const auto limits = [] { return ConnectionLimits(); };
+    const auto ip = asio::ip::make_address(m_settings.ip);
+    m_server = std::make_unique<ConnectionSet>(
+        m_loop.context(),
+        asio::ip::tcp::endpoint(ip, m_settings.firstFreePort),
+        [this](const ServerConnectionPtr &connection, const ServerRequest &request) { onRequest(connection, request); },
+        limits);
+    m_metricsPage = std::make_unique<ConnectionSet>(
+        m_loop.context(),
+        asio::ip::tcp::endpoint(ip, platform::MetricsPort),
+        [this](const ServerConnectionPtr &connection, const ServerRequest &) { onMetrics(connection); },
+        limits);
+}
+
 void ArchiveDaemon::awaitSignals()
 {
     m_signals.async_wait([this](const asio::error_code &ec, int signal) {
         if (ec) {
             return;
         }
-        if (signal == SIGHUP) {
-            awaitSignals();
-        } else {
-            m_loop.stop();
+        if (signal != SIGHUP && !m_stoppingSince) {
+            m_stoppingSince = std::chrono::steady_clock::now();
+            logChange("stopping", "turns={}", m_log ? m_log->size() : 0);
+            beginEmptying();
+        }
+        awaitSignals();
+    });
+}
+
+void ArchiveDaemon::onRequest(const ServerConnectionPtr &connection, const ServerRequest &request)
+{
+    const std::string &target = request.head.target;
+    const std::string_view lookup = ArchiveLookupPath;
+    if (target == ArchiveKeepPath) {
+        onKeep(connection, request.body);
+    } else if (target == ArchiveForgetPath) {
+        onForget(connection, request.body);
+    } else if (target.compare(0, lookup.size(), lookup) == 0) {
+        onLookup(connection, RequestId(target.substr(lookup.size())));
+    } else {
+        connection->respond(StatusNotFound, {}, {});
+    }
+}
+
+void ArchiveDaemon::onKeep(const ServerConnectionPtr &connection, const std::string &body)
+{
+    const auto turn = ArchiveTurn::decode(body);
+    if (!turn || m_isEmptying) {
+        connection->respond(turn ? StatusUnavailable : StatusBadRequest, {}, {});
+        return;
+    }
+    if (!m_log->append(*turn)) {
+        connection->respond(StatusUnavailable, {}, {});
+        return;
+    }
+    m_keptSince.emplace(turn->id, std::chrono::steady_clock::now());
+    m_metrics.add("flamingo_archive_turns_total");
+    // Turns that arrive together share a sync.
+    if (m_unsynced.empty()) {
+        asio::post(m_loop.context(), [this] { syncAndAnswer(); });
+    }
+    m_unsynced.push_back(connection);
+}
+
+void ArchiveDaemon::syncAndAnswer()
+{
+    const bool isSynced = m_log->sync();
+    for (const ServerConnectionPtr &connection : std::exchange(m_unsynced, {})) {
+        connection->respond(isSynced ? StatusOk : StatusUnavailable, {}, {});
+    }
+}
+
+void ArchiveDaemon::onLookup(const ServerConnectionPtr &connection, const RequestId &id)
+{
+    const ArchiveTurn *turn = m_log->find(id);
+    connection->respond(turn ? StatusOk : StatusNotFound, {}, turn ? turn->record : std::string());
+}
+
+void ArchiveDaemon::onForget(const ServerConnectionPtr &connection, const std::string &body)
+{
+    const auto message = ArchiveForget::decode(body);
+    if (message) {
+        for (const RequestId &id : message->turns) {
+            forget(id);
+        }
+    }
+    connection->respond(message ? StatusOk : StatusBadRequest, {}, {});
+}
+
+void ArchiveDaemon::onMetrics(const ServerConnectionPtr &connection)
+{
+    m_metrics.setGauge("flamingo_archive_turns", {}, static_cast<double>(m_log->size()));
+    connection->respond(StatusOk, {}, m_metrics.render());
+}
+
+void ArchiveDaemon::forget(const RequestId &id)
+{
+    m_log->forget(id);
+    m_keptSince.erase(id);
+}
+
+void ArchiveDaemon::bringToStore(Instant now)
+{
+    if (m_isBringing || !m_log) {
+        return;
+    }
+    std::vector<std::pair<RequestId, std::string>> batch;
+    std::size_t bytes = 0;
+    for (const auto &[id, since] : m_keptSince) {
+        const ArchiveTurn *turn = m_log->find(id);
+        const bool isDue = turn && (turn->isFirst || m_isEmptying || now - since >= OtherCopyLimit);
+        if (!isDue || batch.size() >= MaxBatchTurns || (bytes > 0 && bytes + turn->record.size() > MaxBatchBytes)) {
+            continue;
+        }
+        bytes += turn->record.size();
+        batch.emplace_back(id, turn->record);
+    }
+    if (batch.empty()) {
+        return;
+    }
+    m_isBringing = true;
+    m_turnStore.saveAll(batch, [this, batch](bool isKept) {
+        m_isBringing = false;
+        if (!isKept) {
+            return;
+        }
+        std::vector<RequestId> turns;
+        for (const auto &[id, record] : batch) {
+            turns.push_back(id);
+        }
+        onBrought(turns);
+        if (batch.size() >= MaxBatchTurns || m_isEmptying) {
+            bringToStore(std::chrono::steady_clock::now());
+        }
+    });
+}
+
+void ArchiveDaemon::onBrought(const std::vector<RequestId> &turns)
+{
+    std::map<std::string, ArchiveForget> messages;
+    for (const RequestId &id : turns) {
+        const ArchiveTurn *turn = m_log->find(id);
+        if (turn && !turn->otherArchive.empty()) {
+            messages[turn->otherArchive].turns.push_back(id);
+        }
+        forget(id);
+    }
+    for (const auto &[archive, message] : messages) {
+        const auto address = parseSocketAddress(archive);
+        if (!address) {
+            continue;
+        }
+        SimpleCall call;
+        call.address = *address;
+        call.method = "POST";
+        call.target = ArchiveForgetPath;
+        call.body = message.encode();
+        sendSimpleCall(m_loop.context(), m_links, std::move(call), [archive = archive](const std::optional<SimpleAnswer> &answer) {
+            if (!answer) {
+                // The other copy is brought to the store once more, which changes nothing.
+                logChange("other-archive-unreachable", "archive={}", archive);
+            }
+        });
+    }
+}
+
+void ArchiveDaemon::enterFleet()
+{
+    const SocketAddress address{m_settings.ip, m_settings.firstFreePort};
+    const FleetMember member{m_settings.instance, m_settings.domain, address, {}, FleetMember::Role::Archive};
+    platform::StoreTransaction transaction;
+    transaction.writes.push_back({Fleet::KeyPrefix + member.id.value(), member.encode()});
+    m_store.commit(transaction, [this](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
+        if (!result && !m_isEmptying) {
+            logChange("not-entered", "reason=\"{}\"", result.error().detail);
+            m_loop.timers().at(std::chrono::steady_clock::now() + RetryDelay, [this](Instant) { enterFleet(); });
+        }
+    });
+}
+
+void ArchiveDaemon::leaveFleet()
+{
+    platform::StoreTransaction transaction;
+    transaction.removals.push_back(Fleet::KeyPrefix + m_settings.instance.value());
+    m_store.commit(transaction, [](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
+        if (!result) {
+            logChange("not-left", "reason=\"{}\"", result.error().detail);
         }
     });
 }
@@ -56,7 +270,9 @@
         } else if (page->items.empty()) {
             watchRetireRequest(page->at);
         } else {
-            reportRetired(0);
+            logChange("retiring", "turns={}", m_log ? m_log->size() : 0);
+            m_isRetiring = true;
+            beginEmptying();
         }
     });
 }
@@ -80,22 +296,40 @@
     m_loop.timers().at(std::chrono::steady_clock::now() + RetryDelay, [this](Instant) { readRetireRequest(); });
 }
 
-// Nothing lies on this machine that isn't in the store, so it is empty at once.
-void ArchiveDaemon::reportRetired(platform::Revision statusRevision)
+void ArchiveDaemon::beginEmptying()
+{
+    if (m_isEmptying) {
+        return;
+    }
+    m_isEmptying = true;
+    leaveFleet();
+    bringToStore(std::chrono::steady_clock::now());
+    m_loop.timers().every(std::chrono::steady_clock::now(), EmptyCheckPeriod, [this](Instant now) { checkEmptied(now); });
+}
+
+void ArchiveDaemon::checkEmptied(Instant now)
+{
+    const bool isEmpty = !m_log || (m_log->size() == 0 && m_unsynced.empty());
+    if (m_stoppingSince && (isEmpty || now - *m_stoppingSince > m_settings.stopGrace - KillMargin)) {
+        m_loop.stop();
+        return;
+    }
+    if (!isEmpty) {
+        bringToStore(now);
+    } else if (m_isRetiring) {
+        m_isRetiring = false;
+        reportRetired();
+    }
+}
+
+void ArchiveDaemon::reportRetired()
 {
-    const std::string key = platform::RetireStatusPrefix + m_settings.instance.value();
     platform::StoreTransaction transaction;
-    transaction.expected.push_back({key, statusRevision});
-    transaction.writes.push_back({key, platform::encodeRetireStatus(true)});
-    m_store.commit(transaction, [this, statusRevision](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
-        const bool isElsewhere = result && !result->isDone && !result->present.empty() && result->present.front().revision != statusRevision;
-        if (isElsewhere && result->present.front().data != platform::encodeRetireStatus(true)) {
-            reportRetired(result->present.front().revision);
-        } else if (result) {
-            logChange("retired", "instance={}", m_settings.instance.value());
-        } else {
-            retryLater();
-        }
+    transaction.writes.push_back({platform::RetireStatusPrefix + m_settings.instance.value(), platform::encodeRetireStatus(true)});
+    m_store.commit(transaction, [this](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
+        // Nothing but this process writes the key, and always the same, so writing it again does no harm.
+        m_isRetiring = !result;
+        logChange(result ? "retired" : "retirement-unreported", "instance={}", m_settings.instance.value());
     });
 }
 
--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -75,14 +75,16 @@
     , m_placement(rules(), m_settings.domain, m_directory)
     , m_holder(newHolder(m_settings.instance))
     , m_budgets(m_holder, m_budgetStore, [this](const HolderId &holder) { return m_fleet.liveHolder(holder, std::chrono::steady_clock::now()).has_value(); })
-    , m_history(m_turnStore, historyBytes(m_settings))
+    , m_archiveLinks(m_loop.context(), {MaxIdlePerPeer, PeerUnacknowledged})
+    , m_archivedTurns(m_loop.context(), m_fleet, m_archiveLinks, m_turnStore)
+    , m_history(m_archivedTurns, historyBytes(m_settings))
     , m_endpoints(m_loop.context(), {MaxIdlePerEndpoint, EndpointUnacknowledged})
     , m_peerLinks(m_loop.context(), {MaxIdlePerPeer, PeerUnacknowledged})
     , m_home(m_budgets, m_history, m_settings.instance)
     , m_homes(m_loop.context(), m_fleet, m_home, m_peerLinks)
     , m_feed(m_store, m_loop.timers(), m_routes, m_directory, m_fleet, {[this] { m_placement.refreshEndpoints(); }, [this] { refreshDetours(); }})
     , m_isolation(m_loop.timers(), m_fleet, m_peerLinks, [this] { return m_store.isSuspect(); }, [this](bool isIsolated) { onIsolation(isIsolated); })
-    , m_relays{m_loop.timers(), m_routes, m_directory, m_placement, m_endpoints, m_homes, m_turnStore, m_metrics}
+    , m_relays{m_loop.timers(), m_routes, m_directory, m_placement, m_endpoints, m_homes, m_archivedTurns, m_metrics}
     , m_signals(m_loop.context(), SIGTERM, SIGINT, SIGHUP)
 {
     refreshDetours();
@@ -116,7 +118,7 @@
     const FleetMember member{m_settings.instance, m_settings.domain, m_settings.peers.value_or(SocketAddress()), m_holder};
     m_fleet.put(member);
     platform::StoreTransaction transaction;
-    transaction.writes.push_back({RegistryFeed::InstancePrefix + member.id.value(), member.encode()});
+    transaction.writes.push_back({Fleet::KeyPrefix + member.id.value(), member.encode()});
     m_store.commit(transaction, [this](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
         if (!result) {
             logChange("not-entered", "reason=\"{}\"", result.error().detail);
@@ -129,7 +131,7 @@
 {
     m_fleet.setLeaving();
     platform::StoreTransaction transaction;
-    transaction.removals.push_back(RegistryFeed::InstancePrefix + m_settings.instance.value());
+    transaction.removals.push_back(Fleet::KeyPrefix + m_settings.instance.value());
     m_store.commit(transaction, [](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
         if (!result) {
             logChange("not-left", "reason=\"{}\"", result.error().detail);
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -4,7 +4,8 @@
 #include "core/metrics.h"
 #include "http/connectionset.h"
 #include "instance/isolationwatch.h"
-#include "instance/lastingstores.h"
+#include "lasting/archivedturnstore.h"
+#include "lasting/lastingstores.h"
 #include "instance/placement.h"
 #include "instance/programhome.h"
 #include "instance/registryfeed.h"
@@ -59,6 +60,8 @@
     Placement m_placement;
     HolderId m_holder;
     BudgetLedger m_budgets;
+    LinkPool m_archiveLinks;
+    ArchivedTurnStore m_archivedTurns;
     TurnHistory m_history;
     LinkPool m_endpoints;
     LinkPool m_peerLinks;
--- a/src/instance/programhome.cpp
+++ b/src/instance/programhome.cpp
@@ -11,10 +11,8 @@
 {
 using Json = nlohmann::json;
 
-constexpr Milliseconds PeerConnectLimit{250};
 /// Beyond the home's own call to the store, which may be slow.
 constexpr Milliseconds PeerAnswerLimit{900};
-constexpr Milliseconds PeerIdle{10000};
 /// Homes that are asked one after the other.
 constexpr std::size_t MaxHomes = 3;
 
@@ -315,47 +313,16 @@
 
 void HomeClient::post(const FleetMember &member, const char *path, std::string body, std::function<void(std::optional<std::string>)> onAnswer)
 {
-    struct Posting {
-        std::string received;
-        int status = 0;
-        bool isOver = false;
-        OutgoingCall call;
-        std::unique_ptr<asio::steady_timer> limit;
-        std::function<void(std::optional<std::string>)> onAnswer;
-    };
-    constexpr int StatusOk = 200;
-    auto posting = std::make_shared<Posting>();
-    posting->onAnswer = std::move(onAnswer);
-    const auto finish = [posting](bool isAnswered) {
-        if (posting->isOver) {
-            return;
-        }
-        posting->isOver = true;
-        posting->limit->cancel();
-        posting->onAnswer(isAnswered && posting->status == StatusOk ? std::optional<std::string>(std::move(posting->received)) : std::nullopt);
-    };
-    CallRequest request;
-    request.address = member.peers;
-    request.head.method = "POST";
-    request.head.target = path;
-    request.head.fields.add("Host", member.peers.text());
-    request.body = std::move(body);
-    request.maxIdle = PeerIdle;
-    request.connectTimeout = PeerConnectLimit;
-    CallHandlers handlers;
-    handlers.onHead = [posting](const MessageHead &head) { posting->status = head.status; };
-    handlers.onBody = [posting](std::string_view bytes) { posting->received += bytes; };
-    handlers.onComplete = [finish] { finish(true); };
-    handlers.onFailure = [finish](const CallFailure &) { finish(false); };
-    posting->limit = std::make_unique<asio::steady_timer>(m_context);
-    posting->limit->expires_after(PeerAnswerLimit);
-    posting->limit->async_wait([posting, finish](const asio::error_code &ec) {
-        if (!ec) {
-            posting->call.cancel();
-            finish(false);
-        }
+    SimpleCall call;
+    call.address = member.peers;
+    call.method = "POST";
+    call.target = path;
+    call.body = std::move(body);
+    call.answerLimit = PeerAnswerLimit;
+    sendSimpleCall(m_context, m_peers, std::move(call), [onAnswer = std::move(onAnswer)](std::optional<SimpleAnswer> answer) {
+        constexpr int StatusOk = 200;
+        onAnswer(answer && answer->status == StatusOk ? std::optional<std::string>(std::move(answer->body)) : std::nullopt);
     });
-    posting->call = m_peers.call(std::move(request), std::move(handlers));
 }
 
 } // namespace flamingo
--- a/src/instance/programhome.h
+++ b/src/instance/programhome.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/metrics.h"
-#include "http/linkpool.h"
+#include "http/simplecall.h"
 #include "serving/budgetledger.h"
 #include "serving/fleet.h"
 #include "serving/turnhistory.h"
--- a/src/instance/registryfeed.cpp
+++ b/src/instance/registryfeed.cpp
@@ -34,7 +34,7 @@
     m_operator.wait = WatchTime;
     m_endpoints.prefix = platform::EndpointPrefix;
     m_endpoints.wait = WatchTime;
-    m_instances.prefix = InstancePrefix;
+    m_instances.prefix = Fleet::KeyPrefix;
     m_instances.wait = InstanceWatchTime;
 }
 
@@ -174,7 +174,7 @@
         applyConfiguration(item.data);
         return;
     }
-    if (item.key.rfind(InstancePrefix, 0) == 0) {
+    if (item.key.rfind(Fleet::KeyPrefix, 0) == 0) {
         applyInstance(item);
         return;
     }
@@ -196,7 +196,7 @@
 
 void RegistryFeed::applyInstance(const platform::StoreItem &item)
 {
-    const InstanceId id(item.key.substr(std::string_view(InstancePrefix).size()));
+    const InstanceId id(item.key.substr(std::string_view(Fleet::KeyPrefix).size()));
     const auto member = item.revision == 0 ? std::nullopt : FleetMember::decode(id, item.data);
     if (member) {
         m_fleet.put(*member);
--- a/src/instance/registryfeed.h
+++ b/src/instance/registryfeed.h
@@ -24,9 +24,6 @@
         std::function<void()> onFleet; ///< Instances have come or gone.
     };
 
-    /// Where instances enter themselves; the rest of the key is the instance.
-    static constexpr const char *InstancePrefix = "instance/";
-
     RegistryFeed(platform::PlatformStore &store, TimerService &timers, RouteTable &routes, EndpointDirectory &directory, Fleet &fleet, Hooks hooks);
 
     void start();
--- /dev/null
+++ b/src/lasting/archivedturnstore.cpp
@@ -0,0 +1,144 @@
+#include "lasting/archivedturnstore.h"
+
+#include "core/log.h"
+#include "serving/archivemessages.h"
+
+namespace flamingo
+{
+
+namespace
+{
+constexpr std::size_t CopiesWanted = 2;
+/// An archive answers within a few milliseconds; after this long the store is used as well.
+constexpr Milliseconds ArchiveLimit{120};
+constexpr Milliseconds LookupLimit{400};
+constexpr int StatusOk = 200;
+constexpr int StatusNotFound = 404;
+} // namespace
+
+struct ArchivedTurnStore::Saving {
+    TurnRecordPtr turn;
+    std::function<void(bool)> onSaved;
+    std::size_t copies = 0;
+    std::size_t pending = 0;
+    bool isAtStore = false;
+
+    void done(bool isKept)
+    {
+        if (onSaved) {
+            const auto handler = std::move(onSaved);
+            onSaved = nullptr;
+            handler(isKept);
+        }
+    }
+};
+
+struct ArchivedTurnStore::Loading {
+    RequestId id;
+    std::function<void(TurnLookup)> onLoaded;
+    std::size_t pending = 0;
+    TurnLookup best;
+};
+
+ArchivedTurnStore::ArchivedTurnStore(asio::io_context &context, Fleet &fleet, LinkPool &links, PlatformTurnStore &store)
+    : m_context(context)
+    , m_fleet(fleet)
+    , m_links(links)
+    , m_store(store)
+{
+}
+
+void ArchivedTurnStore::save(const TurnRecordPtr &turn, std::function<void(bool)> onSaved)
+{
+    auto saving = std::make_shared<Saving>();
+    saving->turn = turn;
+    saving->onSaved = std::move(onSaved);
+    const std::vector<FleetMember> archives = m_fleet.archivesFor(turn->id.value(), std::chrono::steady_clock::now());
+    const bool hasTwoDomains = archives.size() >= CopiesWanted && archives[0].domain != archives[1].domain;
+    if (!hasTwoDomains) {
+        toStore(saving);
+        return;
+    }
+    ArchiveTurn message{turn->id, turn->encode(), true, archives[1].peers.text()};
+    saving->pending = CopiesWanted;
+    keep(archives[0], message.encode(), saving);
+    message.isFirst = false;
+    message.otherArchive = archives[0].peers.text();
+    keep(archives[1], message.encode(), saving);
+}
+
+void ArchivedTurnStore::keep(const FleetMember &archive, const std::string &message, const std::shared_ptr<Saving> &saving)
+{
+    SimpleCall call;
+    call.address = archive.peers;
+    call.method = "POST";
+    call.target = ArchiveKeepPath;
+    call.body = message;
+    call.connectLimit = ArchiveLimit;
+    call.answerLimit = ArchiveLimit;
+    sendSimpleCall(m_context, m_links, std::move(call), [this, saving, id = archive.id](const std::optional<SimpleAnswer> &answer) {
+        --saving->pending;
+        const bool isKept = answer && answer->status == StatusOk;
+        saving->copies += isKept ? 1 : 0;
+        if (isKept) {
+            m_fleet.markUp(id);
+        } else {
+            m_fleet.markDown(id, std::chrono::steady_clock::now());
+            logChange("archive-unreachable", "archive={} turn={}", id.value(), saving->turn->id.value());
+            toStore(saving);
+        }
+        if (saving->copies == CopiesWanted) {
+            saving->done(true);
+        }
+    });
+}
+
+void ArchivedTurnStore::toStore(const std::shared_ptr<Saving> &saving)
+{
+    if (saving->isAtStore) {
+        return;
+    }
+    saving->isAtStore = true;
+    m_store.save(saving->turn, [saving](bool isKept) { saving->done(isKept); });
+}
+
+void ArchivedTurnStore::load(const RequestId &id, std::function<void(TurnLookup)> onLoaded)
+{
+    m_store.load(id, [this, id, onLoaded = std::move(onLoaded)](const TurnLookup &lookup) {
+        const std::vector<FleetMember> archives = m_fleet.archives();
+        if (lookup.status == TurnLookup::Status::Found || archives.empty()) {
+            onLoaded(lookup);
+            return;
+        }
+        auto loading = std::make_shared<Loading>();
+        loading->id = id;
+        loading->onLoaded = onLoaded;
+        loading->best = lookup;
+        askArchives(loading);
+    });
+}
+
+void ArchivedTurnStore::askArchives(const std::shared_ptr<Loading> &loading)
+{
+    const std::vector<FleetMember> archives = m_fleet.archives();
+    loading->pending = archives.size();
+    for (const FleetMember &archive : archives) {
+        SimpleCall call;
+        call.address = archive.peers;
+        call.target = ArchiveLookupPath + loading->id.value();
+        call.answerLimit = LookupLimit;
+        sendSimpleCall(m_context, m_links, std::move(call), [loading](const std::optional<SimpleAnswer> &answer) {
+            auto turn = answer && answer->status == StatusOk ? TurnRecord::decode(loading->id, answer->body) : std::nullopt;
+            if (turn) {
+                loading->best = {TurnLookup::Status::Found, std::make_shared<const TurnRecord>(std::move(*turn))};
+            } else if (loading->best.status == TurnLookup::Status::Absent && !(answer && answer->status == StatusNotFound)) {
+                loading->best.status = TurnLookup::Status::Unsure;
+            }
+            if (--loading->pending == 0) {
+                loading->onLoaded(loading->best);
+            }
+        });
+    }
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/lasting/archivedturnstore.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "http/simplecall.h"
+#include "lasting/lastingstores.h"
+#include "serving/fleet.h"
+
+#include <functional>
+
+namespace flamingo
+{
+
+/// Keeps turns on two archives in different failure domains, which bring them to the platform's store in batches; where
+/// two don't answer at once, a turn goes to the store itself. So a turn costs a part of a call to the store, and lasts
+/// while either the store or two archives can be reached.
+class ArchivedTurnStore : public TurnStore
+{
+public:
+    ArchivedTurnStore(asio::io_context &context, Fleet &fleet, LinkPool &links, PlatformTurnStore &store);
+
+    void save(const TurnRecordPtr &turn, std::function<void(bool isKept)> onSaved) override;
+
+    /// Absent only when the store and every archive say so.
+    void load(const RequestId &id, std::function<void(TurnLookup)> onLoaded) override;
+
+private:
+    struct Saving;
+    struct Loading;
+
+    void keep(const FleetMember &archive, const std::string &message, const std::shared_ptr<Saving> &saving);
+    void toStore(const std::shared_ptr<Saving> &saving);
+    void askArchives(const std::shared_ptr<Loading> &loading);
+
+    asio::io_context &m_context;
+    Fleet &m_fleet;
+    LinkPool &m_links;
+    PlatformTurnStore &m_store;
+};
+
+} // namespace flamingo
--- a/src/instance/lastingstores.cpp
+++ b/src/lasting/lastingstores.cpp
@@ -1,6 +1,7 @@
-#include "instance/lastingstores.h"
+#include "lasting/lastingstores.h"
 
 #include "core/log.h"
+#include "serving/archivemessages.h"
 
 #include <algorithm>
 
@@ -10,7 +11,6 @@
 namespace
 {
 constexpr const char *BudgetPrefix = "budget/";
-constexpr const char *TurnPrefix = "turn/";
 /// Tries of one write whose answer is lost, before its turn is given up.
 constexpr int MaxSaveTries = 2;
 /// The most keys in one transaction.
@@ -92,7 +92,7 @@
 
 void PlatformTurnStore::trySave(const std::shared_ptr<Saving> &saving)
 {
-    const std::string key = TurnPrefix + saving->turn->id.value();
+    const std::string key = TurnKeyPrefix + saving->turn->id.value();
     platform::StoreTransaction transaction;
     transaction.expected.push_back({key, 0});
     transaction.writes.push_back({key, saving->bytes});
@@ -101,7 +101,7 @@
         const bool isAnswered = result.has_value();
         // A conflict means that an earlier try, whose answer was lost, has written the same turn.
         if (isAnswered) {
-            m_expiries.push_back({std::chrono::steady_clock::now() + saving->turn->retention * RetentionFactor, saving->turn->id});
+            scheduleRemoval(saving->turn->id, saving->turn->retention);
             saving->onSaved(true);
             return;
         }
@@ -115,9 +115,36 @@
     });
 }
 
+void PlatformTurnStore::scheduleRemoval(const RequestId &turn, Milliseconds retention)
+{
+    m_expiries.push_back({std::chrono::steady_clock::now() + retention * RetentionFactor, turn});
+}
+
+// Turns never change, so writing one that is there already does no harm and needs no condition.
+void PlatformTurnStore::saveAll(const std::vector<std::pair<RequestId, std::string>> &records, std::function<void(bool)> onSaved)
+{
+    platform::StoreTransaction transaction;
+    for (const auto &[id, record] : records) {
+        transaction.writes.push_back({TurnKeyPrefix + id.value(), record});
+    }
+    m_store.commit(transaction, [this, records, onSaved = std::move(onSaved)](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
+        const bool isKept = result && result->isDone;
+        if (!isKept) {
+            logChange("turns-not-kept", "turns={} reason=\"{}\"", records.size(), result ? "conflict" : result.error().detail);
+        }
+        for (const auto &[id, record] : records) {
+            const auto turn = isKept ? TurnRecord::decode(id, record) : std::nullopt;
+            if (turn) {
+                scheduleRemoval(id, turn->retention);
+            }
+        }
+        onSaved(isKept);
+    });
+}
+
 void PlatformTurnStore::load(const RequestId &id, std::function<void(TurnLookup)> onLoaded)
 {
-    m_store.read(TurnPrefix + id.value(), [id, onLoaded = std::move(onLoaded)](const tl::expected<platform::StoreItem, platform::StoreFailure> &item) {
+    m_store.read(TurnKeyPrefix + id.value(), [id, onLoaded = std::move(onLoaded)](const tl::expected<platform::StoreItem, platform::StoreFailure> &item) {
         TurnLookup lookup;
         if (!item) {
             logChange("turn-lookup-failed", "turn={} reason=\"{}\"", id.value(), item.error().detail);
@@ -138,7 +165,7 @@
 {
     std::vector<std::string> keys;
     while (!m_expiries.empty() && m_expiries.front().at < now) {
-        keys.push_back(TurnPrefix + m_expiries.front().turn.value());
+        keys.push_back(TurnKeyPrefix + m_expiries.front().turn.value());
         m_expiries.pop_front();
     }
     removeKeys(m_store, keys);
--- a/src/instance/lastingstores.h
+++ b/src/lasting/lastingstores.h
@@ -6,6 +6,7 @@
 #include "serving/turnhistory.h"
 
 #include <deque>
+#include <utility>
 
 namespace flamingo
 {
@@ -32,6 +33,9 @@
     void save(const TurnRecordPtr &turn, std::function<void(bool isKept)> onSaved) override;
     void load(const RequestId &id, std::function<void(TurnLookup)> onLoaded) override;
 
+    /// Writes many turns at once; all or none of them are written. The records are TurnRecord::encode().
+    void saveAll(const std::vector<std::pair<RequestId, std::string>> &records, std::function<void(bool isKept)> onSaved);
+
     /// Removes turns whose retention has been over for a while.
     void removeExpired(Instant now);
 
@@ -48,6 +52,7 @@
     };
 
     void trySave(const std::shared_ptr<Saving> &saving);
+    void scheduleRemoval(const RequestId &turn, Milliseconds retention);
 
     platform::PlatformStore &m_store;
     std::deque<Expiry> m_expiries;
--- a/src/serving/fleet.cpp
+++ b/src/serving/fleet.cpp
@@ -17,7 +17,7 @@
 
 std::string FleetMember::encode() const
 {
-    return nlohmann::json{{"domain", domain}, {"peers", peers.text()}, {"holder", holder}}.dump();
+    return nlohmann::json{{"domain", domain}, {"peers", peers.text()}, {"holder", holder}, {"archive", role == Role::Archive}}.dump();
 }
 
 std::optional<FleetMember> FleetMember::decode(const InstanceId &id, const std::string &bytes)
@@ -30,7 +30,8 @@
     if (!address) {
         return std::nullopt;
     }
-    return FleetMember{id, DomainId(json.value("domain", "")), *address, HolderId(json.value("holder", ""))};
+    const Role role = json.value("archive", false) ? Role::Archive : Role::Instance;
+    return FleetMember{id, DomainId(json.value("domain", "")), *address, HolderId(json.value("holder", "")), role};
 }
 
 Fleet::Fleet(InstanceId self, DomainId ownDomain)
@@ -97,7 +98,7 @@
     std::vector<std::pair<std::uint64_t, InstanceId>> ranked;
     const auto rank = [&](const InstanceId &id) { ranked.emplace_back(stableHash(program.value(), stableHash(id.value())), id); };
     for (const auto &[id, member] : m_members) {
-        if (id != m_self && isReachable(member, now)) {
+        if (id != m_self && member.member.role == FleetMember::Role::Instance && isReachable(member, now)) {
             rank(id);
         }
     }
@@ -127,13 +128,41 @@
 {
     std::vector<FleetMember> members;
     for (const auto &[id, member] : m_members) {
-        if (id != m_self) {
+        if (id != m_self && member.member.role == FleetMember::Role::Instance) {
             members.push_back(member.member);
         }
     }
     return members;
 }
 
+std::vector<FleetMember> Fleet::archives() const
+{
+    std::vector<FleetMember> members;
+    for (const auto &[id, member] : m_members) {
+        if (member.member.role == FleetMember::Role::Archive) {
+            members.push_back(member.member);
+        }
+    }
+    return members;
+}
+
+std::vector<FleetMember> Fleet::archivesFor(const std::string &turn, Instant now) const
+{
+    std::vector<FleetMember> members = archives();
+    const auto isOut = [&](const FleetMember &member) { return !isReachable(m_members.at(member.id), now); };
+    members.erase(std::remove_if(members.begin(), members.end(), isOut), members.end());
+    const auto weight = [&](const FleetMember &member) { return stableHash(turn, stableHash(member.id.value())); };
+    std::sort(members.begin(), members.end(), [&](const FleetMember &a, const FleetMember &b) { return weight(a) > weight(b); });
+    if (members.size() > 2) {
+        const auto isElsewhere = [&](const FleetMember &member) { return member.domain != members.front().domain; };
+        const auto second = std::find_if(members.begin() + 1, members.end(), isElsewhere);
+        if (second != members.end()) {
+            std::rotate(members.begin() + 1, second, second + 1);
+        }
+    }
+    return members;
+}
+
 std::vector<FleetMember> Fleet::othersElsewhere() const
 {
     std::vector<FleetMember> members = others();
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -13,12 +13,18 @@
 namespace flamingo
 {
 
-/// Another instance as it has entered itself.
+/// Another process of the system as it has entered itself.
 struct FleetMember {
+    enum class Role {
+        Instance, ///< Takes callers and is the home of programs.
+        Archive, ///< Keeps turns on a disk.
+    };
+
     InstanceId id;
     DomainId domain;
     SocketAddress peers; ///< Where other instances connect.
-    HolderId holder; ///< Under which this life of it takes parts of budgets.
+    HolderId holder; ///< Under which this life of it takes parts of budgets; only instances.
+    Role role = Role::Instance;
 
     std::string encode() const;
     static std::optional<FleetMember> decode(const InstanceId &id, const std::string &bytes);
@@ -30,6 +36,9 @@
 class Fleet
 {
 public:
+    /// Where members enter themselves in the store; the rest of the key is the member's name.
+    static constexpr const char *KeyPrefix = "instance/";
+
     Fleet(InstanceId self, DomainId ownDomain);
 
     void put(const FleetMember &member);
@@ -56,6 +65,13 @@
     const InstanceId &self() const;
     std::vector<FleetMember> others() const;
 
+    /// Archives in the order in which a turn is to be kept there, those that can't be reached left out. The first two are
+    /// in different failure domains where there are such.
+    std::vector<FleetMember> archivesFor(const std::string &turn, Instant now) const;
+
+    /// All archives, reachable or not.
+    std::vector<FleetMember> archives() const;
+
     /// The other instances outside this one's failure domain.
     std::vector<FleetMember> othersElsewhere() const;
 
