A look-up follows a turn from the archives to the store

A turn was asked for in the store, then brought there and forgotten by its archives, then asked for at the archives; and after a restart an instance took its empty list of archives for 'no archives'. By reading: an archive that empties itself left the list first.

Change: the store, the archives, and the store again; absent only with the list read and all archives answering; archives leave the list once they are empty. Five cases on stand-ins with real archives; the race is one of them.

--- a/src/archive/archivedaemon.cpp
+++ b/src/archive/archivedaemon.cpp
@@ -302,7 +302,6 @@
         return;
     }
     m_isEmptying = true;
-    leaveFleet();
     bringToStore(std::chrono::steady_clock::now());
     m_loop.timers().every(std::chrono::steady_clock::now(), EmptyCheckPeriod, [this](Instant now) { checkEmptied(now); });
 }
@@ -310,6 +309,11 @@
 void ArchiveDaemon::checkEmptied(Instant now)
 {
     const bool isEmpty = !m_log || (m_log->size() == 0 && m_unsynced.empty());
+    // It stays on the list while it holds turns, so that it is asked for them.
+    if (isEmpty && !m_hasLeft) {
+        m_hasLeft = true;
+        leaveFleet();
+    }
     if (m_stoppingSince && (isEmpty || now - *m_stoppingSince > m_settings.stopGrace - KillMargin)) {
         m_loop.stop();
         return;
--- a/src/archive/archivedaemon.h
+++ b/src/archive/archivedaemon.h
@@ -64,6 +64,7 @@
     bool m_isBringing = false;
     bool m_isEmptying = false;
     bool m_isRetiring = false;
+    bool m_hasLeft = false;
     std::optional<Instant> m_stoppingSince;
 };
 
--- a/src/instance/registryfeed.cpp
+++ b/src/instance/registryfeed.cpp
@@ -80,6 +80,9 @@
     applyListing(feed);
     feed.listed.clear();
     feed.isLoaded = true;
+    if (&feed == &m_instances) {
+        m_fleet.setLoaded();
+    }
     watch(feed);
 }
 
--- a/src/lasting/archivedturnstore.cpp
+++ b/src/lasting/archivedturnstore.cpp
@@ -37,7 +37,8 @@
     RequestId id;
     std::function<void(TurnLookup)> onLoaded;
     std::size_t pending = 0;
-    TurnLookup best;
+    TurnRecordPtr found;
+    bool areAllAbsent = true;
 };
 
 ArchivedTurnStore::ArchivedTurnStore(asio::io_context &context, Fleet &fleet, LinkPool &links, PlatformTurnStore &store)
@@ -105,37 +106,54 @@
 void ArchivedTurnStore::load(const RequestId &id, std::function<void(TurnLookup)> onLoaded)
 {
     m_store.load(id, [this, id, onLoaded = std::move(onLoaded)](const TurnLookup &lookup) {
-        const std::vector<FleetMember> archives = m_fleet.archives();
-        if (lookup.status == TurnLookup::Status::Found || archives.empty()) {
+        if (lookup.status == TurnLookup::Status::Found) {
             onLoaded(lookup);
             return;
         }
         auto loading = std::make_shared<Loading>();
         loading->id = id;
         loading->onLoaded = onLoaded;
-        loading->best = lookup;
         askArchives(loading);
     });
 }
 
+// A turn moves from the archives to the store, so only a look into the store after the archives can say that it is absent.
+void ArchivedTurnStore::onArchivesAsked(const std::shared_ptr<Loading> &loading)
+{
+    if (loading->found) {
+        loading->onLoaded({TurnLookup::Status::Found, loading->found});
+        return;
+    }
+    const bool isCertain = loading->areAllAbsent && m_fleet.isLoaded();
+    m_store.load(loading->id, [loading, isCertain](TurnLookup lookup) {
+        if (lookup.status == TurnLookup::Status::Absent && !isCertain) {
+            lookup.status = TurnLookup::Status::Unsure;
+        }
+        loading->onLoaded(lookup);
+    });
+}
+
 void ArchivedTurnStore::askArchives(const std::shared_ptr<Loading> &loading)
 {
     const std::vector<FleetMember> archives = m_fleet.archives();
     loading->pending = archives.size();
+    if (archives.empty()) {
+        onArchivesAsked(loading);
+        return;
+    }
     for (const FleetMember &archive : archives) {
         SimpleCall call;
         call.address = archive.peers;
         call.target = ArchiveLookupPath + loading->id.value();
         call.answerLimit = LookupLimit;
-        sendSimpleCall(m_context, m_links, std::move(call), [loading](const std::optional<SimpleAnswer> &answer) {
+        sendSimpleCall(m_context, m_links, std::move(call), [this, loading](const std::optional<SimpleAnswer> &answer) {
             auto turn = answer && answer->status == StatusOk ? TurnRecord::decode(loading->id, answer->body) : std::nullopt;
             if (turn) {
-                loading->best = {TurnLookup::Status::Found, std::make_shared<const TurnRecord>(std::move(*turn))};
-            } else if (loading->best.status == TurnLookup::Status::Absent && !(answer && answer->status == StatusNotFound)) {
-                loading->best.status = TurnLookup::Status::Unsure;
+                loading->found = std::make_shared<const TurnRecord>(std::move(*turn));
             }
+            loading->areAllAbsent = loading->areAllAbsent && answer && answer->status == StatusNotFound;
             if (--loading->pending == 0) {
-                loading->onLoaded(loading->best);
+                onArchivesAsked(loading);
             }
         });
     }
--- a/src/lasting/archivedturnstore.h
+++ b/src/lasting/archivedturnstore.h
@@ -29,6 +29,7 @@
     void keep(const FleetMember &archive, const std::string &message, const std::shared_ptr<Saving> &saving);
     void toStore(const std::shared_ptr<Saving> &saving);
     void askArchives(const std::shared_ptr<Loading> &loading);
+    void onArchivesAsked(const std::shared_ptr<Loading> &loading);
 
     asio::io_context &m_context;
     Fleet &m_fleet;
--- a/src/serving/fleet.cpp
+++ b/src/serving/fleet.cpp
@@ -40,6 +40,16 @@
 {
 }
 
+void Fleet::setLoaded()
+{
+    m_isLoaded = true;
+}
+
+bool Fleet::isLoaded() const
+{
+    return m_isLoaded;
+}
+
 void Fleet::put(const FleetMember &member)
 {
     Member &known = m_members[member.id];
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -41,6 +41,10 @@
 
     Fleet(InstanceId self, DomainId ownDomain);
 
+    /// The list in the store has been read once.
+    void setLoaded();
+    bool isLoaded() const;
+
     void put(const FleetMember &member);
     void remove(const InstanceId &id);
 
@@ -86,6 +90,7 @@
 
     InstanceId m_self;
     DomainId m_ownDomain;
+    bool m_isLoaded = false;
     bool m_isLeaving = false;
     bool m_isCutOff = false;
     std::map<InstanceId, Member> m_members;
--- /dev/null
+++ b/tests/platform/archivetest.cpp
@@ -0,0 +1,134 @@
+#include "platform/testinstance.h"
+#include "serving/archivemessages.h"
+#include "serving/fleet.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <thread>
+
+using namespace flamingo;
+
+namespace
+{
+using Peer = ScriptedEndpoint::Peer;
+
+void answerChat(Peer &peer, const ReceivedRequest &request)
+{
+    peer.write(ScriptedEndpoint::answerHead(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+    peer.write(ScriptedEndpoint::chunk(ScriptedEndpoint::event(1, "said")) + "0\r\n\r\n");
+}
+
+std::string turn(const std::string &attempt, const std::string &previous, const std::string &text)
+{
+    std::string lines = "X-Program-Id: p1\r\nX-Session-Id: s\r\n";
+    lines += previous.empty() ? "" : "X-Previous-Turn: " + previous + "\r\n";
+    return callerRequest("/chat/a", attempt, lines, text);
+}
+
+/// Two archives and an instance that knows of them.
+struct Fixture {
+    Fixture()
+        : endpoint(answerChat)
+        , first(store, 1)
+        , second(store, 2)
+    {
+        store.put("op/config", testConfiguration(1));
+        enterEndpoint(store, "i-1", endpoint);
+        REQUIRE(eventually([this] { return store.keys(Fleet::KeyPrefix).size() == 2; }));
+        instance = std::make_unique<TestInstance>(store, 1);
+        REQUIRE(instance->awaitReady());
+    }
+
+    bool isInStore(const std::string &id)
+    {
+        return !store.get(TurnKeyPrefix + id).empty();
+    }
+
+    KvStandin store;
+    ScriptedEndpoint endpoint;
+    TestArchive first;
+    TestArchive second;
+    std::unique_ptr<TestInstance> instance;
+};
+} // namespace
+
+TEST_CASE("A turn that only archives hold continues after all processes are killed and one disk is lost", "[platform]")
+{
+    Fixture it;
+    it.store.setTrouble(KvStandin::Trouble::Refuses);
+    REQUIRE(it.instance->send(turn("t1", {}, "hello ")).isWhole);
+    it.instance->process().kill();
+    it.first.process().kill();
+    it.second.process().kill();
+    it.first.wipe();
+    it.store.setTrouble(KvStandin::Trouble::None);
+    CHECK_FALSE(it.isInStore("t1"));
+    it.instance->killAndRestart();
+    it.first.start();
+    it.second.start();
+    REQUIRE(it.instance->awaitReady());
+    CHECK(eventually([&] {
+        static int n = 0;
+        const CallerAnswer answer = it.instance->send(turn("n" + std::to_string(++n), "t1", "again"));
+        REQUIRE(answer.status != 404);
+        return answer.isWhole && answer.status == 200;
+    }));
+    CHECK(it.endpoint.requests().back().body == "hello said\nagain");
+    CHECK(eventually([&] { return it.isInStore("t1"); }));
+}
+
+TEST_CASE("Archives bring turns to the store in batches", "[platform]")
+{
+    Fixture it;
+    constexpr int Turns = 20;
+    const int before = it.store.commits();
+    for (int n = 0; n < Turns; ++n) {
+        CHECK(it.instance->send(turn("b" + std::to_string(n), {}, "x")).isWhole);
+    }
+    CHECK(eventually([&] { return it.store.keys(TurnKeyPrefix).size() == Turns; }));
+    CHECK(it.store.commits() - before < Turns / 2);
+}
+
+TEST_CASE("An archive that is to be emptied brings all it has to the store first", "[platform]")
+{
+    Fixture it;
+    for (int n = 0; n < 5; ++n) {
+        CHECK(it.instance->send(turn("c" + std::to_string(n), {}, "x")).isWhole);
+    }
+    it.store.put("op/retire/" + it.first.name(), R"({"deadline-s":10})");
+    REQUIRE(eventually([&] { return it.store.get("status/retire/" + it.first.name()).find("completed") != std::string::npos; }));
+    it.first.process().kill();
+    it.second.process().kill();
+    CHECK(it.store.keys(TurnKeyPrefix).size() == 5);
+    // With one archive left a turn goes to the store itself.
+    CHECK(it.instance->send(turn("d1", "c4", "y")).isWhole);
+    CHECK(it.isInStore("d1"));
+}
+
+TEST_CASE("A turn that moves to the store while it is looked up is found", "[platform]")
+{
+    KvStandin store;
+    ScriptedEndpoint endpoint(answerChat);
+    const TurnRecord kept{RequestId("t1"), {}, "hello ", "said\n", Milliseconds(60000)};
+    ScriptedEndpoint archive([&](Peer &peer, const ReceivedRequest &) {
+        store.put(std::string(TurnKeyPrefix) + "t1", kept.encode());
+        peer.write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+    });
+    store.put(std::string(Fleet::KeyPrefix) + "storage-9", FleetMember{InstanceId("storage-9"), DomainId("z"), archive.address(), {}, FleetMember::Role::Archive}.encode());
+    store.put("op/config", testConfiguration(1));
+    enterEndpoint(store, "i-1", endpoint);
+    TestInstance instance(store, 1);
+    REQUIRE(instance.awaitReady());
+    REQUIRE(eventually([&] { return instance.log().find("prefix=instance/") != std::string::npos; }));
+    CHECK(instance.send(turn("t2", "t1", "x")).status == 200);
+}
+
+TEST_CASE("A turn is not said to be unknown while an archive doesn't answer", "[platform]")
+{
+    Fixture it;
+    it.first.process().kill();
+    CHECK(it.instance->send(turn("e1", "no-such-turn", "x")).status == 503);
+    it.first.start();
+    CHECK(eventually([&] { return it.instance->send(turn("e2", "no-such-turn", "x")).status == 404; }));
+}
--- a/tests/platform/testinstance.cpp
+++ b/tests/platform/testinstance.cpp
@@ -156,6 +156,56 @@
     std::this_thread::sleep_for(after);
 }
 
+TestArchive::TestArchive(const KvStandin &store, int number)
+    : m_number(number)
+    , m_folder(std::filesystem::temp_directory_path() / fmt::format("flamingo-archive-{}-{}", getpid(), number))
+{
+    std::filesystem::create_directories(m_folder);
+    std::ofstream(m_folder / "boot.toml") << fmt::format(R"(node-name = "{0}"
+ip = "127.0.2.{1}"
+zone = "zone-{1}"
+port-range = [17380, 17395]
+data-dir = "{2}"
+[bounds]
+grace-s = 8
+[platform]
+address = "{3}"
+)",
+                                                         name(),
+                                                         number,
+                                                         (m_folder / "disk").string(),
+                                                         store.address().text());
+    start();
+}
+
+TestArchive::~TestArchive()
+{
+    m_process.reset();
+    std::filesystem::remove_all(m_folder);
+}
+
+void TestArchive::start()
+{
+    m_process = std::make_unique<ChildProcess>(
+        std::vector<std::string>{std::string(BINARY_FOLDER) + "/src/flamingo-archive", "--settings", (m_folder / "boot.toml").string()},
+        (m_folder / "log").string());
+}
+
+void TestArchive::wipe() const
+{
+    std::filesystem::remove_all(m_folder / "disk");
+}
+
+std::string TestArchive::name() const
+{
+    return fmt::format("storage-{}", m_number);
+}
+
+ChildProcess &TestArchive::process()
+{
+    return *m_process;
+}
+
 std::string testConfiguration(int version, const std::string &extraRoutes)
 {
     const auto route = [](const std::string &name, const std::string &type, const std::string &more) {
--- a/tests/platform/testinstance.h
+++ b/tests/platform/testinstance.h
@@ -51,6 +51,27 @@
     std::unique_ptr<ChildProcess> m_process;
 };
 
+/// A running flamingo-archive with a disk of its own, in a failure domain of its own.
+class TestArchive
+{
+public:
+    TestArchive(const KvStandin &store, int number);
+    ~TestArchive();
+
+    ChildProcess &process();
+    void start();
+
+    /// Empties the disk of a process that isn't running.
+    void wipe() const;
+
+    std::string name() const;
+
+private:
+    int m_number;
+    std::filesystem::path m_folder;
+    std::unique_ptr<ChildProcess> m_process;
+};
+
 /// A deployment's configuration with a plain route for calls that must not be repeated, one for repeatable calls, one
 /// for streams that can resume and one for stateful turns, each on the pool "app".
 std::string testConfiguration(int version, const std::string &extraRoutes = {});
