The store's stand-in tells watches behind the dropped history so

Cause: the stand-in answered a watch that had waited out its time with a revision behind changes that it had dropped, which the store's page rules out (410).

--- a/tests/platform/kvstandin.cpp
+++ b/tests/platform/kvstandin.cpp
@@ -193,22 +193,21 @@
         m_compactedTo = m_revision;
         m_history.clear();
     }
-    if (waiting.after < m_compactedTo) {
-        answer(connection, 410, Json::object());
-    } else if (!answerWatch(waiting, false)) {
+    if (!answerWatch(waiting, false)) {
         m_waiting.push_back(waiting);
     }
 }
 
 bool KvStandin::answerWatch(const Waiting &waiting, bool isLast)
 {
-    if (m_trouble == Trouble::Deaf && !isLast) {
-        return false;
-    }
     const auto connection = waiting.connection.lock();
     if (!connection) {
         return true;
     }
+    if (waiting.after < m_compactedTo) {
+        answer(connection, 410, Json::object());
+        return true;
+    }
     Json events = Json::array();
     for (const Event &event : m_history) {
         if (event.revision > waiting.after && event.key.rfind(waiting.prefix, 0) == 0) {
@@ -228,7 +227,10 @@
         return;
     }
     const Instant now = std::chrono::steady_clock::now();
-    const auto isDone = [&](const Waiting &waiting) { return answerWatch(waiting, now >= waiting.until); };
+    const auto isDone = [&](const Waiting &waiting) {
+        const bool isLast = now >= waiting.until;
+        return (isLast || m_trouble != Trouble::Deaf) && answerWatch(waiting, isLast);
+    };
     m_waiting.erase(std::remove_if(m_waiting.begin(), m_waiting.end(), isDone), m_waiting.end());
 }
 
