Linter clean; a closed kept connection no longer invalidates the search for one

Cause, by reading: LinkPool::takeIdle went on with an iterator whose entry the close of an expired connection may have erased. A case on stand-ins walks that path; it was not seen to fail without a memory checker.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,10 +6,10 @@
 build
 
 echo "formatter"
-find src tests -name '*.h' -o -name '*.cpp' | xargs clang-format --dry-run --Werror
+find src platform tests -name '*.h' -o -name '*.cpp' | xargs clang-format --dry-run --Werror
 
 echo "linter"
-find src -name '*.cpp' | xargs -P 4 -n 4 clang-tidy -p "$BUILD" --quiet 2>/dev/null
+find src platform -name "*.cpp" | xargs -P 4 -n 4 clang-tidy -p "$BUILD" --quiet 2>/dev/null
 
 echo "models"
 scripts/models.sh
--- a/src/archive/archivedaemon.cpp
+++ b/src/archive/archivedaemon.cpp
@@ -197,6 +197,7 @@
             return;
         }
         std::vector<RequestId> turns;
+        turns.reserve(batch.size());
         for (const auto &[id, record] : batch) {
             turns.push_back(id);
         }
--- a/src/archive/main.cpp
+++ b/src/archive/main.cpp
@@ -1,5 +1,5 @@
-#include "core/commandline.h"
 #include "archive/archivedaemon.h"
+#include "core/commandline.h"
 
 int main(int argc, char **argv)
 {
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -5,9 +5,8 @@
 int main(int argc, char **argv)
 {
     flamingo::InstanceSettings settings;
-    return flamingo::runDaemon(
-        "flamingo-entry",
-        argc,
-        argv,
-        {[&](const std::string &path) { return flamingo::loadInstanceSettings(path, settings); }, [&] { return flamingo::EntryDaemon(settings).run(); }});
+    flamingo::DaemonHooks hooks;
+    hooks.load = [&](const std::string &path) { return flamingo::loadInstanceSettings(path, settings); };
+    hooks.run = [&] { return flamingo::EntryDaemon(settings).run(); };
+    return flamingo::runDaemon("flamingo-entry", argc, argv, hooks);
 }
--- a/src/http/linkpool.cpp
+++ b/src/http/linkpool.cpp
@@ -367,25 +367,25 @@
 
 LinkPool::LinkPtr LinkPool::takeIdle(const CallRequest &request)
 {
-    const auto it = m_idle.find(request.address.text());
-    if (it == m_idle.end()) {
-        return nullptr;
-    }
+    const std::string address = request.address.text();
     const Instant now = std::chrono::steady_clock::now();
-    while (!it->second.empty()) {
-        const LinkPtr link = it->second.back();
-        it->second.pop_back();
-        if (now < link->keptUntil() && now - link->idleSince() <= request.maxIdle) {
-            return link;
+    for (;;) {
+        // Closing a link may drop the whole entry, so it is looked up anew each time.
+        const auto it = m_idle.find(address);
+        if (it == m_idle.end() || it->second.empty()) {
+            return nullptr;
         }
+        LinkPtr link = it->second.back();
         if (now >= link->keptUntil()) {
             link->close();
             continue;
         }
-        it->second.push_back(link);
-        return nullptr;
+        if (now - link->idleSince() > request.maxIdle) {
+            return nullptr;
+        }
+        it->second.pop_back();
+        return link;
     }
-    return nullptr;
 }
 
 void LinkPool::keep(const LinkPtr &link)
--- a/src/http/messagehead.cpp
+++ b/src/http/messagehead.cpp
@@ -12,16 +12,8 @@
 
 namespace
 {
-constexpr std::array<std::string_view, 10> ConnectionFields = {"Connection",
-                                                              "Keep-Alive",
-                                                              "Proxy-Connection",
-                                                              "Proxy-Authenticate",
-                                                              "Proxy-Authorization",
-                                                              "TE",
-                                                              "Trailer",
-                                                              "Transfer-Encoding",
-                                                              "Upgrade",
-                                                              "Expect"};
+constexpr std::array<std::string_view, 10> ConnectionFields =
+    {"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"};
 
 std::vector<std::string> namedFields(const std::string &connection)
 {
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -273,9 +273,8 @@
         return;
     }
     m_isWriting = true;
-    asio::async_write(m_socket, asio::buffer(m_writes.front()), [self = shared_from_this()](const asio::error_code &ec, std::size_t n) {
-        self->onWritten(ec, n);
-    });
+    asio::async_write(
+        m_socket, asio::buffer(m_writes.front()), [self = shared_from_this()](const asio::error_code &ec, std::size_t n) { self->onWritten(ec, n); });
 }
 
 void ServerConnection::onWritten(const asio::error_code &ec, std::size_t n)
--- /dev/null
+++ b/src/instance/attempt.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "core/timerservice.h"
+#include "http/linkpool.h"
+#include "serving/callfacts.h"
+#include "serving/endpointentry.h"
+#include "serving/eventsplitter.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace flamingo
+{
+
+/// One sending of a request: which endpoint works on it, and what has come back.
+struct Attempt {
+    EndpointEntry endpoint;
+    OutgoingCall call;
+    Instant sentAt;
+    std::optional<Instant> firstPieceAt;
+    MessageHead head;
+    AnswerFacts facts;
+    std::string body;
+    EventSplitter events;
+    int eventCount = 0;
+    std::uint64_t number = 0; ///< Counts a request's sendings from 1.
+    TimerService::Subscription overdueTimer = 0; ///< 0 for none.
+};
+
+} // namespace flamingo
--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -83,7 +83,12 @@
     , m_home(m_budgets, m_history, m_settings.instance)
     , m_homes(m_loop.context(), m_fleet, m_home, m_peerLinks, {[this] { return m_feed.versions(); }, [this](const RegistryVersions &it) { m_feed.onTold(it); }})
     , m_feed(m_store, m_loop.timers(), m_routes, m_directory, m_fleet, {[this] { m_placement.refreshEndpoints(); }, [this] { refreshDetours(); }})
-    , m_isolation(m_loop.timers(), m_fleet, m_peerLinks, [this] { return m_store.isSuspect(); }, [this](bool isIsolated) { onIsolation(isIsolated); })
+    , m_isolation(
+          m_loop.timers(),
+          m_fleet,
+          m_peerLinks,
+          [this] { return m_store.isSuspect(); },
+          [this](bool isIsolated) { onIsolation(isIsolated); })
     , m_relays{m_loop.timers(), m_routes, m_directory, m_placement, m_endpoints, m_homes, m_archivedTurns, m_metrics}
     , m_signals(m_loop.context(), SIGTERM, SIGINT, SIGHUP)
 {
@@ -169,12 +174,15 @@
         m_callers = std::make_unique<ConnectionSet>(
             context,
             endpointOf(*m_settings.callers),
-            [this](ServerConnectionPtr connection, ServerRequest request) { onRequest(connection, std::move(request)); },
+            [this](const ServerConnectionPtr &connection, ServerRequest request) { onRequest(connection, std::move(request)); },
             [this] { return callerLimits(); });
     }
     if (m_settings.readiness) {
         m_readiness = std::make_unique<ConnectionSet>(
-            context, endpointOf(*m_settings.readiness), [this](const ServerConnectionPtr &connection, const ServerRequest &) { onReadiness(connection); }, plainLimits);
+            context,
+            endpointOf(*m_settings.readiness),
+            [this](const ServerConnectionPtr &connection, const ServerRequest &) { onReadiness(connection); },
+            plainLimits);
     }
     if (m_settings.peers) {
         m_peers = std::make_unique<ConnectionSet>(
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -4,12 +4,12 @@
 #include "core/metrics.h"
 #include "http/connectionset.h"
 #include "instance/isolationwatch.h"
-#include "lasting/archivedturnstore.h"
-#include "lasting/lastingstores.h"
 #include "instance/placement.h"
 #include "instance/programhome.h"
 #include "instance/registryfeed.h"
 #include "instance/relay.h"
+#include "lasting/archivedturnstore.h"
+#include "lasting/lastingstores.h"
 #include "platform/bootsettings.h"
 
 #include <memory>
--- a/src/instance/programhome.cpp
+++ b/src/instance/programhome.cpp
@@ -125,7 +125,11 @@
 
 std::string TurnGrant::encode() const
 {
-    Json json = {{"verdict", static_cast<int>(verdict)}, {"lookup", static_cast<int>(chain.status)}, {"ids", chain.ids}, {"text", binary(chain.text)}, {"holder", holder}};
+    Json json = {{"verdict", static_cast<int>(verdict)},
+                 {"lookup", static_cast<int>(chain.status)},
+                 {"ids", chain.ids},
+                 {"text", binary(chain.text)},
+                 {"holder", holder}};
     addPrefix(json, cachedAt);
     addVersions(json, versions);
     return toBytes(json);
@@ -298,8 +302,8 @@
 void HomeClient::onGrant(const std::shared_ptr<Asking> &asking, TurnGrant grant)
 {
     const auto holder = grant.verdict == BudgetVerdict::Elsewhere && !asking->begin.isReferred
-        ? m_fleet.liveHolder(grant.holder, std::chrono::steady_clock::now())
-        : std::nullopt;
+                            ? m_fleet.liveHolder(grant.holder, std::chrono::steady_clock::now())
+                            : std::nullopt;
     if (holder) {
         asking->begin.isReferred = true;
         ask(asking, *holder);
--- a/src/instance/registryfeed.cpp
+++ b/src/instance/registryfeed.cpp
@@ -275,11 +275,7 @@
     const auto entry = item.revision == 0 ? std::nullopt : platform::decodeEndpoint(item.key, item.data);
     const bool isChange = entry ? m_directory.put(*entry) : m_directory.remove(id, now());
     if (isChange) {
-        logChange("endpoint-changed",
-                  "endpoint={} state={} revision={}",
-                  id.value(),
-                  entry ? (entry->isLeaving ? "leaving" : "ready") : "gone",
-                  item.revision);
+        logChange("endpoint-changed", "endpoint={} state={} revision={}", id.value(), entry ? (entry->isLeaving ? "leaving" : "ready") : "gone", item.revision);
         m_hooks.onEndpoints();
     }
 }
--- a/src/instance/relay.h
+++ b/src/instance/relay.h
@@ -5,10 +5,10 @@
 #include "core/timerservice.h"
 #include "http/linkpool.h"
 #include "http/serverconnection.h"
+#include "instance/attempt.h"
 #include "instance/placement.h"
 #include "instance/programhome.h"
 #include "platform/callcodec.h"
-#include "serving/eventsplitter.h"
 #include "serving/routetable.h"
 #include "serving/turnhistory.h"
 
@@ -42,21 +42,6 @@
     void start();
 
 private:
-    /// Which endpoint works on the request, and what has come back.
-    struct Attempt {
-        EndpointEntry endpoint;
-        OutgoingCall call;
-        Instant sentAt;
-        std::optional<Instant> firstPieceAt;
-        MessageHead head;
-        AnswerFacts facts;
-        std::string body;
-        EventSplitter events;
-        int eventCount = 0;
-        std::uint64_t number = 0;
-        TimerService::Subscription overdueTimer = 0;
-    };
-
     void admit();
     void onGrant(TurnGrant grant);
     void reportEnd(Tokens used, TurnRecordPtr turn);
--- a/src/lasting/lastingstores.cpp
+++ b/src/lasting/lastingstores.cpp
@@ -55,10 +55,7 @@
 {
 }
 
-void PlatformBudgetStore::swap(const ProgramId &program,
-                               std::uint64_t expectedRevision,
-                               const std::string &bytes,
-                               std::function<void(SwapResult)> onResult)
+void PlatformBudgetStore::swap(const ProgramId &program, std::uint64_t expectedRevision, const std::string &bytes, std::function<void(SwapResult)> onResult)
 {
     const std::string key = BudgetPrefix + program.value();
     platform::StoreTransaction transaction;
@@ -70,6 +67,7 @@
 void PlatformBudgetStore::remove(const std::vector<ProgramId> &programs)
 {
     std::vector<std::string> keys;
+    keys.reserve(programs.size());
     for (const ProgramId &program : programs) {
         keys.push_back(BudgetPrefix + program.value());
     }
--- a/src/serving/fleet.cpp
+++ b/src/serving/fleet.cpp
@@ -117,6 +117,7 @@
     }
     std::sort(ranked.rbegin(), ranked.rend());
     std::vector<InstanceId> ids;
+    ids.reserve(ranked.size());
     for (const auto &[weight, id] : ranked) {
         ids.push_back(id);
     }
--- a/tests/platform/answertest.cpp
+++ b/tests/platform/answertest.cpp
@@ -64,9 +64,8 @@
 
 TEST_CASE("A request that an endpoint has not run goes to another one", "[platform]")
 {
-    ScriptedEndpoint full([](Peer &peer, const ReceivedRequest &) {
-        peer.write("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
-    });
+    ScriptedEndpoint full(
+        [](Peer &peer, const ReceivedRequest &) { peer.write("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"); });
     Fixture it([](Peer &peer, const ReceivedRequest &request) { peer.write(ScriptedEndpoint::answer(request, "ok")); });
     enterEndpoint(it.store, "i-2", full);
     for (int n = 0; n < 6; ++n) {
@@ -77,9 +76,8 @@
 
 TEST_CASE("An address that another endpoint has now doesn't get the request", "[platform]")
 {
-    ScriptedEndpoint other([](Peer &peer, const ReceivedRequest &) {
-        peer.write("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: i-9\r\nContent-Length: 0\r\n\r\n");
-    });
+    ScriptedEndpoint other(
+        [](Peer &peer, const ReceivedRequest &) { peer.write("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: i-9\r\nContent-Length: 0\r\n\r\n"); });
     Fixture it([](Peer &peer, const ReceivedRequest &request) { peer.write(ScriptedEndpoint::answer(request, "ok")); });
     it.store.remove("servers/i-1");
     enterEndpoint(it.store, "i-2", other);
@@ -151,6 +149,18 @@
     }
 }
 
+TEST_CASE("A connection that the endpoint keeps for no time isn't used again", "[platform]")
+{
+    Fixture it([](Peer &peer, const ReceivedRequest &request) {
+        peer.write(ScriptedEndpoint::answerHead(request, "Keep-Alive: timeout=0\r\nContent-Length: 2\r\n") + "ok");
+        peer.closeLater(Milliseconds(20));
+    });
+    for (int n = 0; n < 10; ++n) {
+        CHECK(it.instance->send(callerRequest("/book/a", "k" + std::to_string(n))).status == 200);
+    }
+    CHECK(it.endpoint.requests().size() == 10);
+}
+
 TEST_CASE("An unsigned success and a reset answer without a length are no answers", "[platform]")
 {
     Fixture it([](Peer &peer, const ReceivedRequest &request) {
@@ -169,12 +179,15 @@
     Fixture it([](Peer &peer, const ReceivedRequest &request) { peer.write(ScriptedEndpoint::answer(request, "ok")); });
     CHECK(it.instance->send(callerRequest("/nowhere/a", "i1")).status == 404);
     CHECK(it.instance->send("nonsense\r\n\r\n").status == 400);
-    CHECK(it.instance->send("POST /book/a HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: i2\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n").status == 400);
+    CHECK(it.instance->send("POST /book/a HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: i2\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+              .status
+          == 400);
     CHECK(it.instance->send("POST /book/a HTTP/1.1\r\nHost: h.example\r\nX-Pad: " + std::string(20000, 'x') + "\r\n\r\n").status == 431);
     CHECK(it.instance->send(callerRequest("/book/a", "i3", {}, std::string(100001, 'x'))).status == 413);
     CHECK(it.instance->send("POST /book/a HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n\r\n").status == 400);
     CHECK(it.endpoint.requests().empty());
-    const std::string chunked = "POST /book/a HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: i4\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    const std::string chunked =
+        "POST /book/a HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: i4\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
     CHECK(it.instance->send(chunked).status == 200);
     REQUIRE(it.endpoint.requests().size() == 1);
     CHECK(it.endpoint.requests()[0].body == "abcde");
--- a/tests/platform/archivetest.cpp
+++ b/tests/platform/archivetest.cpp
@@ -115,7 +115,8 @@
         store.put(std::string(TurnKeyPrefix) + "t1", kept.encode());
         peer.write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
     });
-    store.put(std::string(Fleet::KeyPrefix) + "storage-9", FleetMember{InstanceId("storage-9"), DomainId("z"), archive.address(), {}, FleetMember::Role::Archive}.encode());
+    store.put(std::string(Fleet::KeyPrefix) + "storage-9",
+              FleetMember{InstanceId("storage-9"), DomainId("z"), archive.address(), {}, FleetMember::Role::Archive}.encode());
     store.put("op/config", testConfiguration(1));
     enterEndpoint(store, "i-1", endpoint);
     TestInstance instance(store, 1);
--- a/tests/platform/registrytest.cpp
+++ b/tests/platform/registrytest.cpp
@@ -29,11 +29,8 @@
     for (int n = 1; n < parts; ++n) {
         prefix += fmt::format(",b{}:10", n);
     }
-    std::string lines = fmt::format("X-Program-Id: {}\r\nX-Session-Id: s\r\nX-Token-Budget: {}\r\nX-Token-Usage: 110,{}\r\nX-Prompt-Prefix: {}\r\n",
-                                    program,
-                                    budget,
-                                    most,
-                                    prefix);
+    std::string lines = fmt::format(
+        "X-Program-Id: {}\r\nX-Session-Id: s\r\nX-Token-Budget: {}\r\nX-Token-Usage: 110,{}\r\nX-Prompt-Prefix: {}\r\n", program, budget, most, prefix);
     return previous.empty() ? lines : lines + "X-Previous-Turn: " + previous + "\r\n";
 }
 } // namespace
