--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -2,19 +2,87 @@
 
 #include <fmt/chrono.h>
 
+#include <cerrno>
 #include <chrono>
 #include <cstdio>
+#include <fcntl.h>
+#include <mutex>
+#include <string_view>
+#include <unistd.h>
 
 namespace flamingo
 {
 
 namespace
 {
+/// What waits for a reader that is slower than the log; lines beyond are dropped and counted.
+constexpr std::size_t MaxWaitingBytes = std::size_t(256) * 1024;
+
 std::string &logName()
 {
     static std::string name = "flamingo";
     return name;
 }
+
+/// Standard output without ever waiting for its reader.
+class OutputLog
+{
+public:
+    void open()
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+        ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+        m_isOpen = true;
+    }
+
+    bool isOpen() const
+    {
+        return m_isOpen;
+    }
+
+    void write(const std::string &line)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        flush();
+        if (m_waiting.size() + line.size() > MaxWaitingBytes) {
+            ++m_dropped;
+            return;
+        }
+        if (m_dropped > 0) {
+            m_waiting += fmt::format("event=log-lines-dropped lines={}\n", m_dropped);
+            m_dropped = 0;
+        }
+        m_waiting += line;
+        flush();
+    }
+
+private:
+    void flush()
+    {
+        while (!m_waiting.empty()) {
+            const ssize_t n = ::write(STDOUT_FILENO, m_waiting.data(), m_waiting.size());
+            if (n < 0 && errno == EINTR) {
+                continue;
+            }
+            if (n <= 0) {
+                return;
+            }
+            m_waiting.erase(0, static_cast<std::size_t>(n));
+        }
+    }
+
+    std::mutex m_mutex;
+    std::string m_waiting;
+    std::size_t m_dropped = 0;
+    bool m_isOpen = false;
+};
+
+OutputLog &outputLog()
+{
+    static OutputLog log;
+    return log;
+}
 } // namespace
 
 void setLogName(const std::string &name)
@@ -22,6 +90,11 @@
     logName() = name;
 }
 
+void logToStandardOutput()
+{
+    outputLog().open();
+}
+
 namespace detail
 {
 void writeLogLine(const std::string &event, const std::string &fields)
@@ -29,7 +102,12 @@
     const auto now = std::chrono::system_clock::now();
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
     const auto seconds = fmt::gmtime(std::chrono::system_clock::to_time_t(now));
-    fmt::print(stderr, "{:%Y-%m-%dT%H:%M:%S}.{:03}Z process={} event={} {}\n", seconds, ms, logName(), event, fields);
+    const std::string line = fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z process={} event={} {}\n", seconds, ms, logName(), event, fields);
+    if (outputLog().isOpen()) {
+        outputLog().write(line);
+    } else {
+        fmt::print(stderr, "{}", line);
+    }
 }
 } // namespace detail
 
--- a/src/instance/main.cpp
+++ b/src/instance/main.cpp
@@ -1,4 +1,5 @@
 #include "core/commandline.h"
+#include "core/log.h"
 #include "instance/instancedaemon.h"
 
 int main(int argc, char **argv)
@@ -6,7 +7,10 @@
     flamingo::platform::BootSettings settings;
     flamingo::DaemonHooks hooks;
     hooks.load = [&](const std::string &path) { return flamingo::platform::loadBootSettings(path, settings); };
-    hooks.run = [&] { return flamingo::InstanceDaemon(settings).run(); };
+    hooks.run = [&] {
+        flamingo::logToStandardOutput();
+        return flamingo::InstanceDaemon(settings).run();
+    };
     hooks.defaultSettings = flamingo::platform::bootSettingsPath();
     hooks.takesSignals = true;
     return flamingo::runDaemon("flamingo-instance", argc, argv, hooks);
--- a/tests/harness/childprocess.cpp
+++ b/tests/harness/childprocess.cpp
@@ -22,7 +22,7 @@
     arguments.push_back(nullptr);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, "/dev/null", O_WRONLY, 0);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     const int result = posix_spawn(&m_pid, arguments[0], &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
--- a/tests/harness/childprocess.h
+++ b/tests/harness/childprocess.h
@@ -11,7 +11,7 @@
 class ChildProcess
 {
 public:
-    /// Starts a program with its standard error in a log file.
+    /// Starts a program with its output and its errors in a log file.
     ChildProcess(const std::vector<std::string> &command, const std::string &logFile);
     ~ChildProcess();
     ChildProcess(const ChildProcess &) = delete;
