--- a/src/endpoints/endpointclient.cpp
+++ b/src/endpoints/endpointclient.cpp
@@ -1,7 +1,7 @@
 #include "endpoints/endpointclient.h"
 
 #include "core/codec.h"
-#include "endpoints/eventstream.h"
+#include "http/eventsplitter.h"
 
 #include <fmt/format.h>
 
@@ -24,7 +24,7 @@
 
 /// A model answer as it arrives.
 struct ModelAnswer {
-    EventStream events;
+    EventSplitter events;
     EndpointResult result;
     bool isComplete = false;
 };
@@ -158,8 +158,10 @@
         finish(std::move(result));
     };
     const auto onChunk = [this, answer](std::string_view chunk) {
-        for (const std::string &payload : answer->events.feed(chunk)) {
-            takeEvent(*answer, payload, m_onDelta);
+        for (const StreamEvent &event : answer->events.feed(chunk)) {
+            if (!event.data.empty()) {
+                takeEvent(*answer, event.data, m_onDelta);
+            }
         }
     };
     const std::lock_guard<std::mutex> lock(m_mutex);
--- a/src/serving/eventsplitter.cpp
+++ b/src/http/eventsplitter.cpp
@@ -1,4 +1,4 @@
-#include "serving/eventsplitter.h"
+#include "http/eventsplitter.h"
 
 #include <algorithm>
 
--- a/src/instance/attempt.h
+++ b/src/instance/attempt.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "core/timerservice.h"
+#include "http/eventsplitter.h"
 #include "http/linkpool.h"
 #include "serving/callfacts.h"
 #include "serving/endpointentry.h"
-#include "serving/eventsplitter.h"
 
 #include <cstdint>
 #include <optional>
--- a/tests/unit/coretest.cpp
+++ b/tests/unit/coretest.cpp
@@ -3,7 +3,7 @@
 #include "core/metrics.h"
 #include "core/settingsreader.h"
 #include "core/timerservice.h"
-#include "endpoints/eventstream.h"
+#include "http/eventsplitter.h"
 #include "settings/instancesettings.h"
 
 #include <catch2/catch.hpp>
@@ -124,11 +124,11 @@
 TEST_CASE("Server-sent events are cut at any byte")
 {
     const std::string stream = "data: one\n\n: comment\n\ndata: two\r\n\r\n";
-    EventStream events;
+    EventSplitter events;
     std::string got;
     for (const char c : stream) {
-        for (const std::string &payload : events.feed(std::string(1, c))) {
-            got += payload + ";";
+        for (const StreamEvent &event : events.feed(std::string(1, c))) {
+            got += event.data.empty() ? "" : event.data + ";";
         }
     }
     REQUIRE(got == "one;two;");
--- a/tests/unit/servingtest.cpp
+++ b/tests/unit/servingtest.cpp
@@ -1,6 +1,6 @@
+#include "http/eventsplitter.h"
 #include "serving/budgetledger.h"
 #include "serving/endpointdirectory.h"
-#include "serving/eventsplitter.h"
 #include "serving/fleet.h"
 #include "serving/routetable.h"
 #include "serving/turnhistory.h"
