--- a/scripts/models.sh
+++ b/scripts/models.sh
@@ -48,3 +48,11 @@
 for variant in BY_ARRIVAL ALWAYS_NOT_RUN; do
     check answers fails "$variant"
 done
+check budget holds
+for variant in CREDIT GRANT_KEPT LOST_IS_REFUSED; do
+    check budget fails "$variant"
+done
+check history holds
+for variant in STORE_THEN_ARCHIVES ONE_COPY FORGET_FIRST; do
+    check history fails "$variant"
+done
