Turns lie on one archive more than may be lost at once

Ruled out: a look-up that gives up too early; no archive had the turn.

Change: the settings' number of machines that may be lost, and one more, of copies; the first to bring them to the store tells all others.

The case on stand-ins fails with two copies and passes with three.

--- a/src/archive/archivedaemon.cpp
+++ b/src/archive/archivedaemon.cpp
@@ -213,8 +213,8 @@
     std::map<std::string, ArchiveForget> messages;
     for (const RequestId &id : turns) {
         const ArchiveTurn *turn = m_log->find(id);
-        if (turn && !turn->otherArchive.empty()) {
-            messages[turn->otherArchive].turns.push_back(id);
+        for (const std::string &other : turn ? turn->otherArchives : std::vector<std::string>()) {
+            messages[other].turns.push_back(id);
         }
         forget(id);
     }
--- a/src/archive/archivedaemon.h
+++ b/src/archive/archivedaemon.h
@@ -17,7 +17,7 @@
 {
 
 /// A machine with a disk: keeps turns until it has brought them to the platform's store. It decides nothing, and it can
-/// be emptied, wiped or lost, since each turn lies on two archives until it is in the store.
+/// be emptied, wiped or lost, since each turn lies on more archives than may be lost at once until it is in the store.
 class ArchiveDaemon
 {
 public:
--- a/src/lasting/archivedturnstore.cpp
+++ b/src/lasting/archivedturnstore.cpp
@@ -3,12 +3,15 @@
 #include "core/log.h"
 #include "serving/archivemessages.h"
 
+#include <algorithm>
+
 namespace flamingo
 {
 
 namespace
 {
-constexpr std::size_t CopiesWanted = 2;
+/// A failure domain may be lost as well, so one copy is never enough.
+constexpr std::size_t LeastCopies = 2;
 /// An archive answers within a few milliseconds; after this long the store is used as well.
 constexpr Milliseconds ArchiveLimit{120};
 constexpr Milliseconds LookupLimit{400};
@@ -41,11 +44,12 @@
     bool areAllAbsent = true;
 };
 
-ArchivedTurnStore::ArchivedTurnStore(asio::io_context &context, Fleet &fleet, LinkPool &links, PlatformTurnStore &store)
+ArchivedTurnStore::ArchivedTurnStore(asio::io_context &context, Fleet &fleet, LinkPool &links, PlatformTurnStore &store, std::size_t toleratedMachines)
     : m_context(context)
     , m_fleet(fleet)
     , m_links(links)
     , m_store(store)
+    , m_copiesWanted(std::max(LeastCopies, toleratedMachines + 1))
 {
 }
 
@@ -55,17 +59,23 @@
     saving->turn = turn;
     saving->onSaved = std::move(onSaved);
     const std::vector<FleetMember> archives = m_fleet.archivesFor(turn->id.value(), std::chrono::steady_clock::now());
-    const bool hasTwoDomains = archives.size() >= CopiesWanted && archives[0].domain != archives[1].domain;
-    if (!hasTwoDomains) {
+    const bool hasEnough = archives.size() >= m_copiesWanted && archives[0].domain != archives[1].domain;
+    if (!hasEnough) {
         toStore(saving);
         return;
     }
-    ArchiveTurn message{turn->id, turn->encode(), true, archives[1].peers.text()};
-    saving->pending = CopiesWanted;
-    keep(archives[0], message.encode(), saving);
-    message.isFirst = false;
-    message.otherArchive = archives[0].peers.text();
-    keep(archives[1], message.encode(), saving);
+    saving->pending = m_copiesWanted;
+    ArchiveTurn message{turn->id, turn->encode(), true, {}};
+    for (std::size_t n = 0; n < m_copiesWanted; ++n) {
+        message.isFirst = n == 0;
+        message.otherArchives.clear();
+        for (std::size_t other = 0; other < m_copiesWanted; ++other) {
+            if (other != n) {
+                message.otherArchives.push_back(archives[other].peers.text());
+            }
+        }
+        keep(archives[n], message.encode(), saving);
+    }
 }
 
 void ArchivedTurnStore::keep(const FleetMember &archive, const std::string &message, const std::shared_ptr<Saving> &saving)
@@ -88,7 +98,7 @@
             logChange("archive-unreachable", "archive={} turn={}", id.value(), saving->turn->id.value());
             toStore(saving);
         }
-        if (saving->copies == CopiesWanted) {
+        if (saving->copies == m_copiesWanted) {
             saving->done(true);
         }
     });
--- a/src/lasting/archivedturnstore.h
+++ b/src/lasting/archivedturnstore.h
@@ -9,13 +9,13 @@
 namespace flamingo
 {
 
-/// Keeps turns on two archives in different failure domains, which bring them to the platform's store in batches; where
-/// two don't answer at once, a turn goes to the store itself. So a turn costs a part of a call to the store, and lasts
-/// while either the store or two archives can be reached.
+/// Keeps turns on one archive more than may be lost at once, in two failure domains or more, which bring them to the
+/// platform's store in batches; where these don't answer at once, a turn goes to the store itself. So a turn costs a part
+/// of a call to the store, and lasts while either the store or enough archives can be reached.
 class ArchivedTurnStore : public TurnStore
 {
 public:
-    ArchivedTurnStore(asio::io_context &context, Fleet &fleet, LinkPool &links, PlatformTurnStore &store);
+    ArchivedTurnStore(asio::io_context &context, Fleet &fleet, LinkPool &links, PlatformTurnStore &store, std::size_t toleratedMachines);
 
     void save(const TurnRecordPtr &turn, std::function<void(bool isKept)> onSaved) override;
 
@@ -35,6 +35,7 @@
     Fleet &m_fleet;
     LinkPool &m_links;
     PlatformTurnStore &m_store;
+    const std::size_t m_copiesWanted;
 };
 
 } // namespace flamingo
--- a/src/serving/archivemessages.cpp
+++ b/src/serving/archivemessages.cpp
@@ -21,7 +21,7 @@
 std::string ArchiveTurn::encode() const
 {
     const Json::binary_t::container_type bytes(record.begin(), record.end());
-    return toBytes({{"id", id}, {"record", Json::binary(bytes)}, {"first", isFirst}, {"other", otherArchive}});
+    return toBytes({{"id", id}, {"record", Json::binary(bytes)}, {"first", isFirst}, {"others", otherArchives}});
 }
 
 std::optional<ArchiveTurn> ArchiveTurn::decode(const std::string &bytes)
@@ -29,7 +29,8 @@
     try {
         const Json json = Json::from_cbor(bytes);
         const auto &record = json.at("record").get_binary();
-        return ArchiveTurn{json.at("id").get<RequestId>(), {record.begin(), record.end()}, json.at("first").get<bool>(), json.at("other").get<std::string>()};
+        return ArchiveTurn{
+            json.at("id").get<RequestId>(), {record.begin(), record.end()}, json.at("first").get<bool>(), json.at("others").get<std::vector<std::string>>()};
     } catch (const Json::exception &error) {
         logChange("archive-message-unreadable", "reason=\"{}\"", error.what());
         return std::nullopt;
--- a/src/serving/archivemessages.h
+++ b/src/serving/archivemessages.h
@@ -9,12 +9,12 @@
 namespace flamingo
 {
 
-/// A turn on its way to an archive, with the archive that has the other copy.
+/// A turn on its way to an archive, with the archives that have the other copies.
 struct ArchiveTurn {
     RequestId id;
     std::string record; ///< TurnRecord::encode().
-    bool isFirst = true; ///< This archive brings it to the store; the other one does if this one doesn't in time.
-    std::string otherArchive; ///< Address of the other copy.
+    bool isFirst = true; ///< This archive brings it to the store; the others do if this one doesn't in time.
+    std::vector<std::string> otherArchives; ///< Addresses of the other copies.
 
     std::string encode() const;
     static std::optional<ArchiveTurn> decode(const std::string &bytes);
--- a/tests/platform/archivetest.cpp
+++ b/tests/platform/archivetest.cpp
@@ -78,6 +78,31 @@
     CHECK(eventually([&] { return it.isInStore("t1"); }));
 }
 
+TEST_CASE("A turn outlives the loss of as many disks as may be lost at once", "[platform]")
+{
+    KvStandin store;
+    ScriptedEndpoint endpoint(answerChat);
+    TestArchive archives[] = {{store, 1}, {store, 2}, {store, 3}};
+    store.put("op/config", testConfiguration(1));
+    enterEndpoint(store, "i-1", endpoint);
+    REQUIRE(eventually([&] { return store.keys(Fleet::KeyPrefix).size() == 3; }));
+    TestInstance instance(store, 1, 2);
+    REQUIRE(instance.awaitReady());
+    store.setTrouble(KvStandin::Trouble::Refuses);
+    constexpr int Turns = 20;
+    for (int n = 0; n < Turns; ++n) {
+        REQUIRE(instance.send(turn("w" + std::to_string(n), {}, "hello ")).isWhole);
+    }
+    for (TestArchive &archive : archives) {
+        archive.process().kill();
+    }
+    archives[0].wipe();
+    archives[1].wipe();
+    store.setTrouble(KvStandin::Trouble::None);
+    archives[2].start();
+    CHECK(eventually([&] { return store.keys(TurnKeyPrefix).size() == Turns; }));
+}
+
 TEST_CASE("Archives bring turns to the store in batches", "[platform]")
 {
     Fixture it;
--- a/tests/platform/testinstance.cpp
+++ b/tests/platform/testinstance.cpp
@@ -17,7 +17,7 @@
 constexpr int ReadyPort = 18141;
 constexpr int PeersPort = 18144;
 
-std::string settingsText(const std::string &ip, int number, const SocketAddress &store)
+std::string settingsText(const std::string &ip, int number, const SocketAddress &store, int toleratedMachines)
 {
     return fmt::format(R"(node-name = "edge-{0}"
 ip = "{1}"
@@ -34,6 +34,8 @@
 [bounds]
 drain-ms = 2000
 grace-s = 8
+[fault-tolerance]
+machines = {6}
 [platform]
 address = "{5}"
 )",
@@ -42,7 +44,8 @@
                        CallersPort,
                        ReadyPort,
                        PeersPort,
-                       store.text());
+                       store.text(),
+                       toleratedMachines);
 }
 
 asio::ip::tcp::socket connected(asio::io_context &context, const std::string &ip, int port)
@@ -54,12 +57,12 @@
 }
 } // namespace
 
-TestInstance::TestInstance(const KvStandin &store, int number)
+TestInstance::TestInstance(const KvStandin &store, int number, int toleratedMachines)
     : m_ip(fmt::format("127.0.1.{}", number))
     , m_folder(std::filesystem::temp_directory_path() / fmt::format("flamingo-instance-{}-{}", getpid(), number))
 {
     std::filesystem::create_directories(m_folder);
-    std::ofstream(m_folder / "boot.toml") << settingsText(m_ip, number, store.address());
+    std::ofstream(m_folder / "boot.toml") << settingsText(m_ip, number, store.address(), toleratedMachines);
     start();
 }
 
--- a/tests/platform/testinstance.h
+++ b/tests/platform/testinstance.h
@@ -23,7 +23,8 @@
 class TestInstance
 {
 public:
-    TestInstance(const KvStandin &store, int number);
+    /// The machines are those with disks that may be lost at once.
+    TestInstance(const KvStandin &store, int number, int toleratedMachines = 1);
     ~TestInstance();
 
     /// Waits until it is ready; false after some seconds.
