A full segment is synced before the next one begins

Found by reading the change once more: turns that arrive together share one sync, and that sync reached only the current segment. A turn written just before the segment was full could be acknowledged without lasting a power loss.

No test shows it: what a power loss leaves of an unsynced file isn't seen by tests on this machine. The cases on archives pass.

--- a/src/archive/turnlog.cpp
+++ b/src/archive/turnlog.cpp
@@ -135,7 +135,12 @@
     if (m_turns.count(turn.id) != 0) {
         return true;
     }
-    if ((m_file < 0 || m_currentBytes > MaxSegmentBytes) && !openSegment()) {
+    const bool isFull = m_file >= 0 && m_currentBytes > MaxSegmentBytes;
+    if (isFull && !sync()) {
+        // Turns before this one may still wait for their sync, which reaches the current segment only.
+        return false;
+    }
+    if ((m_file < 0 || isFull) && !openSegment()) {
         return false;
     }
     const std::string body = turn.encode();
