--- a/src/core/codec.cpp
+++ b/src/core/codec.cpp
@@ -19,6 +19,17 @@
     return json;
 }
 
+nlohmann::json toBinary(std::string_view bytes)
+{
+    return nlohmann::json::binary({bytes.begin(), bytes.end()});
+}
+
+std::string fromBinary(const nlohmann::json &json)
+{
+    const auto &bytes = json.get_binary();
+    return {bytes.begin(), bytes.end()};
+}
+
 std::optional<nlohmann::json> parseJson(std::string_view text)
 {
     nlohmann::json json = nlohmann::json::parse(text.begin(), text.end(), nullptr, false);
--- a/src/core/codec.h
+++ b/src/core/codec.h
@@ -15,6 +15,10 @@
 /// The document in CBOR bytes, or nothing if they aren't CBOR.
 std::optional<nlohmann::json> fromCbor(std::string_view bytes);
 
+/// Bytes as a value inside a document, and back; the latter throws nlohmann's exception when the value isn't bytes.
+nlohmann::json toBinary(std::string_view bytes);
+std::string fromBinary(const nlohmann::json &json);
+
 /// The document in a JSON text, or nothing if it isn't JSON.
 std::optional<nlohmann::json> parseJson(std::string_view text);
 
--- a/src/http/linkpool.cpp
+++ b/src/http/linkpool.cpp
@@ -412,19 +412,6 @@
     }
 }
 
-void LinkPool::dropIdle(const SocketAddress &address)
-{
-    const auto it = m_idle.find(address.text());
-    if (it == m_idle.end()) {
-        return;
-    }
-    const std::deque<LinkPtr> links = std::move(it->second);
-    m_idle.erase(it);
-    for (const LinkPtr &link : links) {
-        link->close();
-    }
-}
-
 std::uint64_t LinkPool::connectionsOpened() const
 {
     return m_connectionsOpened;
--- a/src/http/linkpool.h
+++ b/src/http/linkpool.h
@@ -88,9 +88,6 @@
 
     OutgoingCall call(CallRequest request, CallHandlers handlers);
 
-    /// Closes the kept connections to an address, for instance when the peer there is gone.
-    void dropIdle(const SocketAddress &address);
-
     std::uint64_t connectionsOpened() const;
 
 private:
--- a/src/instance/programhome.cpp
+++ b/src/instance/programhome.cpp
@@ -1,5 +1,6 @@
 #include "instance/programhome.h"
 
+#include "core/codec.h"
 #include "core/log.h"
 
 #include <nlohmann/json.hpp>
@@ -16,23 +17,6 @@
 /// Homes that are asked one after the other.
 constexpr std::size_t MaxHomes = 3;
 
-std::string toBytes(const Json &json)
-{
-    const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
-    return {bytes.begin(), bytes.end()};
-}
-
-Json binary(const std::string &text)
-{
-    return Json::binary(Json::binary_t::container_type(text.begin(), text.end()));
-}
-
-std::string text(const Json &json)
-{
-    const auto &bytes = json.get_binary();
-    return {bytes.begin(), bytes.end()};
-}
-
 ProgramId lineKey(const ProgramId &program, const SessionId &session)
 {
     return ProgramId(program.value() + '/' + session.value());
@@ -101,7 +85,7 @@
     if (previous) {
         json["previous"] = *previous;
     }
-    return toBytes(json);
+    return toCbor(json);
 }
 
 std::optional<TurnBegin> TurnBegin::decode(const std::string &bytes)
@@ -128,11 +112,11 @@
     Json json = {{"verdict", static_cast<int>(verdict)},
                  {"lookup", static_cast<int>(chain.status)},
                  {"ids", chain.ids},
-                 {"text", binary(chain.text)},
+                 {"text", toBinary(chain.text)},
                  {"holder", holder}};
     addPrefix(json, cachedAt);
     addVersions(json, versions);
-    return toBytes(json);
+    return toCbor(json);
 }
 
 std::optional<TurnGrant> TurnGrant::decode(const std::string &bytes)
@@ -142,7 +126,7 @@
         grant.verdict = static_cast<BudgetVerdict>(json.at("verdict").get<int>());
         grant.chain.status = static_cast<TurnLookup::Status>(json.at("lookup").get<int>());
         grant.chain.ids = json.at("ids").get<std::vector<RequestId>>();
-        grant.chain.text = text(json.at("text"));
+        grant.chain.text = fromBinary(json.at("text"));
         grant.cachedAt = takePrefix(json);
         grant.holder = json.at("holder").get<HolderId>();
         grant.versions = takeVersions(json);
@@ -157,9 +141,9 @@
     addPrefix(json, cachedAt);
     if (turn) {
         json["turn"] = turn->id;
-        json["record"] = binary(turn->encode());
+        json["record"] = toBinary(turn->encode());
     }
-    return toBytes(json);
+    return toCbor(json);
 }
 
 std::optional<TurnEnd> TurnEnd::decode(const std::string &bytes)
@@ -172,7 +156,7 @@
         end.session = takeSession(json);
         end.cachedAt = takePrefix(json);
         if (json.contains("turn")) {
-            if (auto record = TurnRecord::decode(json.at("turn").get<RequestId>(), text(json.at("record")))) {
+            if (auto record = TurnRecord::decode(json.at("turn").get<RequestId>(), fromBinary(json.at("record")))) {
                 end.turn = std::make_shared<const TurnRecord>(std::move(*record));
             }
         }
--- a/src/serving/callfacts.h
+++ b/src/serving/callfacts.h
@@ -59,7 +59,6 @@
     bool isNotExecuted = false; ///< The endpoint has not run the request and never will.
     bool isOtherInstance = false; ///< Another endpoint has the address now.
     bool isEncoded = false; ///< The body isn't as the endpoint made it.
-    bool isEventStream = false;
     std::optional<EndpointLoad> load;
 };
 
--- a/src/serving/turnhistory.cpp
+++ b/src/serving/turnhistory.cpp
@@ -1,5 +1,7 @@
 #include "serving/turnhistory.h"
 
+#include "core/codec.h"
+
 #include <nlohmann/json.hpp>
 
 namespace flamingo
@@ -16,24 +18,12 @@
 {
     return turn.input.size() + turn.output.size() + RecordOverheadBytes;
 }
-
-Json binary(const std::string &text)
-{
-    return Json::binary(Json::binary_t::container_type(text.begin(), text.end()));
-}
-
-std::string text(const Json &json)
-{
-    const auto &bytes = json.get_binary();
-    return {bytes.begin(), bytes.end()};
-}
 } // namespace
 
 std::string TurnRecord::encode() const
 {
-    const Json json = {{"before", ancestors}, {"in", binary(input)}, {"out", binary(output)}, {"keep", retention.count()}};
-    const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
-    return {bytes.begin(), bytes.end()};
+    const Json json = {{"before", ancestors}, {"in", toBinary(input)}, {"out", toBinary(output)}, {"keep", retention.count()}};
+    return toCbor(json);
 }
 
 std::optional<TurnRecord> TurnRecord::decode(const RequestId &id, const std::string &bytes)
@@ -43,8 +33,8 @@
         TurnRecord turn;
         turn.id = id;
         turn.ancestors = json.at("before").get<std::vector<RequestId>>();
-        turn.input = text(json.at("in"));
-        turn.output = text(json.at("out"));
+        turn.input = fromBinary(json.at("in"));
+        turn.output = fromBinary(json.at("out"));
         turn.retention = Milliseconds(json.at("keep").get<std::int64_t>());
         return turn;
     } catch (const Json::exception &) {
