A starting control shows no ticket older than the one in force

So an older configuration was shown, and handed to peers, for some milliseconds.

Ruled out: an accepted ticket lost (the value came later), a peer's digest (peers hand on what they have in force, and were in the same state).

Change: what a watch names before the whole has been read waits until then.

--- a/src/configuration/configurationkeeper.cpp
+++ b/src/configuration/configurationkeeper.cpp
@@ -56,7 +56,18 @@
     }
 }
 
+// Keys come one by one and old ones too, so what they hold comes into force only on top of the whole.
 void ConfigurationKeeper::onKeysChanged(const std::vector<std::string> &keys)
+{
+    if (!m_hasRead) {
+        m_keysToRead.insert(keys.begin(), keys.end());
+        return;
+    }
+    readKeys(keys);
+}
+
+template<typename Keys>
+void ConfigurationKeeper::readKeys(const Keys &keys)
 {
     for (const std::string &key : keys) {
         StoreOperation operation;
@@ -177,6 +188,8 @@
     for (const auto &record : opened.records) {
         mergeRecord(record);
     }
+    m_hasRead = true;
+    readKeys(std::exchange(m_keysToRead, {}));
 }
 
 void ConfigurationKeeper::pumpReader(Instant now)
@@ -189,7 +202,6 @@
     for (const JournalEvent &event : m_reader->takeEvents()) {
         if (const auto *opened = std::get_if<JournalOpened>(&event)) {
             install(*opened);
-            m_hasRead = true;
         }
     }
     if (m_hasRead) {
@@ -205,10 +217,7 @@
     m_writer->advance(now);
     bool isLost = false;
     for (const JournalEvent &event : m_writer->takeEvents()) {
-        std::visit(Visitors{[this](const JournalOpened &opened) {
-                                install(opened);
-                                m_hasRead = true;
-                            },
+        std::visit(Visitors{[this](const JournalOpened &opened) { install(opened); },
                             [this](const RecordsCommitted &committed) {
                                 const auto submissions = m_submissions;
                                 for (const Submission &submission : submissions) {
--- a/src/configuration/configurationkeeper.h
+++ b/src/configuration/configurationkeeper.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -76,6 +77,8 @@
         std::uint64_t id;
     };
 
+    template<typename Keys>
+    void readKeys(const Keys &keys);
     void openWriter(Instant now);
     void processSubmissions();
     void decide(SubmissionId id, Result<void> result);
@@ -101,6 +104,7 @@
     std::vector<StoreOperation> m_operations;
     std::vector<TicketDecision> m_decisions;
     std::vector<ConfigObject> m_news;
+    std::set<std::string> m_keysToRead; ///< Reported by a watch before the whole has been read.
     bool m_hasRead = false;
 };
 
--- a/tests/unit/configurationtest.cpp
+++ b/tests/unit/configurationtest.cpp
@@ -116,6 +116,38 @@
     REQUIRE(second.configuration().pool(PoolId("llm")) != nullptr);
 }
 
+// A control that starts has its watch before it has read everything: the keys that it is told of stand for tickets old and
+// new, and come one by one.
+TEST_CASE("A starting control never shows an older ticket than the one in force", "[promises]")
+{
+    FakeStore store(1);
+    Instant now{};
+    ConfigurationKeeper first(InstanceId("a"), "1", quickSettings());
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        first.submit(poolTicket(number, "llm"), now);
+        settle({&first}, store, now);
+    }
+    const std::string prefix = ConfigurationKeeper::watchPrefix();
+    ConfigurationKeeper second(InstanceId("b"), "1", quickSettings());
+    const auto shown = [&] {
+        const auto it = second.configuration().objects().find({ObjectKind::Pool, "llm"});
+        return it == second.configuration().objects().end() ? std::uint64_t(0) : it->second.ticket.value();
+    };
+    for (const std::string &key : store.state().keys(prefix)) {
+        second.onKeysChanged({key});
+        settle({&second}, store, now, 20);
+        REQUIRE((shown() == 0 || shown() == 3));
+    }
+    second.readAll(now);
+    // What changes while it reads isn't missed.
+    first.submit(poolTicket(4, "llm"), now);
+    settle({&first}, store, now);
+    second.onKeysChanged(store.state().keys(prefix));
+    settle({&second}, store, now);
+    REQUIRE(second.hasRead());
+    REQUIRE(shown() == 4);
+}
+
 TEST_CASE("A ticket is undecided, not refused, while the store is away")
 {
     StoreFaults faults;
