One client of the platform's store for all programs

Cause: src/platform/storeclient spoke a store interface that the project had made up, beside platform/platformstore, which speaks the users'. Two clients, two wires, two stand-ins.

Change: JournalStore turns what the journals ask for into PlatformStore's calls, on a thread of its own; the old client, its wire and its stand-in are gone, KvStandin is also the program store-standin. Values come with a watch, so a control no longer reads a key for each key named. The list of instances has no counterpart on the platform; leaving endpoints are read from their registrations, a planned stop of an instance comes by SIGTERM. The proxy's CallRequest is now LinkRequest: programs had that name first.

Ruled out: keeping the old wire behind the new client (a second format for nobody).

--- a/src/configuration/configurationkeeper.cpp
+++ b/src/configuration/configurationkeeper.cpp
@@ -1,5 +1,6 @@
 #include "configuration/configurationkeeper.h"
 
+#include "core/log.h"
 #include "core/visitors.h"
 
 #include <fmt/format.h>
@@ -56,25 +57,15 @@
     }
 }
 
-// Keys come one by one and old ones too, so what they hold comes into force only on top of the whole.
-void ConfigurationKeeper::onKeysChanged(const std::vector<std::string> &keys)
+// Old entries are among them at first, so what they hold comes into force only on top of the whole.
+void ConfigurationKeeper::onWritten(const std::vector<StoreValue> &values)
 {
-    if (!m_hasRead) {
-        m_keysToRead.insert(keys.begin(), keys.end());
-        return;
-    }
-    readKeys(keys);
-}
-
-template<typename Keys>
-void ConfigurationKeeper::readKeys(const Keys &keys)
-{
-    for (const std::string &key : keys) {
-        StoreOperation operation;
-        operation.id = ++m_lastOperation;
-        operation.key = key;
-        m_routes[operation.id] = {Source::Key, 0};
-        m_operations.push_back(std::move(operation));
+    for (const StoreValue &it : values) {
+        if (m_hasRead) {
+            mergeEntry(it.value);
+        } else {
+            m_early[it.key] = it.value;
+        }
     }
 }
 
@@ -104,6 +95,18 @@
     }
 }
 
+void ConfigurationKeeper::mergeEntry(const std::string &bytes)
+{
+    const auto entry = decodeEntry(bytes);
+    if (!entry) {
+        logChange("configuration-entry-unreadable", "bytes={}", bytes.size());
+        return;
+    }
+    for (const auto &record : entry->records) {
+        mergeRecord(record);
+    }
+}
+
 SubmissionId ConfigurationKeeper::submit(Ticket ticket, Instant now)
 {
     Submission submission;
@@ -166,13 +169,6 @@
         m_writer->onReply(routed, now);
     } else if (route.source == Source::Reader && m_reader) {
         m_reader->onReply(routed, now);
-    } else if (route.source == Source::Key && reply.status == StoreReply::Status::Done) {
-        const auto entry = decodeEntry(reply.value);
-        if (entry) {
-            for (const auto &record : entry->records) {
-                mergeRecord(record);
-            }
-        }
     }
     advance(now);
 }
@@ -189,7 +185,9 @@
         mergeRecord(record);
     }
     m_hasRead = true;
-    readKeys(std::exchange(m_keysToRead, {}));
+    for (const auto &[key, bytes] : std::exchange(m_early, {})) {
+        mergeEntry(bytes);
+    }
 }
 
 void ConfigurationKeeper::pumpReader(Instant now)
--- a/src/configuration/configurationkeeper.h
+++ b/src/configuration/configurationkeeper.h
@@ -7,7 +7,6 @@
 #include <deque>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -38,8 +37,8 @@
     /// Reads the whole configuration from the store. Reading again while a read is under way does nothing.
     void readAll(Instant now);
 
-    /// A watch has seen these keys change.
-    void onKeysChanged(const std::vector<std::string> &keys);
+    /// A watch has seen these keys of the journal written.
+    void onWritten(const std::vector<StoreValue> &values);
 
     /// Takes in accepted objects from a peer.
     void learn(const std::vector<ConfigObject> &objects);
@@ -71,14 +70,12 @@
         RecordIndex record = 0; ///< 0 until it has been appended.
         bool wasAppended = false;
     };
-    enum class Source { Writer, Reader, Key };
+    enum class Source { Writer, Reader };
     struct Route {
         Source source;
         std::uint64_t id;
     };
 
-    template<typename Keys>
-    void readKeys(const Keys &keys);
     void openWriter(Instant now);
     void processSubmissions();
     void decide(SubmissionId id, Result<void> result);
@@ -87,6 +84,7 @@
     void collect(ShardJournal &journal, Source source);
     void install(const JournalOpened &opened);
     void merge(const ConfigObject &object);
+    void mergeEntry(const std::string &bytes);
     void mergeRecord(const nlohmann::json &record);
     void expire(Instant now);
 
@@ -104,7 +102,7 @@
     std::vector<StoreOperation> m_operations;
     std::vector<TicketDecision> m_decisions;
     std::vector<ConfigObject> m_news;
-    std::set<std::string> m_keysToRead; ///< Reported by a watch before the whole has been read.
+    std::map<std::string, std::string> m_early; ///< Written keys that a watch reported before the whole has been read.
     bool m_hasRead = false;
 };
 
--- a/src/control/controlcore.cpp
+++ b/src/control/controlcore.cpp
@@ -317,21 +317,16 @@
         return;
     }
     m_watchRevision = result.revision;
-    m_keeper.onKeysChanged(result.keys);
+    m_keeper.onWritten(result.values);
     pumpKeeper();
 }
 
-void ControlCore::onInstancesListed(const std::vector<ListedInstance> &instances)
+void ControlCore::onEndpointsListed(const std::vector<EndpointEntry> &endpoints)
 {
     std::vector<EndpointId> leaving;
-    for (const ListedInstance &listed : instances) {
-        if (!listed.isLeaving) {
-            continue;
-        }
-        if (listed.id == m_settings.id.value()) {
-            drainSelf();
-        } else if (m_keeper.configuration().endpoint(EndpointId(listed.id))) {
-            leaving.emplace_back(listed.id);
+    for (const EndpointEntry &listed : endpoints) {
+        if (listed.isLeaving && m_keeper.configuration().endpoint(listed.id)) {
+            leaving.push_back(listed.id);
         }
     }
     if (leaving != m_listedLeaving) {
@@ -514,7 +509,7 @@
         compareWithPeer();
     }
     if (isDue(m_nextListing, ListingPeriod)) {
-        m_actions.emplace_back(ListPlatformInstances{});
+        m_actions.emplace_back(ListRegisteredEndpoints{});
     }
     expire();
     pumpKeeper();
--- a/src/control/controlcore.h
+++ b/src/control/controlcore.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include "configuration/configurationkeeper.h"
+#include "journal/storeoperation.h"
 #include "membership/membership.h"
 #include "peerlink/messages.h"
 #include "peerlink/peerlink.h"
-#include "platform/storeclient.h"
+#include "serving/endpointentry.h"
 #include "settings/instancesettings.h"
 
 #include <functional>
@@ -41,11 +42,11 @@
     std::uint64_t afterRevision = 0;
 };
 
-struct ListPlatformInstances {
+struct ListRegisteredEndpoints {
 };
 
 /// What the control's decisions ask the threads with the wires to do.
-using ControlAction = std::variant<SendGossip, SendOnControlLink, SendToControlPeer, CallConfigStore, WatchConfig, ListPlatformInstances>;
+using ControlAction = std::variant<SendGossip, SendOnControlLink, SendToControlPeer, CallConfigStore, WatchConfig, ListRegisteredEndpoints>;
 
 /// All decisions of a control process: membership, tickets, and the spreading of both. It does no I/O and reads no clock.
 class ControlCore
@@ -64,7 +65,7 @@
     void onLinkDown(LinkId link);
     void onStoreReply(const StoreReply &reply);
     void onWatch(const WatchResult &result);
-    void onInstancesListed(const std::vector<ListedInstance> &instances);
+    void onEndpointsListed(const std::vector<EndpointEntry> &endpoints);
 
     /// To be called every few milliseconds.
     void onTimer();
--- a/src/control/controldaemon.cpp
+++ b/src/control/controldaemon.cpp
@@ -54,9 +54,9 @@
                                 decide([this, result = std::move(result)] { m_core.onWatch(result); });
                             });
                         },
-                        [this](ListPlatformInstances &) {
-                            m_store->listInstances([this](std::vector<ListedInstance> instances) {
-                                decide([this, instances = std::move(instances)] { m_core.onInstancesListed(instances); });
+                        [this](ListRegisteredEndpoints &) {
+                            m_store->listEndpoints([this](std::vector<EndpointEntry> endpoints) {
+                                decide([this, endpoints = std::move(endpoints)] { m_core.onEndpointsListed(endpoints); });
                             });
                         }},
                action);
@@ -64,7 +64,7 @@
 
 void ControlDaemon::openWires()
 {
-    m_store = std::make_unique<StoreClient>(m_settings.platform.text(), m_metrics);
+    m_store = std::make_unique<JournalStore>(m_settings.platform, m_metrics);
     m_gossip = std::make_unique<GossipSocket>(m_settings.controlGossip.host, m_settings.controlGossip.port, m_settings.peerSecret, [this](std::string payload) {
         decide([this, payload = std::move(payload)] {
             if (const auto message = decodeGossip(payload)) {
--- a/src/control/controldaemon.h
+++ b/src/control/controldaemon.h
@@ -5,8 +5,8 @@
 #include "control/operatorapi.h"
 #include "core/worker.h"
 #include "http/httpserver.h"
+#include "lasting/journalstore.h"
 #include "peerlink/peerlink.h"
-#include "platform/storeclient.h"
 
 #include <functional>
 #include <memory>
@@ -36,7 +36,7 @@
     Worker m_decisions;
     std::unique_ptr<GossipSocket> m_gossip;
     std::unique_ptr<PeerLink> m_peers;
-    std::unique_ptr<StoreClient> m_store;
+    std::unique_ptr<JournalStore> m_store;
     OperatorApi m_api;
     std::unique_ptr<HttpServer> m_http;
 };
--- a/tests/platform/loopthread.h
+++ b/src/core/loopthread.h
@@ -8,7 +8,7 @@
 namespace flamingo
 {
 
-/// An event loop on a thread of its own, for stand-ins inside a test.
+/// An event loop on a thread of its own.
 class LoopThread
 {
 public:
--- a/src/http/linkpool.cpp
+++ b/src/http/linkpool.cpp
@@ -53,7 +53,7 @@
     {
     }
 
-    void begin(CallRequest request, CallHandlers handlers)
+    void begin(LinkRequest request, CallHandlers handlers)
     {
         m_request = std::move(request);
         m_handlers = std::move(handlers);
@@ -305,7 +305,7 @@
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_connectTimer;
     LinkPool *m_pool;
-    CallRequest m_request;
+    LinkRequest m_request;
     CallHandlers m_handlers;
     MessageParser m_parser{MessageParser::Kind::Responses};
     std::string m_out;
@@ -354,7 +354,7 @@
     }
 }
 
-OutgoingCall LinkPool::call(CallRequest request, CallHandlers handlers)
+OutgoingCall LinkPool::call(LinkRequest request, CallHandlers handlers)
 {
     LinkPtr link = takeIdle(request);
     if (!link) {
@@ -365,7 +365,7 @@
     return {link, link->callNumber()};
 }
 
-LinkPool::LinkPtr LinkPool::takeIdle(const CallRequest &request)
+LinkPool::LinkPtr LinkPool::takeIdle(const LinkRequest &request)
 {
     const std::string address = request.address.text();
     const Instant now = std::chrono::steady_clock::now();
--- a/src/http/linkpool.h
+++ b/src/http/linkpool.h
@@ -30,7 +30,7 @@
 };
 
 /// A request to a peer, endpoint or store.
-struct CallRequest {
+struct LinkRequest {
     SocketAddress address;
     MessageHead head;
     std::string body;
@@ -86,7 +86,7 @@
     LinkPool(const LinkPool &) = delete;
     LinkPool &operator=(const LinkPool &) = delete;
 
-    OutgoingCall call(CallRequest request, CallHandlers handlers);
+    OutgoingCall call(LinkRequest request, CallHandlers handlers);
 
     std::uint64_t connectionsOpened() const;
 
@@ -94,7 +94,7 @@
     friend class detail::Link;
     using LinkPtr = std::shared_ptr<detail::Link>;
 
-    LinkPtr takeIdle(const CallRequest &request);
+    LinkPtr takeIdle(const LinkRequest &request);
     void keep(const LinkPtr &link);
     void forget(const detail::Link *link);
 
--- a/src/http/simplecall.cpp
+++ b/src/http/simplecall.cpp
@@ -32,7 +32,7 @@
 {
     auto sending = std::make_shared<Sending>();
     sending->onAnswer = std::move(onAnswer);
-    CallRequest request;
+    LinkRequest request;
     request.address = call.address;
     request.head.method = std::move(call.method);
     request.head.target = std::move(call.target);
--- a/src/instance/isolationwatch.cpp
+++ b/src/instance/isolationwatch.cpp
@@ -56,7 +56,7 @@
 
 void IsolationWatch::ping(const FleetMember &member)
 {
-    CallRequest request;
+    LinkRequest request;
     request.address = member.peers;
     request.head.method = "GET";
     request.head.target = PingPath;
--- a/src/instance/relay.cpp
+++ b/src/instance/relay.cpp
@@ -189,7 +189,7 @@
     }
 }
 
-CallRequest Relay::buildCall(const EndpointEntry &endpoint, Instant now) const
+LinkRequest Relay::buildCall(const EndpointEntry &endpoint, Instant now) const
 {
     platform::SendFacts facts;
     facts.expected = endpoint.id;
@@ -200,7 +200,7 @@
     if (!m_lastEvent.empty()) {
         facts.lastEvent = m_lastEvent;
     }
-    CallRequest request;
+    LinkRequest request;
     request.address = endpoint.address;
     request.head = platform::encodeCall(m_request.head, facts);
     request.body = m_body;
--- a/src/instance/relay.h
+++ b/src/instance/relay.h
@@ -47,7 +47,7 @@
     void reportEnd(Tokens used, TurnRecordPtr turn);
     void enqueue();
     void send(const EndpointEntry &endpoint, const std::string &reason);
-    CallRequest buildCall(const EndpointEntry &endpoint, Instant now) const;
+    LinkRequest buildCall(const EndpointEntry &endpoint, Instant now) const;
 
     void onHead(const MessageHead &head);
     void onBody(std::string_view bytes);
--- a/src/journal/storeoperation.h
+++ b/src/journal/storeoperation.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace flamingo
 {
@@ -35,4 +36,17 @@
     std::string value;
 };
 
+/// A key with what it holds.
+struct StoreValue {
+    std::string key;
+    std::string value;
+};
+
+/// What a watch has seen.
+struct WatchResult {
+    bool isOk = false;
+    std::uint64_t revision = 0; ///< Where the next watch goes on.
+    std::vector<StoreValue> values; ///< Keys that have been written; removals are left out.
+};
+
 } // namespace flamingo
--- /dev/null
+++ b/src/lasting/journalstore.cpp
@@ -0,0 +1,167 @@
+#include "lasting/journalstore.h"
+
+#include "platform/recordcodec.h"
+
+#include <utility>
+
+namespace flamingo
+{
+
+namespace
+{
+constexpr Milliseconds WatchTime{10000};
+
+using Changes = tl::expected<platform::StoreChanges, platform::StoreFailure>;
+
+WatchResult resultOf(Changes changes)
+{
+    WatchResult result;
+    if (!changes) {
+        return result;
+    }
+    result.isOk = true;
+    result.revision = changes->at;
+    for (platform::StoreItem &item : changes->items) {
+        if (item.revision != 0) {
+            result.values.push_back({std::move(item.key), std::move(item.data)});
+        }
+    }
+    return result;
+}
+
+StoreReply replyTo(const StoreOperation &operation, StoreReply::Status status, StoreVersion version = 0, std::string value = {})
+{
+    return {operation.id, status, version, std::move(value)};
+}
+} // namespace
+
+/// Reads all pages of a prefix. What changes meanwhile is behind the first page's revision.
+struct JournalStore::Listing {
+    std::string prefix;
+    std::string after;
+    bool isFirstPage = true;
+    WatchResult result;
+    std::function<void(WatchResult)> onResult;
+};
+
+JournalStore::JournalStore(SocketAddress address, Metrics &metrics)
+    : m_store(m_thread.loop.context(), std::move(address), metrics)
+{
+}
+
+JournalStore::~JournalStore()
+{
+    m_thread.stop();
+}
+
+void JournalStore::perform(StoreOperation operation, std::function<void(StoreReply)> onReply)
+{
+    asio::post(m_thread.loop.context(), [this, operation = std::move(operation), onReply = std::move(onReply)]() mutable {
+        if (operation.kind == StoreOperation::Kind::Read) {
+            read(operation, std::move(onReply));
+        } else {
+            change(operation, std::move(onReply));
+        }
+    });
+}
+
+void JournalStore::read(const StoreOperation &operation, std::function<void(StoreReply)> onReply)
+{
+    m_store.read(operation.key, [operation, onReply = std::move(onReply)](tl::expected<platform::StoreItem, platform::StoreFailure> item) {
+        if (!item) {
+            onReply(replyTo(operation, StoreReply::Status::Unknown));
+        } else if (item->revision == 0) {
+            onReply(replyTo(operation, StoreReply::Status::Absent));
+        } else {
+            onReply(replyTo(operation, StoreReply::Status::Done, item->revision, std::move(item->data)));
+        }
+    });
+}
+
+void JournalStore::change(const StoreOperation &operation, std::function<void(StoreReply)> onReply)
+{
+    platform::StoreTransaction transaction;
+    if (operation.kind == StoreOperation::Kind::Write) {
+        transaction.expected.push_back({operation.key, operation.expectedVersion});
+        transaction.writes.push_back({operation.key, operation.value});
+    } else {
+        transaction.removals.push_back(operation.key);
+    }
+    m_store.commit(transaction, [operation, onReply = std::move(onReply)](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
+        if (!result) {
+            onReply(replyTo(operation, StoreReply::Status::Unknown));
+        } else if (!result->isDone) {
+            onReply(replyTo(operation, StoreReply::Status::Conflict));
+        } else {
+            onReply(replyTo(operation, StoreReply::Status::Done, result->revision));
+        }
+    });
+}
+
+void JournalStore::watch(const std::string &prefix, std::uint64_t afterRevision, std::function<void(WatchResult)> onResult)
+{
+    asio::post(m_thread.loop.context(), [this, prefix, afterRevision, onResult = std::move(onResult)]() mutable {
+        if (afterRevision == 0) {
+            listAll(prefix, std::move(onResult));
+            return;
+        }
+        m_store.watch(prefix, afterRevision, WatchTime, [this, prefix, onResult = std::move(onResult)](Changes changes) mutable {
+            if (!changes && changes.error().kind == platform::StoreFailure::Kind::HistoryGone) {
+                listAll(prefix, std::move(onResult));
+            } else {
+                onResult(resultOf(std::move(changes)));
+            }
+        });
+    });
+}
+
+void JournalStore::listAll(const std::string &prefix, std::function<void(WatchResult)> onResult)
+{
+    auto listing = std::make_shared<Listing>();
+    listing->prefix = prefix;
+    listing->onResult = std::move(onResult);
+    list(listing);
+}
+
+void JournalStore::list(const std::shared_ptr<Listing> &listing)
+{
+    m_store.list(listing->prefix, listing->after, [this, listing](tl::expected<platform::StorePage, platform::StoreFailure> page) {
+        if (!page) {
+            listing->onResult({});
+            return;
+        }
+        if (std::exchange(listing->isFirstPage, false)) {
+            listing->result.revision = page->at;
+        }
+        for (platform::StoreItem &item : page->items) {
+            listing->after = item.key;
+            listing->result.values.push_back({std::move(item.key), std::move(item.data)});
+        }
+        if (page->hasMore && !page->items.empty()) {
+            list(listing);
+            return;
+        }
+        listing->result.isOk = true;
+        listing->onResult(std::move(listing->result));
+    });
+}
+
+void JournalStore::listEndpoints(std::function<void(std::vector<EndpointEntry>)> onList)
+{
+    asio::post(m_thread.loop.context(), [this, onList = std::move(onList)]() mutable {
+        listAll(platform::EndpointPrefix, [onList = std::move(onList)](const WatchResult &result) {
+            if (!result.isOk) {
+                return;
+            }
+            std::vector<EndpointEntry> endpoints;
+            for (const StoreValue &it : result.values) {
+                if (auto endpoint = platform::decodeEndpoint(it.key, it.value)) {
+                    endpoints.push_back(std::move(*endpoint));
+                }
+            }
+            onList(std::move(endpoints));
+        });
+    });
+}
+
+} // namespace flamingo
--- a/src/scheduler/schedulerdaemon.cpp
+++ b/src/scheduler/schedulerdaemon.cpp
@@ -98,7 +98,7 @@
 
 int SchedulerDaemon::run()
 {
-    m_store = std::make_unique<StoreClient>(m_settings.platform.text(), m_metrics);
+    m_store = std::make_unique<JournalStore>(m_settings.platform, m_metrics);
     m_endpoints = std::make_unique<EndpointClient>(
         [this](AttemptId attempt, std::string text) { decide([this, attempt, text = std::move(text)] { m_core.onAttemptDelta(attempt, text); }); },
         [this](EndpointResult result) { decide([this, result = std::move(result)] { m_core.onAttemptResult(result); }); },
--- a/src/scheduler/schedulerdaemon.h
+++ b/src/scheduler/schedulerdaemon.h
@@ -3,8 +3,8 @@
 #include "core/worker.h"
 #include "endpoints/endpointclient.h"
 #include "http/httpserver.h"
+#include "lasting/journalstore.h"
 #include "peerlink/peerlink.h"
-#include "platform/storeclient.h"
 #include "scheduler/schedulercore.h"
 #include "settings/instancesettings.h"
 
@@ -39,7 +39,7 @@
     Worker m_decisions;
     LinkId m_controlLink = 0;
     std::unique_ptr<PeerLink> m_peers;
-    std::unique_ptr<StoreClient> m_store;
+    std::unique_ptr<JournalStore> m_store;
     std::unique_ptr<EndpointClient> m_endpoints;
     std::unique_ptr<HttpServer> m_http;
 };
--- a/tests/measure/idle.cpp
+++ b/tests/measure/idle.cpp
@@ -67,7 +67,7 @@
         through.push_back(timed([&] { (void)client.operate("lookup", "crane"); }));
         store.push_back(timed([&] {
             HttpRequest request;
-            request.url = fmt::format("http://127.0.0.1:{}/v1/kv/shard/0/journal/0", deployment.storePort());
+            request.url = fmt::format("http://127.0.0.1:{}/kv-key?key=shard/0/journal/0", deployment.storePort());
             (void)http.sendAndWait(std::move(request));
         }));
     }
--- a/tests/platform/scriptedendpoint.h
+++ b/tests/platform/scriptedendpoint.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "core/loopthread.h"
 #include "core/settingsreader.h"
 #include "http/messageparser.h"
-#include "platform/loopthread.h"
 
 #include <atomic>
 #include <functional>
--- a/tests/platform/testinstance.h
+++ b/tests/platform/testinstance.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "harness/childprocess.h"
-#include "platform/kvstandin.h"
 #include "platform/scriptedendpoint.h"
+#include "standins/kvstandin.h"
 
 #include <filesystem>
 #include <memory>
--- a/tests/platform/kvstandin.cpp
+++ b/tests/standins/kvstandin.cpp
@@ -1,4 +1,4 @@
-#include "platform/kvstandin.h"
+#include "standins/kvstandin.h"
 
 #include "core/base64.h"
 
@@ -12,7 +12,10 @@
 {
 using Json = nlohmann::json;
 
-constexpr Milliseconds WatchCheckPeriod{20};
+constexpr Milliseconds WatchCheckPeriod{5};
+constexpr double DefaultWrites = 500; // A second.
+constexpr double DefaultReads = 2000; // A second.
+constexpr std::size_t MaxValueBytes = std::size_t(1024) * 1024;
 
 std::string unescaped(const std::string &text)
 {
@@ -38,19 +41,19 @@
     return unescaped(target.substr(begin, target.find('&', begin) - begin));
 }
 
-void answer(const ServerConnectionPtr &connection, int status, const Json &json)
+std::uint16_t freePort(asio::io_context &context)
 {
-    HeaderFields fields;
-    fields.add("Content-Type", "application/json");
-    connection->respond(status, fields, json.dump());
+    const asio::ip::tcp::acceptor probe(context, {asio::ip::make_address("127.0.0.1"), 0});
+    return probe.local_endpoint().port();
 }
 } // namespace
 
-KvStandin::KvStandin()
+KvStandin::KvStandin(std::uint16_t port, std::uint64_t seed)
+    : m_port(port != 0 ? port : freePort(m_thread.loop.context()))
+    , m_random(seed)
+    , m_writes{DefaultWrites, DefaultWrites}
+    , m_reads{DefaultReads, DefaultReads}
 {
-    asio::ip::tcp::acceptor probe(m_thread.loop.context(), {asio::ip::make_address("127.0.0.1"), 0});
-    m_port = probe.local_endpoint().port();
-    probe.close();
     m_thread.call([this] {
         m_server = std::make_unique<ConnectionSet>(
             m_thread.loop.context(),
@@ -148,25 +151,100 @@
     return {{"key", key}, {"data", it->second.data}, {"revision", it->second.revision}, {"created", it->second.created}, {"lease-id", 0}, {"at", m_revision}};
 }
 
+bool KvStandin::RateLimit::take(Instant now)
+{
+    const std::chrono::duration<double> elapsed = now - last;
+    last = now;
+    left = std::min(perSecond, left + elapsed.count() * perSecond);
+    if (left < 1) {
+        return false;
+    }
+    left -= 1;
+    return true;
+}
+
+bool KvStandin::isWithin(RateLimit &limit, const char *call, const ServerConnectionPtr &connection)
+{
+    ++m_counts[call];
+    if (limit.take(std::chrono::steady_clock::now())) {
+        return true;
+    }
+    ++m_counts["limited"];
+    answer(connection, 429, Json::object());
+    return false;
+}
+
+void KvStandin::answer(const ServerConnectionPtr &connection, int status, const Json &json)
+{
+    const auto respond = [connection, status, body = json.dump()] {
+        HeaderFields fields;
+        fields.add("Content-Type", "application/json");
+        connection->respond(status, fields, body);
+    };
+    if (m_delay.count() == 0) {
+        respond();
+    } else {
+        m_thread.loop.timers().at(std::chrono::steady_clock::now() + m_delay, [respond](Instant) { respond(); });
+    }
+}
+
+void KvStandin::administer(const ServerConnectionPtr &connection, const std::string &body)
+{
+    const Json json = Json::parse(body, nullptr, false);
+    if (json.is_object()) {
+        if (json.contains("down")) {
+            m_trouble = json["down"].get<bool>() ? Trouble::Silent : Trouble::None;
+        }
+        m_delay = Milliseconds(json.value("delay_ms", m_delay.count()));
+        m_lostShare = json.value("lose_answers", m_lostShare);
+        m_listLag = Milliseconds(json.value("list_lag_ms", m_listLag.count()));
+        m_writes.perSecond = json.value("writes_per_second", DefaultWrites);
+        m_reads.perSecond = json.value("reads_per_second", DefaultReads);
+        for (const auto &id : json.value("leaving", std::vector<std::string>())) {
+            m_thread.loop.timers().at(std::chrono::steady_clock::now() + m_listLag, [this, id](Instant) { registerLeaving(id); });
+        }
+    }
+    HeaderFields fields;
+    fields.add("Content-Type", "application/json");
+    connection->respond(200, fields, Json(m_counts).dump());
+}
+
+void KvStandin::registerLeaving(const std::string &endpoint)
+{
+    const Json entry = {{"service", "any"}, {"address", "127.0.0.1:1"}, {"zone", "any"}, {"slots", 1}, {"state", "draining"}, {"sequence", 1}};
+    set("servers/" + endpoint, encodeBase64(entry.dump()));
+}
+
 void KvStandin::onRequest(const ServerConnectionPtr &connection, const ServerRequest &request)
 {
-    const std::string &target = request.head.target;
-    if (m_trouble == Trouble::Refuses) {
+    if (request.head.target == "/admin") {
+        administer(connection, request.body);
+    } else if (m_trouble == Trouble::Refuses) {
         answer(connection, 503, Json::object());
-        return;
-    }
-    if (m_trouble == Trouble::Silent) {
-        return;
+    } else if (m_trouble == Trouble::Silent) {
+        m_unanswered.push_back(connection);
+    } else {
+        serve(connection, request);
     }
+}
+
+void KvStandin::serve(const ServerConnectionPtr &connection, const ServerRequest &request)
+{
+    const std::string &target = request.head.target;
     if (target.rfind("/kv-key", 0) == 0) {
-        readKey(connection, parameter(target, "key"));
+        if (isWithin(m_reads, "read", connection)) {
+            readKey(connection, parameter(target, "key"));
+        }
     } else if (target.rfind("/kv-range", 0) == 0) {
-        readRange(connection, parameter(target, "prefix"), parameter(target, "after"));
+        if (isWithin(m_reads, "list", connection)) {
+            readRange(connection, parameter(target, "prefix"), parameter(target, "after"));
+        }
     } else if (target.rfind("/kv-watch", 0) == 0) {
+        ++m_counts["watch"];
         const auto after = std::strtoull(parameter(target, "after").c_str(), nullptr, 10);
         const Milliseconds wait(std::atoll(parameter(target, "wait-ms").c_str()));
         watch(connection, {connection, parameter(target, "prefix"), after, std::chrono::steady_clock::now() + wait});
-    } else {
+    } else if (isWithin(m_writes, "write", connection)) {
         commit(connection, request.body);
     }
 }
@@ -246,6 +324,12 @@
         isExpected = isExpected && revision == expected["revision"].get<std::uint64_t>();
         present.push_back(itemJson(expected["key"].get<std::string>()));
     }
+    for (const Json &write : json["write"]) {
+        if (decodeBase64(write["data"].get<std::string>()).value_or("").size() > MaxValueBytes) {
+            answer(connection, 413, Json::object());
+            return;
+        }
+    }
     if (isExpected) {
         for (const Json &write : json["write"]) {
             set(write["key"].get<std::string>(), write["data"].get<std::string>());
@@ -254,7 +338,9 @@
             erase(key.get<std::string>());
         }
     }
-    if (m_trouble == Trouble::LosesAnswers) {
+    if (m_trouble == Trouble::LosesAnswers || (isExpected && std::uniform_real_distribution<>(0, 1)(m_random) < m_lostShare)) {
+        ++m_counts["lost-answer"];
+        m_unanswered.push_back(connection);
         return;
     }
     if (isExpected) {
--- a/tests/platform/kvstandin.h
+++ b/tests/standins/kvstandin.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "core/loopthread.h"
 #include "core/settingsreader.h"
 #include "http/connectionset.h"
-#include "platform/loopthread.h"
 
 #include <nlohmann/json.hpp>
 
@@ -10,13 +10,17 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
 namespace flamingo
 {
 
-/// A stand-in for the platform's store: keys with revisions, ranges, watches and transactions, and its troubles.
+/// A stand-in for the platform's store: keys with revisions, ranges, watches and transactions, and its troubles. Besides
+/// the troubles below, POST /admin with a JSON object switches: down, delay_ms, lose_answers (share of transactions whose
+/// answer is dropped after they took effect), writes_per_second, reads_per_second, list_lag_ms, leaving (ids of endpoints
+/// that register themselves as leaving after that lag). It answers with counts of the calls by kind.
 class KvStandin
 {
 public:
@@ -28,7 +32,8 @@
         LosesAnswers, ///< Makes changes without answering.
     };
 
-    KvStandin();
+    /// Port 0 chooses a free one.
+    explicit KvStandin(std::uint16_t port = 0, std::uint64_t seed = 1);
     ~KvStandin();
 
     SocketAddress address() const;
@@ -60,6 +65,14 @@
         std::string key;
         bool isDeleted = false;
     };
+    /// Calls a second that are served; those above are refused.
+    struct RateLimit {
+        double perSecond = 0;
+        double left = 0;
+        Instant last = std::chrono::steady_clock::now();
+
+        bool take(Instant now);
+    };
     struct Waiting {
         std::weak_ptr<ServerConnection> connection;
         std::string prefix;
@@ -68,6 +81,11 @@
     };
 
     void onRequest(const ServerConnectionPtr &connection, const ServerRequest &request);
+    void serve(const ServerConnectionPtr &connection, const ServerRequest &request);
+    void administer(const ServerConnectionPtr &connection, const std::string &body);
+    void registerLeaving(const std::string &endpoint);
+    bool isWithin(RateLimit &limit, const char *call, const ServerConnectionPtr &connection);
+    void answer(const ServerConnectionPtr &connection, int status, const nlohmann::json &json);
     void readKey(const ServerConnectionPtr &connection, const std::string &key);
     void readRange(const ServerConnectionPtr &connection, const std::string &prefix, const std::string &after);
     void watch(const ServerConnectionPtr &connection, const Waiting &waiting);
@@ -87,6 +105,14 @@
     std::uint64_t m_revision = 10;
     std::uint64_t m_compactedTo = 0;
     Trouble m_trouble = Trouble::None;
+    std::mt19937_64 m_random;
+    double m_lostShare = 0;
+    Milliseconds m_delay{0};
+    Milliseconds m_listLag{3000};
+    RateLimit m_writes;
+    RateLimit m_reads;
+    std::vector<ServerConnectionPtr> m_unanswered;
+    std::map<std::string, std::uint64_t> m_counts;
     std::atomic<int> m_commits{0};
 };
 
--- a/tests/unit/configurationtest.cpp
+++ b/tests/unit/configurationtest.cpp
@@ -116,8 +116,7 @@
     REQUIRE(second.configuration().pool(PoolId("llm")) != nullptr);
 }
 
-// A control that starts has its watch before it has read everything: the keys that it is told of stand for tickets old and
-// new, and come one by one.
+// A control that starts has its watch before it has read everything: the keys that it is told of hold tickets old and new.
 TEST_CASE("A starting control never shows an older ticket than the one in force", "[promises]")
 {
     FakeStore store(1);
@@ -133,8 +132,15 @@
         const auto it = second.configuration().objects().find({ObjectKind::Pool, "llm"});
         return it == second.configuration().objects().end() ? std::uint64_t(0) : it->second.ticket.value();
     };
-    for (const std::string &key : store.state().keys(prefix)) {
-        second.onKeysChanged({key});
+    const auto written = [&] {
+        std::vector<StoreValue> values;
+        for (const std::string &key : store.state().keys(prefix)) {
+            values.push_back({key, store.state().read(key)->bytes});
+        }
+        return values;
+    };
+    for (const StoreValue &value : written()) {
+        second.onWritten({value});
         settle({&second}, store, now, 20);
         REQUIRE((shown() == 0 || shown() == 3));
     }
@@ -142,7 +148,7 @@
     // What changes while it reads isn't missed.
     first.submit(poolTicket(4, "llm"), now);
     settle({&first}, store, now);
-    second.onKeysChanged(store.state().keys(prefix));
+    second.onWritten(written());
     settle({&second}, store, now);
     REQUIRE(second.hasRead());
     REQUIRE(shown() == 4);
