A program that begins in an outage of the store runs on half of its budget, lent by its home

Change: a program's first home, by a rule that needs no call and that two instances never both meet (Lender), lends half; whoever else creates the program's record leaves that half alone, less one turn. Loans are told to the store when it is back; an instance leaves the list only with all loans told, and its next life knows that by its departure record.

Known limit: a home that nobody reaches for three minutes while it reaches the store may lend to a program that others run.

--- a/src/core/time.h
+++ b/src/core/time.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace flamingo
 {
@@ -18,4 +19,12 @@
     return std::chrono::duration_cast<Milliseconds>(duration).count();
 }
 
+/// Now, by a clock that goes on while the machine is suspended; its readings don't mix with those of the monotonic clock.
+inline Instant suspendAwareNow()
+{
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return Instant(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
 } // namespace flamingo
--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -3,6 +3,7 @@
 #include "core/commandline.h"
 #include "core/digest.h"
 #include "core/log.h"
+#include "serving/departure.h"
 
 #include <fmt/format.h>
 
@@ -24,8 +25,6 @@
 constexpr Milliseconds KillMargin{400};
 constexpr Milliseconds HousekeepingPeriod{5000};
 constexpr Milliseconds PlacementPeriod{40};
-/// Programs may come back for as long as their turns are kept; their budgets are kept well beyond.
-constexpr Milliseconds BudgetIdle{180000};
 /// A prompt that nobody has continued for this long has left the endpoint's cache.
 constexpr Milliseconds PrefixLife{30000};
 /// Share of the process's memory that recent turns may take.
@@ -74,7 +73,13 @@
     , m_fleet(m_settings.instance, m_settings.domain)
     , m_placement(rules(), m_settings.domain, m_directory)
     , m_holder(newHolder(m_settings.instance))
-    , m_budgets(m_holder, m_budgetStore, [this](const HolderId &holder) { return m_fleet.liveHolder(holder, std::chrono::steady_clock::now()).has_value(); })
+    , m_lender(m_fleet, suspendAwareNow())
+    , m_budgets(m_holder,
+                m_budgetStore,
+                {[this](const HolderId &holder) { return m_fleet.liveHolder(holder, std::chrono::steady_clock::now()).has_value(); },
+                 [this](const ProgramId &program) { return m_lender.mayLend(program, suspendAwareNow()); },
+                 [this](const ProgramId &program) { return m_lender.isSoleLender(program, suspendAwareNow()); },
+                 [this] { return m_store.isSuspect(); }})
     , m_archiveLinks(m_loop.context(), {MaxIdlePerPeer, PeerUnacknowledged})
     , m_archivedTurns(m_loop.context(), m_fleet, m_archiveLinks, m_turnStore, m_settings.toleratedMachines)
     , m_history(m_archivedTurns, historyBytes(m_settings))
@@ -82,7 +87,12 @@
     , m_peerLinks(m_loop.context(), {MaxIdlePerPeer, PeerUnacknowledged})
     , m_home(m_budgets, m_history, m_settings.instance)
     , m_homes(m_loop.context(), m_fleet, m_home, m_peerLinks, {[this] { return m_feed.versions(); }, [this](const RegistryVersions &it) { m_feed.onTold(it); }})
-    , m_feed(m_store, m_loop.timers(), m_routes, m_directory, m_fleet, {[this] { m_placement.refreshEndpoints(); }, [this] { refreshDetours(); }})
+    , m_feed(m_store,
+             m_loop.timers(),
+             m_routes,
+             m_directory,
+             m_fleet,
+             {[this] { m_placement.refreshEndpoints(); }, [this] { refreshDetours(); }, [this] { m_lender.onFleetRead(suspendAwareNow()); }})
     , m_isolation(
           m_loop.timers(),
           m_fleet,
@@ -118,12 +128,26 @@
     m_store.setDetours(std::move(detours));
 }
 
+void InstanceDaemon::readDeparture()
+{
+    const std::string key = Departure::KeyPrefix + m_settings.instance.value();
+    m_store.read(key, [this](const tl::expected<platform::StoreItem, platform::StoreFailure> &item) {
+        const auto departure = item && item->revision != 0 ? Departure::decode(item->data) : std::nullopt;
+        if (departure && departure->isRecent(Departure::now())) {
+            m_lender.setCleanStart();
+        }
+        logChange("former-life", "known={} stopped_as_planned={}", item.has_value(), departure.has_value());
+        enterFleet();
+    });
+}
+
 void InstanceDaemon::enterFleet()
 {
     const FleetMember member{m_settings.instance, m_settings.domain, m_settings.peers.value_or(SocketAddress()), m_holder};
     m_fleet.put(member);
     platform::StoreTransaction transaction;
     transaction.writes.push_back({Fleet::KeyPrefix + member.id.value(), member.encode()});
+    transaction.removals.push_back(Departure::KeyPrefix + member.id.value());
     m_store.commit(transaction, [this](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
         if (!result) {
             logChange("not-entered", "reason=\"{}\"", result.error().detail);
@@ -132,11 +156,31 @@
     });
 }
 
+// The settings may name a restart a first start too, but then the store knows budgets.
+void InstanceDaemon::checkFirstStart()
+{
+    if (!m_settings.isFirstStart) {
+        return;
+    }
+    m_budgetStore.checkEmpty([this](bool isEmpty) {
+        if (!isEmpty) {
+            return;
+        }
+        m_lender.setFirstStart();
+        m_loop.timers().at(std::chrono::steady_clock::now() + Lender::FirstSettleTime, [this](Instant) { m_feed.readFleet(); });
+    });
+}
+
+// The list keeps an instance whose loans the store doesn't know, as it keeps one that has died.
 void InstanceDaemon::leaveFleet()
 {
-    m_fleet.setLeaving();
+    if (m_hasLeft || m_budgets.hasLoans()) {
+        return;
+    }
+    m_hasLeft = true;
     platform::StoreTransaction transaction;
     transaction.removals.push_back(Fleet::KeyPrefix + m_settings.instance.value());
+    transaction.writes.push_back({Departure::KeyPrefix + m_settings.instance.value(), Departure::now().encode()});
     m_store.commit(transaction, [](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
         if (!result) {
             logChange("not-left", "reason=\"{}\"", result.error().detail);
@@ -149,13 +193,15 @@
     std::signal(SIGPIPE, SIG_IGN);
     listen();
     awaitSignals();
-    enterFleet();
+    readDeparture();
+    checkFirstStart();
     m_feed.start();
     m_isolation.start();
     const Instant now = std::chrono::steady_clock::now();
     m_loop.timers().every(now, PlacementPeriod, [this](Instant) { m_placement.onTimer(); });
     m_loop.timers().every(now, HousekeepingPeriod, [this](Instant at) {
-        m_budgets.forgetIdle(BudgetIdle, at);
+        m_budgets.forgetIdle(ProgramIdleLife, at);
+        m_budgets.registerLoans();
         m_turnStore.removeExpired(at);
         m_home.forgetIdle(PrefixLife, at);
         logSummary();
@@ -355,14 +401,16 @@
         m_loop.stop();
         return;
     }
-    leaveFleet();
+    m_fleet.setLeaving();
     m_budgets.beginRelease(*m_drainingSince);
+    leaveFleet();
     m_callers->setClosing(true);
     m_loop.timers().every(*m_drainingSince, DrainCheckPeriod, [this](Instant now) { checkDrain(now); });
 }
 
 void InstanceDaemon::checkDrain(Instant now)
 {
+    leaveFleet();
     const auto elapsed = now - *m_drainingSince;
     if (elapsed >= m_settings.stopGrace - KillMargin) {
         logChange("drain-cut", "busy={}", m_callers->busy());
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -11,6 +11,7 @@
 #include "lasting/archivedturnstore.h"
 #include "lasting/lastingstores.h"
 #include "platform/bootsettings.h"
+#include "serving/lender.h"
 
 #include <memory>
 #include <optional>
@@ -37,8 +38,10 @@
     void onPeerRequest(const ServerConnectionPtr &connection, const ServerRequest &request);
     void onTurnBegin(const ServerConnectionPtr &connection, const std::string &body);
     void onTurnEnd(const ServerConnectionPtr &connection, const std::string &body);
+    void readDeparture();
     void enterFleet();
     void leaveFleet();
+    void checkFirstStart();
     void refreshDetours();
     void onMetrics(const ServerConnectionPtr &connection);
     void logSummary();
@@ -59,6 +62,7 @@
     Fleet m_fleet;
     Placement m_placement;
     HolderId m_holder;
+    Lender m_lender;
     BudgetLedger m_budgets;
     LinkPool m_archiveLinks;
     ArchivedTurnStore m_archivedTurns;
@@ -76,6 +80,7 @@
     std::unique_ptr<ConnectionSet> m_peers;
     std::unique_ptr<ConnectionSet> m_metricsPage;
     std::optional<Instant> m_drainingSince;
+    bool m_hasLeft = false; ///< Or is about to: the store has been asked.
 };
 
 } // namespace flamingo
--- a/src/instance/registryfeed.cpp
+++ b/src/instance/registryfeed.cpp
@@ -57,6 +57,11 @@
     list(m_instances, {});
 }
 
+void RegistryFeed::readFleet()
+{
+    list(m_instances, {});
+}
+
 bool RegistryFeed::isLoaded() const
 {
     return m_routes.isLoaded() && m_endpoints.isLoaded;
@@ -99,6 +104,7 @@
     feed.isLoaded = true;
     if (&feed == &m_instances) {
         m_fleet.setLoaded();
+        m_hooks.onFleetRead();
     }
     watch(feed);
 }
@@ -152,6 +158,9 @@
             apply(item);
         }
         feed.after = std::max(feed.after, changes->at);
+        if (&feed == &m_instances) {
+            m_hooks.onFleetRead();
+        }
         watchLater(feed, changes->items.empty() ? Milliseconds(0) : feed.pause);
     });
 }
@@ -287,7 +296,7 @@
     if (member) {
         m_fleet.put(*member);
     } else {
-        m_fleet.remove(id);
+        m_fleet.remove(id, now());
     }
     logChange("instance-changed", "id={} state={} revision={}", id.value(), member ? "present" : "gone", item.revision);
     m_hooks.onFleet();
--- a/src/instance/registryfeed.h
+++ b/src/instance/registryfeed.h
@@ -24,12 +24,16 @@
     struct Hooks {
         std::function<void()> onEndpoints; ///< The directory has changed.
         std::function<void()> onFleet; ///< Instances have come or gone.
+        std::function<void()> onFleetRead; ///< The list of instances is as new as the store's.
     };
 
     RegistryFeed(platform::PlatformStore &store, TimerService &timers, RouteTable &routes, EndpointDirectory &directory, Fleet &fleet, Hooks hooks);
 
     void start();
 
+    /// Reads the list of instances anew.
+    void readFleet();
+
     /// What this instance has seen, to be told to others.
     RegistryVersions versions() const;
 
--- a/src/lasting/lastingstores.cpp
+++ b/src/lasting/lastingstores.cpp
@@ -74,6 +74,17 @@
     removeKeys(m_store, keys);
 }
 
+void PlatformBudgetStore::checkEmpty(std::function<void(bool isEmpty)> onChecked)
+{
+    m_store.list(BudgetPrefix, {}, [onChecked = std::move(onChecked)](const tl::expected<platform::StorePage, platform::StoreFailure> &page) {
+        if (page) {
+            onChecked(page->items.empty());
+        } else {
+            logChange("budgets-not-checked", "reason=\"{}\"", page.error().detail);
+        }
+    });
+}
+
 PlatformTurnStore::PlatformTurnStore(platform::PlatformStore &store)
     : m_store(store)
 {
--- a/src/lasting/lastingstores.h
+++ b/src/lasting/lastingstores.h
@@ -20,6 +20,9 @@
     void swap(const ProgramId &program, std::uint64_t expectedRevision, const std::string &bytes, std::function<void(SwapResult)> onResult) override;
     void remove(const std::vector<ProgramId> &programs) override;
 
+    /// Whether the store holds no budget at all; not called when the store doesn't answer.
+    void checkEmpty(std::function<void(bool isEmpty)> onChecked);
+
 private:
     platform::PlatformStore &m_store;
 };
--- a/src/serving/budgetledger.cpp
+++ b/src/serving/budgetledger.cpp
@@ -22,11 +22,18 @@
 constexpr int MaxTries = 3;
 /// Programs without a turn for this long have most likely ended, so there is nobody to give their budget back to.
 constexpr Milliseconds ReleaseRecent{15000};
+/// Part of a budget that is lent in an outage. Most programs use less than a third.
+constexpr std::int64_t LentDivisor = 2;
+
+Tokens loan(Tokens budget, Tokens most)
+{
+    return std::min(budget, std::max(most, Tokens(budget.value() / LentDivisor)));
+}
 } // namespace
 
 Tokens BudgetRecord::remaining() const
 {
-    Tokens rest = budget;
+    Tokens rest = budget - reserve;
     for (const auto &[holder, tokens] : granted) {
         rest = rest - tokens;
     }
@@ -35,7 +42,7 @@
 
 std::string BudgetRecord::encode() const
 {
-    Json json = {{"budget", budget}, {"granted", Json::object()}};
+    Json json = {{"budget", budget}, {"granted", Json::object()}, {"reserve", reserve}};
     for (const auto &[holder, tokens] : granted) {
         json["granted"][holder.value()] = tokens;
     }
@@ -50,23 +57,45 @@
     }
     BudgetRecord record;
     record.budget = json["budget"].get<Tokens>();
+    record.reserve = json.value("reserve", Tokens(0));
     for (const auto &[holder, tokens] : json["granted"].items()) {
         record.granted[HolderId(holder)] = tokens.get<Tokens>();
     }
     return record;
 }
 
-BudgetLedger::BudgetLedger(HolderId self, BudgetStore &store, LivenessCheck isLive)
+BudgetLedger::BudgetLedger(HolderId self, BudgetStore &store, Checks checks)
     : m_self(std::move(self))
     , m_store(store)
-    , m_isLive(std::move(isLive))
+    , m_checks(std::move(checks))
 {
 }
 
+// A grant whose answer was lost and a loan may be about the same tokens, so they don't add up.
 Tokens BudgetLedger::held(const Account &account) const
 {
     const auto it = account.record.granted.find(m_self);
-    return it == account.record.granted.end() ? Tokens(0) : it->second;
+    return std::max(account.lent, it == account.record.granted.end() ? Tokens(0) : it->second);
+}
+
+// What the store has to show for this holder at least: its grant, or what turns have used of a loan.
+Tokens BudgetLedger::ownShare(const Account &account) const
+{
+    const auto it = account.record.granted.find(m_self);
+    const Tokens granted = it == account.record.granted.end() ? Tokens(0) : it->second;
+    return account.lent.value() > 0 ? std::max(granted, account.spent + account.reserved) : granted;
+}
+
+// Only for a program of which this holder knows no record: what it knows to be granted elsewhere isn't lent again.
+bool BudgetLedger::tryLend(const ProgramId &program, Account &account, Tokens most) const
+{
+    const bool isUnknown = account.revision == 0 && account.record.granted.empty() && account.lent.value() == 0;
+    if (!isUnknown || !m_checks.mayLend(program)) {
+        return false;
+    }
+    account.lent = loan(account.budget, most);
+    logChange("budget-lent", "program={} tokens={} budget={}", program.value(), account.lent.value(), account.budget.value());
+    return true;
 }
 
 bool BudgetLedger::tryReserve(Account &account, Tokens most) const
@@ -102,6 +131,10 @@
         onAnswer({BudgetVerdict::Elsewhere, *holder});
         return;
     }
+    if (m_checks.isStoreAway() && tryLend(program, account, most) && tryReserve(account, most)) {
+        onAnswer({BudgetVerdict::Reserved, {}});
+        return;
+    }
     account.waiters.push_back({most, std::move(onAnswer)});
     if (!account.isAsking) {
         account.failuresInRow = 0;
@@ -115,18 +148,25 @@
     for (const Waiter &waiter : account.waiters) {
         wanted = wanted + waiter.most;
     }
-    const Tokens remaining = account.record.remaining();
+    const Tokens own = ownShare(account);
+    BudgetRecord proposed = account.record;
+    proposed.granted[m_self] = own;
+    if (m_checks.isSoleLender(program)) {
+        proposed.reserve = Tokens(0);
+    } else if (account.revision == 0) {
+        const Tokens most = account.waiters.empty() ? Tokens(0) : account.waiters.front().most;
+        proposed.reserve = loan(account.budget, most) - most;
+    }
+    const Tokens remaining = proposed.remaining();
     // What this holder has left unreserved helps to cover what is wanted.
-    const Tokens unused = held(account) - account.spent - account.reserved;
-    const Tokens least = account.waiters.front().most - unused;
-    if (remaining < least) {
+    const Tokens unused = own - account.spent - account.reserved;
+    if (!account.waiters.empty() && remaining < account.waiters.front().most - unused) {
         failWaiters(account, {verdictWithoutRoom(account), {}});
         return;
     }
     const Tokens part(remaining.value() * GrantNumerator / GrantDenominator);
-    const Tokens grant = std::min(remaining, std::max(wanted - unused, part));
-    BudgetRecord proposed = account.record;
-    proposed.granted[m_self] = held(account) + grant;
+    const Tokens grant = std::max(Tokens(0), std::min(remaining, std::max(wanted - unused, part)));
+    proposed.granted[m_self] = own + grant;
     account.isAsking = true;
     m_store.swap(program, account.revision, proposed.encode(), [this, program, proposed](const SwapResult &result) { onSwapped(program, proposed, result); });
 }
@@ -140,8 +180,7 @@
     Account &account = it->second;
     account.isAsking = false;
     if (result.status == SwapResult::Status::Done) {
-        account.record = proposed;
-        account.revision = result.revision;
+        adopt(account, proposed, result.revision);
     } else if (result.status == SwapResult::Status::Conflict) {
         // What stands there is the truth, also when it is this holder's own earlier call whose answer was lost.
         const auto present = result.revision == 0 ? std::optional<BudgetRecord>() : BudgetRecord::decode(result.bytes);
@@ -151,12 +190,15 @@
             return;
         }
         const Tokens budget = account.budget;
-        account.record = present.value_or(BudgetRecord{budget, {}});
+        account.record = present.value_or(BudgetRecord{budget, {}, Tokens(0)});
         account.revision = result.revision;
         if (const auto holder = liveHolder(account)) {
             failWaiters(account, {BudgetVerdict::Elsewhere, *holder});
             return;
         }
+    } else if (!account.waiters.empty() && tryLend(program, account, account.waiters.front().most)) {
+        serveWaiters(program);
+        return;
     } else if (++account.failuresInRow >= MaxTries || result.status == SwapResult::Status::Refused) {
         failWaiters(account, {});
         return;
@@ -164,6 +206,32 @@
     serveWaiters(program);
 }
 
+// Turns may have begun on a loan while the store was being told.
+void BudgetLedger::adopt(Account &account, const BudgetRecord &proposed, std::uint64_t revision) const
+{
+    account.record = proposed;
+    account.revision = revision;
+    if (account.spent + account.reserved <= account.record.granted[m_self]) {
+        account.lent = Tokens(0);
+    }
+}
+
+void BudgetLedger::registerLoans()
+{
+    if (m_isReleasing || m_checks.isStoreAway()) {
+        return;
+    }
+    std::vector<ProgramId> programs;
+    for (const auto &[program, account] : m_accounts) {
+        if (account.lent.value() > 0 && !account.isAsking) {
+            programs.push_back(program);
+        }
+    }
+    for (const ProgramId &program : programs) {
+        ask(program, m_accounts.at(program));
+    }
+}
+
 void BudgetLedger::serveWaiters(const ProgramId &program)
 {
     Account &account = m_accounts.at(program);
@@ -184,10 +252,17 @@
     }
 }
 
+bool BudgetLedger::hasLoans() const
+{
+    return std::any_of(m_accounts.begin(), m_accounts.end(), [](const auto &it) { return it.second.lent.value() > 0; });
+}
+
 BudgetVerdict BudgetLedger::verdictWithoutRoom(const Account &account) const
 {
-    const bool othersHold = std::any_of(
-        account.record.granted.begin(), account.record.granted.end(), [this](const auto &it) { return it.first != m_self && it.second.value() > 0; });
+    const bool othersHold =
+        account.record.reserve.value() > 0 || std::any_of(account.record.granted.begin(), account.record.granted.end(), [this](const auto &it) {
+            return it.first != m_self && it.second.value() > 0;
+        });
     return othersHold ? BudgetVerdict::Unsure : BudgetVerdict::Spent;
 }
 
@@ -208,7 +283,7 @@
     std::optional<HolderId> best;
     Tokens most(0);
     for (const auto &[holder, tokens] : account.record.granted) {
-        if (holder != m_self && tokens > most && m_isLive(holder)) {
+        if (holder != m_self && tokens > most && m_checks.isLive(holder)) {
             best = holder;
             most = tokens;
         }
@@ -220,7 +295,7 @@
 {
     m_isReleasing = true;
     for (auto &[program, account] : m_accounts) {
-        if (now - account.usedAt < ReleaseRecent) {
+        if (now - account.usedAt < ReleaseRecent || account.lent.value() > 0) {
             release(program, account);
         }
     }
@@ -229,11 +304,14 @@
 void BudgetLedger::release(const ProgramId &program, Account &account)
 {
     const Tokens needed = account.spent + account.reserved;
-    if (account.isAsking || held(account) <= needed) {
+    if (account.isAsking || (held(account) <= needed && account.lent.value() == 0)) {
         return;
     }
     BudgetRecord proposed = account.record;
     proposed.granted[m_self] = needed;
+    if (m_checks.isSoleLender(program)) {
+        proposed.reserve = Tokens(0);
+    }
     account.isAsking = true;
     m_store.swap(program, account.revision, proposed.encode(), [this, program, proposed](const SwapResult &result) { onReleased(program, proposed, result); });
 }
@@ -247,8 +325,7 @@
     Account &account = it->second;
     account.isAsking = false;
     if (result.status == SwapResult::Status::Done) {
-        account.record = proposed;
-        account.revision = result.revision;
+        adopt(account, proposed, result.revision);
         release(program, account);
         return;
     }
--- a/src/serving/budgetledger.h
+++ b/src/serving/budgetledger.h
@@ -19,6 +19,7 @@
 struct BudgetRecord {
     Tokens budget;
     std::map<HolderId, Tokens> granted;
+    Tokens reserve; ///< Left alone, since the program's first home may have lent as much without having said so yet.
 
     Tokens remaining() const;
 
@@ -73,14 +74,25 @@
 /// Keeps programs within their token budgets over all instances. A holder takes large parts of a budget from the store
 /// and reserves each turn's most out of them before the turn runs, so that most turns need no call to the store, and a
 /// holder's death can only leave a budget under-used.
+///
+/// While the store is away, a program's first home lends it half of its budget. Whoever else creates the program's record
+/// leaves that half alone, less one turn, by which a budget may be exceeded.
 class BudgetLedger
 {
 public:
     using AnswerHandler = std::function<void(const BudgetAnswer &answer)>;
     using LivenessCheck = std::function<bool(const HolderId &holder)>;
+    using LendingCheck = std::function<bool(const ProgramId &program)>;
+
+    /// What a holder knows of itself and of the others.
+    struct Checks {
+        LivenessCheck isLive; ///< Whether another holder can be asked.
+        LendingCheck mayLend; ///< Whether this holder may lend to a program of which it knows no record.
+        LendingCheck isSoleLender; ///< Whether nobody else can have lent to the program.
+        std::function<bool()> isStoreAway = [] { return false; }; ///< The store has just failed, so asking it would take time.
+    };
 
-    /// The check tells whether another holder can be asked.
-    BudgetLedger(HolderId self, BudgetStore &store, LivenessCheck isLive);
+    BudgetLedger(HolderId self, BudgetStore &store, Checks checks);
 
     /// Reserves a turn's most. The handler is called once, at once when the holder has enough.
     void reserve(const TurnRequest &turn, Instant now, AnswerHandler onAnswer);
@@ -88,6 +100,12 @@
     /// A reserved turn has ended and has generated so many tokens that may have reached the caller.
     void settle(const ProgramId &program, Tokens reserved, Tokens used, Instant now);
 
+    /// Tells the store of what was lent while it was away.
+    void registerLoans();
+
+    /// Whether there are loans that the store may not know of.
+    bool hasLoans() const;
+
     /// Gives back what is neither spent nor reserved, and what turns under way leave over; takes no turns any more.
     void beginRelease(Instant now);
 
@@ -107,6 +125,7 @@
         std::uint64_t revision = 0;
         Tokens spent;
         Tokens reserved;
+        Tokens lent; ///< Up to which turns may run though the store has not been told; part of it may be granted by now.
         std::vector<Waiter> waiters;
         bool isAsking = false;
         bool isReferred = false; ///< A waiter was sent here by the holder's stand-in, so nobody is asked before it.
@@ -115,7 +134,10 @@
     };
 
     Tokens held(const Account &account) const;
+    Tokens ownShare(const Account &account) const;
     bool tryReserve(Account &account, Tokens most) const;
+    bool tryLend(const ProgramId &program, Account &account, Tokens most) const;
+    void adopt(Account &account, const BudgetRecord &proposed, std::uint64_t revision) const;
     void ask(const ProgramId &program, Account &account);
     void onSwapped(const ProgramId &program, const BudgetRecord &proposed, const SwapResult &result);
     void serveWaiters(const ProgramId &program);
@@ -127,7 +149,7 @@
 
     HolderId m_self;
     BudgetStore &m_store;
-    LivenessCheck m_isLive;
+    Checks m_checks;
     bool m_isReleasing = false;
     std::unordered_map<ProgramId, Account> m_accounts;
 };
--- a/src/serving/fleet.cpp
+++ b/src/serving/fleet.cpp
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace flamingo
 {
@@ -13,6 +15,13 @@
 {
 constexpr Milliseconds FirstPause{500};
 constexpr int MaxPauseDoublings = 4;
+/// Beyond the time for which a program that is idle is remembered, and the age of lists that others go by.
+constexpr Milliseconds GoneMemory{240000};
+
+std::uint64_t homeRank(const ProgramId &program, const InstanceId &id)
+{
+    return stableHash(program.value(), stableHash(id.value()));
+}
 } // namespace
 
 std::string FleetMember::encode() const
@@ -56,9 +65,19 @@
     known = Member{member, 0, {}};
 }
 
-void Fleet::remove(const InstanceId &id)
+void Fleet::remove(const InstanceId &id, Instant now)
 {
-    m_members.erase(id);
+    for (auto it = m_gone.begin(); it != m_gone.end();) {
+        it = now - it->second > GoneMemory ? m_gone.erase(it) : std::next(it);
+    }
+    const auto it = m_members.find(id);
+    if (it == m_members.end()) {
+        return;
+    }
+    if (it->second.member.role == FleetMember::Role::Instance) {
+        m_gone[id] = now;
+    }
+    m_members.erase(it);
 }
 
 void Fleet::markDown(const InstanceId &id, Instant now)
@@ -106,7 +125,7 @@
 std::vector<InstanceId> Fleet::homes(const ProgramId &program, Instant now) const
 {
     std::vector<std::pair<std::uint64_t, InstanceId>> ranked;
-    const auto rank = [&](const InstanceId &id) { ranked.emplace_back(stableHash(program.value(), stableHash(id.value())), id); };
+    const auto rank = [&](const InstanceId &id) { ranked.emplace_back(homeRank(program, id), id); };
     for (const auto &[id, member] : m_members) {
         if (id != m_self && member.member.role == FleetMember::Role::Instance && isReachable(member, now)) {
             rank(id);
@@ -124,6 +143,23 @@
     return ids;
 }
 
+bool Fleet::isBetterHome(const ProgramId &program, const InstanceId &other) const
+{
+    return std::make_pair(homeRank(program, other), other) > std::make_pair(homeRank(program, m_self), m_self);
+}
+
+bool Fleet::isFirstHome(const ProgramId &program) const
+{
+    return std::none_of(m_members.begin(), m_members.end(), [&](const auto &it) {
+        return it.second.member.role == FleetMember::Role::Instance && isBetterHome(program, it.first);
+    });
+}
+
+bool Fleet::wasFirstHome(const ProgramId &program) const
+{
+    return std::none_of(m_gone.begin(), m_gone.end(), [&](const auto &it) { return isBetterHome(program, it.first); });
+}
+
 const FleetMember *Fleet::find(const InstanceId &id) const
 {
     const auto it = m_members.find(id);
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -45,8 +45,11 @@
     void setLoaded();
     bool isLoaded() const;
 
+    /// Decisions that rest on the list being complete need one that was read within this time.
+    static constexpr Milliseconds MostListAge{30000};
+
     void put(const FleetMember &member);
-    void remove(const InstanceId &id);
+    void remove(const InstanceId &id, Instant now);
 
     /// A call to it found nobody, so it is left alone for a while that grows with each failure in a row.
     void markDown(const InstanceId &id, Instant now);
@@ -61,6 +64,13 @@
     /// Instances for a program, the best first. This instance counts as reachable.
     std::vector<InstanceId> homes(const ProgramId &program, Instant now) const;
 
+    /// Whether this instance is the program's best home among all that are listed, reachable or not.
+    bool isFirstHome(const ProgramId &program) const;
+
+    /// Whether it would be also with those that have left the list lately. Instances whose lists differ by less than that
+    /// never both are.
+    bool wasFirstHome(const ProgramId &program) const;
+
     const FleetMember *find(const InstanceId &id) const;
 
     /// The instance that holds under this name and can be reached, if there is one.
@@ -87,6 +97,7 @@
     };
 
     bool isReachable(const Member &member, Instant now) const;
+    bool isBetterHome(const ProgramId &program, const InstanceId &other) const;
 
     InstanceId m_self;
     DomainId m_ownDomain;
@@ -94,6 +105,7 @@
     bool m_isLeaving = false;
     bool m_isCutOff = false;
     std::map<InstanceId, Member> m_members;
+    std::map<InstanceId, Instant> m_gone; ///< Instances that have left the list lately, and when.
 };
 
 } // namespace flamingo
--- /dev/null
+++ b/src/serving/lender.cpp
@@ -0,0 +1,49 @@
+#include "serving/lender.h"
+
+namespace flamingo
+{
+
+Lender::Lender(const Fleet &fleet, Instant startedAt)
+    : m_fleet(fleet)
+    , m_startedAt(startedAt)
+{
+}
+
+void Lender::setFirstStart()
+{
+    m_isFirstStart = true;
+}
+
+void Lender::setCleanStart()
+{
+    m_isCleanStart = true;
+}
+
+void Lender::onFleetRead(Instant now)
+{
+    m_fleetReadAt = now;
+}
+
+bool Lender::isSettled(Instant now) const
+{
+    return m_isFirstStart ? m_fleetReadAt - m_startedAt >= FirstSettleTime : now - m_startedAt >= ProgramIdleLife;
+}
+
+bool Lender::isListNew(Instant now) const
+{
+    return m_fleet.isLoaded() && now - m_fleetReadAt <= Fleet::MostListAge;
+}
+
+bool Lender::mayLend(const ProgramId &program, Instant now) const
+{
+    return isListNew(now) && isSettled(now) && m_fleet.isFirstHome(program) && m_fleet.wasFirstHome(program);
+}
+
+// Before the instances have found each other nobody lends. A former home that has left the list is owed nothing.
+bool Lender::isSoleLender(const ProgramId &program, Instant now) const
+{
+    const bool isBeforeAll = m_isFirstStart && now - m_startedAt < FirstSettleTime;
+    return (isBeforeAll || (isListNew(now) && (m_isCleanStart || isSettled(now)))) && m_fleet.isFirstHome(program);
+}
+
+} // namespace flamingo
--- a/tests/platform/registrytest.cpp
+++ b/tests/platform/registrytest.cpp
@@ -163,6 +163,47 @@
     CHECK(endpoint.requests().size() == static_cast<std::size_t>(served));
 }
 
+// Outages are long against a program's life: one that begins in an outage would be over before the store is back.
+TEST_CASE("A program that begins while the store is away is served by its home and keeps its budget", "[platform]")
+{
+    constexpr int Budget = 400;
+    constexpr int Most = 58;
+    KvStandin store;
+    ScriptedEndpoint endpoint(answerChat);
+    store.put("op/config", testConfiguration(1));
+    enterEndpoint(store, "i-1", endpoint);
+    TestInstance first(store, 1);
+    TestInstance second(store, 2);
+    REQUIRE(first.awaitReady());
+    REQUIRE(second.awaitReady());
+    const auto turn = [&](TestInstance &instance, const std::string &id) {
+        return instance.send(callerRequest("/stream/a", id, turnLines("p1", Budget, Most))).status;
+    };
+    std::this_thread::sleep_for(Milliseconds(7000)); // Until the instances know each other for sure.
+    store.setTrouble(KvStandin::Trouble::Refuses);
+    REQUIRE(eventually([&] { return first.log().find("event=store-lost") != std::string::npos; }, Milliseconds(6000)));
+    int served = 0;
+    for (int n = 0; n < 3; ++n) {
+        served += turn(n % 2 == 0 ? first : second, fmt::format("away{}", n)) == 200 ? 1 : 0;
+    }
+    CHECK(served == 3);
+    // The home may die before it could write down what it has let run.
+    const bool isFirstHome = first.log().find("event=budget-lent") != std::string::npos;
+    TestInstance &home = isFirstHome ? first : second;
+    TestInstance &other = isFirstHome ? second : first;
+    home.killAndRestart();
+    CHECK(eventually([&] { return turn(home, "restarted") == 503; }));
+    store.setTrouble(KvStandin::Trouble::None);
+    REQUIRE(home.awaitReady());
+    for (int n = 0; n < 30; ++n) {
+        const int status = turn(n % 2 == 0 ? home : other, fmt::format("back{}", n));
+        CHECK((status == 200 || status == 402 || status == 503));
+        served += status == 200 ? 1 : 0;
+    }
+    CHECK(served * 29 <= Budget + Most);
+    CHECK(served * 29 >= Budget / 2);
+}
+
 TEST_CASE("A stateful turn continues at another instance, after a kill, and never from a turn that doesn't exist", "[platform]")
 {
     KvStandin store;
--- a/tests/platform/testinstance.cpp
+++ b/tests/platform/testinstance.cpp
@@ -22,6 +22,7 @@
     return fmt::format(R"(node-name = "edge-{0}"
 ip = "{1}"
 zone = "zone-{0}"
+bootstrap = true
 heartbeat-ms = 1200
 unknown-key = 1
 seed-nodes = ["127.0.1.1:{4}", "127.0.1.2:{4}"]
--- a/tests/unit/servingtest.cpp
+++ b/tests/unit/servingtest.cpp
@@ -1,13 +1,16 @@
 #include "http/eventsplitter.h"
 #include "serving/budgetledger.h"
+#include "serving/departure.h"
 #include "serving/endpointdirectory.h"
 #include "serving/fleet.h"
+#include "serving/lender.h"
 #include "serving/routetable.h"
 #include "serving/turnhistory.h"
 
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <random>
 #include <set>
 
 using namespace flamingo;
@@ -67,7 +70,16 @@
 
 struct Holder {
     Holder(MemoryBudgets &store, const std::string &name, std::set<std::string> living = {})
-        : ledger(HolderId(name), store, [living = std::move(living)](const HolderId &holder) { return living.count(holder.value()) != 0; })
+        : Holder(store,
+                 name,
+                 {[living = std::move(living)](const HolderId &holder) { return living.count(holder.value()) != 0; },
+                  [](const ProgramId &) { return false; },
+                  [](const ProgramId &) { return true; }})
+    {
+    }
+
+    Holder(MemoryBudgets &store, const std::string &name, BudgetLedger::Checks checks)
+        : ledger(HolderId(name), store, std::move(checks))
     {
     }
 
@@ -234,6 +246,269 @@
     }
 }
 
+// A failure domain's store outage lasts longer than many programs.
+TEST_CASE("While the store is away a program's first home lends it half of its budget, and nobody else does", "[serving][promises]")
+{
+    constexpr int Budget = 1800;
+    constexpr int Most = 300;
+    MemoryBudgets store;
+    const BudgetLedger::Checks homeChecks{
+        [](const HolderId &) { return false; }, [](const ProgramId &) { return true; }, [](const ProgramId &) { return true; }};
+    const BudgetLedger::Checks otherChecks{
+        [](const HolderId &) { return false; }, [](const ProgramId &) { return false; }, [](const ProgramId &) { return false; }};
+    Holder home(store, "a", homeChecks);
+    Holder other(store, "b", otherChecks);
+    store.isRefusing = true;
+    const auto run = [](Holder &holder) {
+        int turns = 0;
+        while (turns < 20 && holder.reserve(Budget, Most).verdict == BudgetVerdict::Reserved) {
+            holder.settle(Most, Most);
+            ++turns;
+        }
+        return turns;
+    };
+    CHECK(run(other) == 0);
+    CHECK(run(home) == 3);
+    store.isRefusing = false;
+    SECTION("Another holder leaves the loan alone that it doesn't know")
+    {
+        const int others = run(other);
+        CHECK(other.reserve(Budget, Most).verdict == BudgetVerdict::Unsure);
+        CHECK((3 + others) * Most <= Budget + Most);
+        CHECK((3 + others) * Most >= Budget);
+        home.ledger.registerLoans();
+        CHECK(run(home) == 0);
+    }
+    SECTION("Told to the store, the loan is a grant like any other")
+    {
+        home.ledger.registerLoans();
+        CHECK(store.granted("p") >= Tokens(3 * Most));
+        CHECK(3 + run(home) == Budget / Most);
+        CHECK(home.reserve(Budget, Most).verdict == BudgetVerdict::Spent);
+    }
+    SECTION("A home that stops tells the store what it has lent")
+    {
+        home.ledger.beginRelease(Start);
+        CHECK(store.granted("p") == Tokens(3 * Most));
+    }
+}
+
+TEST_CASE("A departure is recent when both clocks say so", "[serving]")
+{
+    const Departure left{Milliseconds(50000), Milliseconds(900000)};
+    CHECK(left.isRecent({Milliseconds(52000), Milliseconds(902500)}));
+    CHECK_FALSE(left.isRecent({Milliseconds(52000), Milliseconds(4502000)})); // The machine has started anew, or its clock has jumped.
+    CHECK_FALSE(left.isRecent({Milliseconds(2000), Milliseconds(902000)}));
+    CHECK_FALSE(left.isRecent({Milliseconds(250000), Milliseconds(1100000)}));
+    CHECK(Departure::decode(left.encode())->wallTime == left.wallTime);
+    CHECK_FALSE(Departure::decode("{}"));
+}
+
+TEST_CASE("Only a program's first home of all that were listed lately lends, in a life of some age", "[serving][promises]")
+{
+    const auto at = [](int ms) { return Start + Milliseconds(ms); };
+    const auto fleet = [](const std::string &self) {
+        Fleet it{InstanceId(self), DomainId("z")};
+        for (const std::string id : {"a", "b", "c"}) {
+            it.put({InstanceId(id), DomainId("z"), SocketAddress{"127.0.0.1", 1}, HolderId(id + ":1")});
+        }
+        it.setLoaded();
+        return it;
+    };
+    Fleet own = fleet("a");
+    Lender lender(own, Start);
+    lender.onFleetRead(at(100));
+    int first = 0;
+    ProgramId ofA;
+    ProgramId ofB;
+    for (int n = 0; n < 300; ++n) {
+        const ProgramId program("p" + std::to_string(n));
+        const bool isOwn = own.isFirstHome(program);
+        REQUIRE(isOwn == (own.homes(program, Start).front() == InstanceId("a")));
+        first += isOwn ? 1 : 0;
+        ofA = isOwn ? program : ofA;
+        const auto homes = own.homes(program, Start);
+        ofB = homes[0] == InstanceId("b") && homes[1] == InstanceId("a") ? program : ofB;
+    }
+    CHECK(first > 60);
+    CHECK(first < 140);
+    // A restart may have lent in its former life.
+    CHECK_FALSE(lender.mayLend(ofA, at(60000)));
+    CHECK_FALSE(lender.isSoleLender(ofA, at(4000)));
+    lender.setFirstStart();
+    CHECK(lender.isSoleLender(ofA, at(4000))); // Nobody lends before all have found each other.
+    CHECK_FALSE(lender.isSoleLender(ofB, at(4000)));
+    CHECK_FALSE(lender.isSoleLender(ofA, at(6000)));
+    CHECK_FALSE(lender.mayLend(ofA, at(20000))); // The list is of before the others came.
+    lender.onFleetRead(at(5000));
+    CHECK(lender.mayLend(ofA, at(6000)));
+    CHECK_FALSE(lender.mayLend(ofB, at(6000)));
+    CHECK_FALSE(lender.mayLend(ofA, at(36000))); // The list may be out of date.
+    // b has left as planned: there are no loans of its, but grants that this instance doesn't know of.
+    own.remove(InstanceId("b"), at(40000));
+    lender.onFleetRead(at(40000));
+    CHECK_FALSE(lender.mayLend(ofB, at(41000)));
+    CHECK(lender.isSoleLender(ofB, at(41000)));
+    CHECK(lender.mayLend(ofA, at(41000)));
+    Lender old(own, Start);
+    old.onFleetRead(at(200000));
+    CHECK(old.mayLend(ofA, at(200000)));
+}
+
+// Instances come, go, are killed, cut from the store and from each other at random, with lists of different ages, while one
+// program that loops sends its turns to all of them.
+TEST_CASE("A budget holds over loans, outages, restarts and lists that differ", "[serving][promises]")
+{
+    constexpr int Budget = 3000;
+    constexpr int Most = 300;
+    int lentRuns = 0;
+    int cleanStarts = 0;
+    for (unsigned seed = 1; seed <= 600; ++seed) {
+        std::mt19937 random(seed);
+        const auto dice = [&](int sides) { return static_cast<int>(random() % static_cast<unsigned>(sides)); };
+        struct Node {
+            Node(MemoryBudgets &shared, const std::string &name, int life, Instant startedAt)
+                : fleet(InstanceId(name), DomainId("z"))
+                , lender(fleet, startedAt)
+                , now(startedAt)
+                , store(shared)
+                , holder(store,
+                         name + ":" + std::to_string(life),
+                         {[](const HolderId &) { return false; },
+                          [this](const ProgramId &program) { return lender.mayLend(program, now); },
+                          [this](const ProgramId &program) { return lender.isSoleLender(program, now); },
+                          [this] { return store.isRefusing; }})
+            {
+            }
+
+            /// The shared store, as this node reaches it.
+            struct View : MemoryBudgets {
+                explicit View(MemoryBudgets &it)
+                    : shared(it)
+                {
+                }
+                void swap(const ProgramId &program, std::uint64_t revision, const std::string &bytes, std::function<void(SwapResult)> onResult) override
+                {
+                    if (isRefusing) {
+                        onResult({SwapResult::Status::Refused, 0, {}});
+                    } else {
+                        shared.swap(program, revision, bytes, std::move(onResult));
+                    }
+                }
+                MemoryBudgets &shared;
+            };
+
+            Fleet fleet;
+            Lender lender;
+            Instant now{};
+            bool isCut = false; ///< From the other instances.
+            View store;
+            Holder holder;
+        };
+        MemoryBudgets store;
+        std::map<std::string, std::unique_ptr<Node>> nodes;
+        std::set<std::string> listed = {"a", "b", "c"};
+        std::map<std::string, Instant> leftAt;
+        Instant now = Start;
+        int life = 0;
+        const auto start = [&](const std::string &name, bool isFirst) {
+            nodes[name] = std::make_unique<Node>(store, name, ++life, now);
+            if (isFirst) {
+                nodes[name]->lender.setFirstStart();
+            }
+        };
+        const auto read = [&](Node &node) {
+            for (const std::string id : {"a", "b", "c", "d"}) {
+                if (listed.count(id) != 0) {
+                    node.fleet.put({InstanceId(id), DomainId("z"), SocketAddress{"127.0.0.1", 1}, HolderId(id)});
+                } else {
+                    node.fleet.remove(InstanceId(id), now);
+                }
+            }
+            node.fleet.setLoaded();
+            node.lender.onFleetRead(now);
+        };
+        for (const std::string &name : listed) {
+            start(name, true);
+        }
+        // As a turn is routed: to the best home that the asking instance reaches, which may be itself.
+        const auto homeFor = [&](Node &asking) -> Node * {
+            for (const InstanceId &id : asking.fleet.homes(ProgramId("p"), now)) {
+                const auto home = nodes.find(id.value());
+                const bool isReached = home != nodes.end() && home->second && (home->second.get() == &asking || (!home->second->isCut && !asking.isCut));
+                if (isReached) {
+                    home->second->now = now;
+                    return home->second.get();
+                }
+            }
+            return nullptr;
+        };
+        int handed = 0;
+        for (int step = 0; step < 400; ++step) {
+            now += Milliseconds(dice(1500));
+            const std::string name = std::string(1, static_cast<char>('a' + dice(4)));
+            const auto it = nodes.find(name);
+            if (it == nodes.end() || !it->second) {
+                if (listed.count(name) != 0 || dice(10) == 0) {
+                    start(name, false);
+                    const auto left = leftAt.find(name);
+                    if (left != leftAt.end() && now - left->second < Milliseconds(120000)) {
+                        nodes[name]->lender.setCleanStart();
+                        ++cleanStarts;
+                    }
+                    leftAt.erase(name);
+                    listed.insert(name);
+                }
+                continue;
+            }
+            Node &node = *it->second;
+            node.now = now;
+            switch (dice(12)) {
+            case 0:
+                node.store.isRefusing = dice(2) == 0;
+                break;
+            case 1:
+            case 2:
+                if (!node.store.isRefusing) {
+                    read(node);
+                }
+                break;
+            case 3:
+                if (dice(4) == 0) {
+                    it->second.reset(); // Killed: it stays on the list.
+                }
+                break;
+            case 4:
+                if (dice(6) == 0) {
+                    node.holder.ledger.beginRelease(now);
+                    if (!node.holder.ledger.hasLoans() && !node.store.isRefusing) {
+                        listed.erase(name);
+                        leftAt[name] = now;
+                    }
+                    it->second.reset();
+                }
+                break;
+            case 5:
+                node.holder.ledger.registerLoans();
+                break;
+            case 6:
+                node.isCut = !node.isCut && dice(3) == 0;
+                break;
+            default:
+                if (Node *home = homeFor(node); home && home->holder.reserve(Budget, Most).verdict == BudgetVerdict::Reserved) {
+                    lentRuns += home->store.isRefusing ? 1 : 0;
+                    handed += Most;
+                    home->holder.settle(Most, Most);
+                }
+            }
+        }
+        INFO("seed " << seed);
+        CHECK(handed <= Budget + Most);
+    }
+    CHECK(lentRuns > 100);
+    CHECK(cleanStarts > 100);
+}
+
 TEST_CASE("A late instance list alone doesn't delay the removal of an endpoint", "[serving]")
 {
     EndpointDirectory directory;
