A home takes half of what is left of a budget at once, not two thirds

Cause: what a home that dies or is cut off had taken counts as spent, and a third of a small budget is less than one more turn after the next, so programs under way there ended in 503.

Ruled out: a third at once (more store calls for each program); giving grants back by time (they are kept in outages on purpose).

Change: half.

--- a/src/serving/budgetledger.cpp
+++ b/src/serving/budgetledger.cpp
@@ -14,10 +14,9 @@
 {
 using Json = nlohmann::json;
 
-/// Part of what is left of a budget that a holder takes at once: enough for nearly every program, with a rest for the
-/// next holder if this one dies.
-constexpr std::int64_t GrantNumerator = 2;
-constexpr std::int64_t GrantDenominator = 3;
+/// Part of what is left of a budget that a holder takes at once: enough for most programs, with as much for the next
+/// holder if this one dies.
+constexpr std::int64_t GrantDivisor = 2;
 /// Tries of one grant before its turns are refused for now.
 constexpr int MaxTries = 3;
 /// Programs without a turn for this long have most likely ended, so there is nobody to give their budget back to.
@@ -164,7 +163,7 @@
         failWaiters(account, {verdictWithoutRoom(account), {}});
         return;
     }
-    const Tokens part(remaining.value() * GrantNumerator / GrantDenominator);
+    const Tokens part(remaining.value() / GrantDivisor);
     const Tokens grant = std::max(Tokens(0), std::min(remaining, std::max(wanted - unused, part)));
     proposed.granted[m_self] = own + grant;
     account.isAsking = true;
