A cut failure domain is noticed within a second, and its callers are told when to come back

Ruled out: shorter limits for store calls (a slow store takes a quarter of a second, and more under load); pinging all the time (calls to homes show the same).

Change: answers of instances elsewhere count as signs of life; after 250 ms without one two are asked, then the store; 800 ms without any answer is cut off. What is refused then carries the balancer's time. Test first: "An instance that reaches neither the store nor others isn't ready after a second" failed on the former program (not ready too late, Retry-After 0.5), passes.

--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -86,20 +86,25 @@
     , m_endpoints(m_loop.context(), {MaxIdlePerEndpoint, EndpointUnacknowledged})
     , m_peerLinks(m_loop.context(), {MaxIdlePerPeer, PeerUnacknowledged})
     , m_home(m_budgets, m_history, m_settings.instance)
-    , m_homes(m_loop.context(), m_fleet, m_home, m_peerLinks, {[this] { return m_feed.versions(); }, [this](const RegistryVersions &it) { m_feed.onTold(it); }})
+    , m_homes(m_loop.context(),
+              m_fleet,
+              m_home,
+              m_peerLinks,
+              {[this] { return m_feed.versions(); },
+               [this](const RegistryVersions &it) { m_feed.onTold(it); },
+               [this](const InstanceId &it) { m_isolation.onHeard(it); }})
     , m_feed(m_store,
              m_loop.timers(),
              m_routes,
              m_directory,
              m_fleet,
              {[this] { m_placement.refreshEndpoints(); }, [this] { refreshDetours(); }, [this] { m_lender.onFleetRead(suspendAwareNow()); }})
-    , m_isolation(
-          m_loop.timers(),
-          m_fleet,
-          m_peerLinks,
-          [this] { return m_store.isSuspect(); },
-          [this](bool isIsolated) { onIsolation(isIsolated); })
-    , m_relays{m_loop.timers(), m_routes, m_directory, m_placement, m_endpoints, m_homes, m_archivedTurns, m_metrics}
+    , m_isolation(m_loop.timers(),
+                  m_fleet,
+                  m_peerLinks,
+                  {[this] { return m_store.answeredAt(); }, [this] { probeStore(); }},
+                  [this](bool isIsolated) { onIsolation(isIsolated); })
+    , m_relays{m_loop.timers(), m_routes, m_directory, m_placement, m_endpoints, m_homes, m_archivedTurns, m_isolation, m_metrics}
     , m_signals(m_loop.context(), SIGTERM, SIGINT, SIGHUP)
 {
     refreshDetours();
@@ -172,6 +177,12 @@
 }
 
 // The list keeps an instance whose loans the store doesn't know, as it keeps one that has died.
+// Its own entry is small, and whether it is there doesn't matter.
+void InstanceDaemon::probeStore()
+{
+    m_store.read(Fleet::KeyPrefix + m_settings.instance.value(), [](const tl::expected<platform::StoreItem, platform::StoreFailure> &) {});
+}
+
 void InstanceDaemon::leaveFleet()
 {
     if (m_hasLeft || m_budgets.hasLoans()) {
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -41,6 +41,7 @@
     void readDeparture();
     void enterFleet();
     void leaveFleet();
+    void probeStore();
     void checkFirstStart();
     void refreshDetours();
     void onMetrics(const ServerConnectionPtr &connection);
--- a/src/instance/isolationwatch.cpp
+++ b/src/instance/isolationwatch.cpp
@@ -9,25 +9,30 @@
 
 namespace
 {
-constexpr Milliseconds CheckPeriod{250};
+constexpr Milliseconds CheckPeriod{100};
+/// Calls come and go all the time, so after this long without an answer from elsewhere the instance asks.
+constexpr Milliseconds QuietLimit{250};
+/// Then the store too is asked after a moment.
+constexpr Milliseconds PingPatience{150};
 /// Without any answer for this long the instance takes itself as cut off.
-constexpr Milliseconds SilenceLimit{900};
+constexpr Milliseconds SilenceLimit{800};
 constexpr Milliseconds PingConnectLimit{300};
 constexpr std::size_t PingsAtOnce = 2;
 } // namespace
 
-IsolationWatch::IsolationWatch(TimerService &timers, Fleet &fleet, LinkPool &peers, std::function<bool()> isStoreSuspect, std::function<void(bool)> onChange)
+IsolationWatch::IsolationWatch(TimerService &timers, Fleet &fleet, LinkPool &peers, StoreHooks store, std::function<void(bool)> onChange)
     : m_timers(timers)
     , m_fleet(fleet)
     , m_peers(peers)
-    , m_isStoreSuspect(std::move(isStoreSuspect))
+    , m_store(std::move(store))
     , m_onChange(std::move(onChange))
 {
 }
 
 void IsolationWatch::start()
 {
-    m_timers.every(std::chrono::steady_clock::now(), CheckPeriod, [this](Instant now) { check(now); });
+    m_heardAt = std::chrono::steady_clock::now();
+    m_timers.every(m_heardAt, CheckPeriod, [this](Instant now) { check(now); });
 }
 
 bool IsolationWatch::isIsolated() const
@@ -35,23 +40,31 @@
     return m_isIsolated;
 }
 
-void IsolationWatch::check(Instant now)
+void IsolationWatch::onHeard(const InstanceId &from)
 {
-    if (!m_isStoreSuspect()) {
-        m_suspectSince.reset();
-        m_lastAnswer.reset();
-        setIsolated(false);
-        return;
+    const FleetMember *member = m_fleet.find(from);
+    if (member && member->domain != m_fleet.ownDomain()) {
+        m_heardAt = std::chrono::steady_clock::now();
     }
-    m_suspectSince = m_suspectSince.value_or(now);
+}
+
+void IsolationWatch::check(Instant now)
+{
     const std::vector<FleetMember> members = m_fleet.othersElsewhere();
     if (members.empty()) {
         return;
     }
-    for (std::size_t n = 0; n < std::min(PingsAtOnce, members.size()); ++n) {
-        ping(members[m_next++ % members.size()]);
+    const auto quiet = now - m_heardAt;
+    if (quiet > QuietLimit && now - m_askedAt > QuietLimit) {
+        m_askedAt = now;
+        for (std::size_t n = 0; n < std::min(PingsAtOnce, members.size()); ++n) {
+            ping(members[m_next++ % members.size()]);
+        }
+        if (quiet > QuietLimit + PingPatience) {
+            m_store.probe();
+        }
     }
-    setIsolated(now - m_lastAnswer.value_or(*m_suspectSince) > SilenceLimit);
+    setIsolated(now - std::max(m_heardAt, m_store.answeredAt()) > SilenceLimit);
 }
 
 void IsolationWatch::ping(const FleetMember &member)
@@ -63,7 +76,7 @@
     request.head.fields.add("Host", member.peers.text());
     request.connectTimeout = PingConnectLimit;
     CallHandlers handlers;
-    handlers.onComplete = [this] { m_lastAnswer = std::chrono::steady_clock::now(); };
+    handlers.onComplete = [this] { m_heardAt = std::chrono::steady_clock::now(); };
     // A failure needs nothing: that no answer came for a while is what counts.
     m_peers.call(std::move(request), std::move(handlers));
 }
--- a/src/instance/isolationwatch.h
+++ b/src/instance/isolationwatch.h
@@ -5,7 +5,6 @@
 #include "serving/fleet.h"
 
 #include <functional>
-#include <optional>
 
 namespace flamingo
 {
@@ -19,11 +18,19 @@
     /// Answered by other instances; anything will do.
     static constexpr const char *PingPath = "/ping";
 
-    IsolationWatch(TimerService &timers, Fleet &fleet, LinkPool &peers, std::function<bool()> isStoreSuspect, std::function<void(bool)> onChange);
+    struct StoreHooks {
+        std::function<Instant()> answeredAt; ///< When the store last answered this instance directly.
+        std::function<void()> probe; ///< Asks it something small.
+    };
+
+    IsolationWatch(TimerService &timers, Fleet &fleet, LinkPool &peers, StoreHooks store, std::function<void(bool)> onChange);
 
     void start();
     bool isIsolated() const;
 
+    /// Another instance has answered a call.
+    void onHeard(const InstanceId &from);
+
 private:
     void check(Instant now);
     void ping(const FleetMember &member);
@@ -32,10 +39,10 @@
     TimerService &m_timers;
     Fleet &m_fleet;
     LinkPool &m_peers;
-    std::function<bool()> m_isStoreSuspect;
+    StoreHooks m_store;
     std::function<void(bool)> m_onChange;
-    std::optional<Instant> m_suspectSince;
-    std::optional<Instant> m_lastAnswer; ///< Since the store became suspect.
+    Instant m_heardAt{}; ///< From an instance of another failure domain.
+    Instant m_askedAt{};
     std::size_t m_next = 0;
     bool m_isIsolated = false;
 };
--- a/src/instance/programhome.cpp
+++ b/src/instance/programhome.cpp
@@ -277,6 +277,7 @@
             return;
         }
         m_fleet.markUp(home);
+        m_hooks.onHeard(home);
         m_hooks.onTold(grant->versions);
         grant->home = home;
         onGrant(asking, std::move(*grant));
--- a/src/instance/programhome.h
+++ b/src/instance/programhome.h
@@ -99,6 +99,7 @@
     struct Hooks {
         std::function<RegistryVersions()> versions;
         std::function<void(const RegistryVersions &)> onTold;
+        std::function<void(const InstanceId &)> onHeard; ///< It has answered.
     };
 
     HomeClient(asio::io_context &context, Fleet &fleet, ProgramHome &local, LinkPool &peers, Hooks hooks);
--- a/src/instance/relay.cpp
+++ b/src/instance/relay.cpp
@@ -23,6 +23,8 @@
 constexpr Milliseconds AnswerMargin{15};
 constexpr Milliseconds RetrySoon{300};
 constexpr Milliseconds StoreRetry{500};
+/// The balancer sends callers to other instances once this one has not been ready twice, a second apart.
+constexpr Milliseconds RotationRetry{2000};
 /// A repeatable request without a sign from its endpoint for so many objectives goes to another one.
 constexpr int OverdueObjectives = 3;
 constexpr Milliseconds LeastOverdue{250};
@@ -521,6 +523,9 @@
 
 void Relay::refuse(int status, const char *reason, std::optional<Milliseconds> retryAfter)
 {
+    if (retryAfter && m_context.isolation.isIsolated()) {
+        retryAfter = std::max(*retryAfter, RotationRetry);
+    }
     m_context.metrics.add("flamingo_requests_refused_total", fmt::format("reason=\"{}\"", reason));
     const std::optional<RequestId> id = m_facts.id.value().empty() ? std::nullopt : std::optional<RequestId>(m_facts.id);
     m_connection->respond(status, platform::refusalFields(id, retryAfter), {});
--- a/src/instance/relay.h
+++ b/src/instance/relay.h
@@ -6,6 +6,7 @@
 #include "http/linkpool.h"
 #include "http/serverconnection.h"
 #include "instance/attempt.h"
+#include "instance/isolationwatch.h"
 #include "instance/placement.h"
 #include "instance/programhome.h"
 #include "platform/callcodec.h"
@@ -29,6 +30,7 @@
     LinkPool &endpoints;
     HomeClient &homes;
     TurnStore &turns;
+    const IsolationWatch &isolation;
     Metrics &metrics;
 };
 
--- a/src/serving/fleet.cpp
+++ b/src/serving/fleet.cpp
@@ -171,6 +171,11 @@
     return m_self;
 }
 
+const DomainId &Fleet::ownDomain() const
+{
+    return m_ownDomain;
+}
+
 std::vector<FleetMember> Fleet::others() const
 {
     std::vector<FleetMember> members;
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -77,6 +77,7 @@
     std::optional<InstanceId> liveHolder(const HolderId &holder, Instant now) const;
 
     const InstanceId &self() const;
+    const DomainId &ownDomain() const;
     std::vector<FleetMember> others() const;
 
     /// Archives in the order in which a turn is to be kept there, those that can't be reached left out. The first two are
--- a/tests/platform/registrytest.cpp
+++ b/tests/platform/registrytest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <csignal>
 #include <thread>
 
 using namespace flamingo;
@@ -163,6 +164,33 @@
     CHECK(endpoint.requests().size() == static_cast<std::size_t>(served));
 }
 
+// Its callers are sent elsewhere only after the balancer has asked twice, so each tenth of a second counts.
+TEST_CASE("An instance that reaches neither the store nor others isn't ready after a second", "[platform]")
+{
+    constexpr Milliseconds CutOffTarget{1200};
+    KvStandin store;
+    store.put("op/config", testConfiguration(1));
+    TestInstance first(store, 1);
+    TestInstance second(store, 2);
+    REQUIRE(first.awaitReady());
+    REQUIRE(second.awaitReady());
+    std::this_thread::sleep_for(Milliseconds(4000));
+    store.setTrouble(KvStandin::Trouble::Silent);
+    std::this_thread::sleep_for(Milliseconds(3000));
+    CHECK(first.isReady()); // Only the store is away.
+    store.setTrouble(KvStandin::Trouble::None);
+    std::this_thread::sleep_for(Milliseconds(3000));
+    store.setTrouble(KvStandin::Trouble::Silent);
+    second.process().signal(SIGSTOP);
+    CHECK(eventually([&] { return !first.isReady(); }, CutOffTarget));
+    const CallerAnswer refused = first.send(callerRequest("/stream/a", "c1", turnLines("p1", 400, 58)));
+    CHECK(refused.status == 503);
+    REQUIRE(refused.fields.find("Retry-After"));
+    CHECK(*refused.fields.find("Retry-After") == "2.000");
+    second.process().signal(SIGCONT);
+    CHECK(eventually([&] { return first.isReady(); }, Milliseconds(2000)));
+}
+
 // Outages are long against a program's life: one that begins in an outage would be over before the store is back.
 TEST_CASE("A program that begins while the store is away is served by its home and keeps its budget", "[platform]")
 {
