--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -78,7 +78,8 @@
                 m_budgetStore,
                 {[this](const HolderId &holder) { return m_fleet.liveHolder(holder, std::chrono::steady_clock::now()).has_value(); },
                  [this](const ProgramId &program) { return m_lender.mayLend(program, suspendAwareNow()); },
-                 [this](const ProgramId &program) { return m_lender.isSoleLender(program, suspendAwareNow()); }})
+                 [this](const ProgramId &program) { return m_lender.isSoleLender(program, suspendAwareNow()); },
+                 [this] { return m_store.isSuspect(); }})
     , m_archiveLinks(m_loop.context(), {MaxIdlePerPeer, PeerUnacknowledged})
     , m_archivedTurns(m_loop.context(), m_fleet, m_archiveLinks, m_turnStore, m_settings.toleratedMachines)
     , m_history(m_archivedTurns, historyBytes(m_settings))
@@ -211,6 +212,7 @@
     m_loop.timers().every(now, PlacementPeriod, [this](Instant) { m_placement.onTimer(); });
     m_loop.timers().every(now, HousekeepingPeriod, [this](Instant at) {
         m_budgets.forgetIdle(ProgramIdleLife, at);
+        m_budgets.registerLoans();
         m_turnStore.removeExpired(at);
         m_home.forgetIdle(PrefixLife, at);
         logSummary();
--- a/src/lasting/lastingstores.cpp
+++ b/src/lasting/lastingstores.cpp
@@ -64,22 +64,6 @@
     m_store.commit(transaction, [onResult = std::move(onResult)](const auto &result) { onResult(swapResult(result)); });
 }
 
-void PlatformBudgetStore::create(const std::vector<std::pair<ProgramId, std::string>> &records, std::function<void(SwapResult)> onResult)
-{
-    platform::StoreTransaction transaction;
-    for (const auto &[program, bytes] : records) {
-        transaction.expected.push_back({BudgetPrefix + program.value(), 0});
-        transaction.writes.push_back({BudgetPrefix + program.value(), bytes});
-    }
-    m_store.commit(transaction, [onResult = std::move(onResult)](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
-        if (!result) {
-            onResult({SwapResult::Status::Unknown, 0, {}});
-        } else {
-            onResult({result->isDone ? SwapResult::Status::Done : SwapResult::Status::Conflict, result->revision, {}});
-        }
-    });
-}
-
 void PlatformBudgetStore::remove(const std::vector<ProgramId> &programs)
 {
     std::vector<std::string> keys;
--- a/src/lasting/lastingstores.h
+++ b/src/lasting/lastingstores.h
@@ -18,7 +18,6 @@
     explicit PlatformBudgetStore(platform::PlatformStore &store);
 
     void swap(const ProgramId &program, std::uint64_t expectedRevision, const std::string &bytes, std::function<void(SwapResult)> onResult) override;
-    void create(const std::vector<std::pair<ProgramId, std::string>> &records, std::function<void(SwapResult)> onResult) override;
     void remove(const std::vector<ProgramId> &programs) override;
 
     /// Whether the store holds no budget at all; not called when the store doesn't answer.
--- a/src/serving/budgetledger.cpp
+++ b/src/serving/budgetledger.cpp
@@ -130,7 +130,7 @@
         onAnswer({BudgetVerdict::Elsewhere, *holder});
         return;
     }
-    if (tryLend(program, account, most) && tryReserve(account, most)) {
+    if (m_checks.isStoreAway() && tryLend(program, account, most) && tryReserve(account, most)) {
         onAnswer({BudgetVerdict::Reserved, {}});
         return;
     }
@@ -195,6 +195,9 @@
             failWaiters(account, {BudgetVerdict::Elsewhere, *holder});
             return;
         }
+    } else if (!account.waiters.empty() && tryLend(program, account, account.waiters.front().most)) {
+        serveWaiters(program);
+        return;
     } else if (++account.failuresInRow >= MaxTries || result.status == SwapResult::Status::Refused) {
         failWaiters(account, {});
         return;
@@ -212,6 +215,22 @@
     }
 }
 
+void BudgetLedger::registerLoans()
+{
+    if (m_isReleasing || m_checks.isStoreAway()) {
+        return;
+    }
+    std::vector<ProgramId> programs;
+    for (const auto &[program, account] : m_accounts) {
+        if (account.lent.value() > 0 && !account.isAsking) {
+            programs.push_back(program);
+        }
+    }
+    for (const ProgramId &program : programs) {
+        ask(program, m_accounts.at(program));
+    }
+}
+
 void BudgetLedger::serveWaiters(const ProgramId &program)
 {
     Account &account = m_accounts.at(program);
@@ -274,63 +293,24 @@
 void BudgetLedger::beginRelease(Instant now)
 {
     m_isReleasing = true;
-    std::vector<ProgramId> lent;
     for (auto &[program, account] : m_accounts) {
-        const bool isUnknown = account.lent.value() > 0 && account.revision == 0 && !account.isAsking;
-        if (isUnknown) {
-            account.isAsking = true;
-            lent.push_back(program);
-        } else if (now - account.usedAt < ReleaseRecent || account.lent.value() > 0) {
+        if (now - account.usedAt < ReleaseRecent || account.lent.value() > 0) {
             release(program, account);
         }
     }
-    for (std::size_t n = 0; n < lent.size(); n += BudgetStore::MostCreated) {
-        const auto end = std::min(lent.size(), n + BudgetStore::MostCreated);
-        releaseLoans({lent.begin() + static_cast<std::ptrdiff_t>(n), lent.begin() + static_cast<std::ptrdiff_t>(end)});
-    }
-}
-
-// What the store has to show for this holder when it keeps nothing to itself.
-BudgetRecord BudgetLedger::needed(const ProgramId &program, const Account &account) const
-{
-    BudgetRecord record = account.record;
-    record.granted[m_self] = account.spent + account.reserved;
-    if (m_checks.isSoleLender(program)) {
-        record.reserve = Tokens(0);
-    }
-    return record;
-}
-
-void BudgetLedger::releaseLoans(const std::vector<ProgramId> &programs)
-{
-    std::vector<std::pair<ProgramId, std::string>> records;
-    std::vector<BudgetRecord> proposed;
-    for (const ProgramId &program : programs) {
-        proposed.push_back(needed(program, m_accounts.at(program)));
-        records.emplace_back(program, proposed.back().encode());
-    }
-    m_store.create(records, [this, programs, proposed](const SwapResult &result) {
-        for (std::size_t n = 0; n < programs.size(); ++n) {
-            const auto it = m_accounts.find(programs[n]);
-            if (it == m_accounts.end()) {
-                continue;
-            }
-            it->second.isAsking = false;
-            if (result.status == SwapResult::Status::Done) {
-                adopt(it->second, proposed[n], result.revision);
-            }
-            release(programs[n], it->second);
-        }
-    });
 }
 
 void BudgetLedger::release(const ProgramId &program, Account &account)
 {
-    const bool isEven = held(account) <= account.spent + account.reserved && account.lent.value() == 0;
-    if (account.isAsking || isEven) {
+    const Tokens needed = account.spent + account.reserved;
+    if (account.isAsking || (held(account) <= needed && account.lent.value() == 0)) {
         return;
     }
-    const BudgetRecord proposed = needed(program, account);
+    BudgetRecord proposed = account.record;
+    proposed.granted[m_self] = needed;
+    if (m_checks.isSoleLender(program)) {
+        proposed.reserve = Tokens(0);
+    }
     account.isAsking = true;
     m_store.swap(program, account.revision, proposed.encode(), [this, program, proposed](const SwapResult &result) { onReleased(program, proposed, result); });
 }
@@ -379,9 +359,7 @@
     for (auto it = m_accounts.begin(); it != m_accounts.end();) {
         const Account &account = it->second;
         if (now - account.usedAt > idle && account.reserved.value() == 0 && account.waiters.empty() && !account.isAsking) {
-            if (account.revision != 0) {
-                gone.push_back(it->first);
-            }
+            gone.push_back(it->first);
             it = m_accounts.erase(it);
         } else {
             ++it;
--- a/src/serving/budgetledger.h
+++ b/src/serving/budgetledger.h
@@ -47,11 +47,7 @@
 public:
     virtual ~BudgetStore() = default;
     virtual void swap(const ProgramId &program, std::uint64_t expectedRevision, const std::string &bytes, std::function<void(SwapResult)> onResult) = 0;
-    /// Writes records that must all be absent, all or none; at most MostCreated.
-    virtual void create(const std::vector<std::pair<ProgramId, std::string>> &records, std::function<void(SwapResult)> onResult) = 0;
     virtual void remove(const std::vector<ProgramId> &programs) = 0;
-
-    static constexpr std::size_t MostCreated = 16;
 };
 
 /// A turn that wants to run.
@@ -79,9 +75,8 @@
 /// and reserves each turn's most out of them before the turn runs, so that most turns need no call to the store, and a
 /// holder's death can only leave a budget under-used.
 ///
-/// A program's first home lends it half of its budget without asking the store, which needn't be there, and tells the store
-/// when the program needs more or the home stops. Whoever else creates the program's record leaves that half alone, less one
-/// turn, by which a budget may be exceeded.
+/// While the store is away, a program's first home lends it half of its budget. Whoever else creates the program's record
+/// leaves that half alone, less one turn, by which a budget may be exceeded.
 class BudgetLedger
 {
 public:
@@ -94,6 +89,7 @@
         LivenessCheck isLive; ///< Whether another holder can be asked.
         LendingCheck mayLend; ///< Whether this holder may lend to a program of which it knows no record.
         LendingCheck isSoleLender; ///< Whether nobody else can have lent to the program.
+        std::function<bool()> isStoreAway = [] { return false; }; ///< The store has just failed, so asking it would take time.
     };
 
     BudgetLedger(HolderId self, BudgetStore &store, Checks checks);
@@ -104,6 +100,9 @@
     /// A reserved turn has ended and has generated so many tokens that may have reached the caller.
     void settle(const ProgramId &program, Tokens reserved, Tokens used, Instant now);
 
+    /// Tells the store of what was lent while it was away.
+    void registerLoans();
+
     /// Whether there are loans that the store may not know of.
     bool hasLoans() const;
 
@@ -146,8 +145,6 @@
     BudgetVerdict verdictWithoutRoom(const Account &account) const;
     std::optional<HolderId> liveHolder(const Account &account) const;
     void release(const ProgramId &program, Account &account);
-    void releaseLoans(const std::vector<ProgramId> &programs);
-    BudgetRecord needed(const ProgramId &program, const Account &account) const;
     void onReleased(const ProgramId &program, const BudgetRecord &proposed, const SwapResult &result);
 
     HolderId m_self;
--- a/tests/unit/servingtest.cpp
+++ b/tests/unit/servingtest.cpp
@@ -49,22 +49,6 @@
         onResult({SwapResult::Status::Done, record.revision, {}});
     }
 
-    void create(const std::vector<std::pair<ProgramId, std::string>> &created, std::function<void(SwapResult)> onResult) override
-    {
-        ++calls;
-        const auto isThere = [this](const auto &it) { return records[it.first].revision != 0; };
-        if (isRefusing) {
-            onResult({SwapResult::Status::Refused, 0, {}});
-        } else if (std::any_of(created.begin(), created.end(), isThere)) {
-            onResult({SwapResult::Status::Conflict, 0, {}});
-        } else {
-            for (const auto &[program, bytes] : created) {
-                records[program] = {1, bytes};
-            }
-            onResult({SwapResult::Status::Done, 1, {}});
-        }
-    }
-
     void remove(const std::vector<ProgramId> &programs) override
     {
         for (const ProgramId &program : programs) {
@@ -305,12 +289,14 @@
         CHECK(other.reserve(Budget, Most).verdict == BudgetVerdict::Unsure);
         CHECK((3 + others) * Most <= Budget + Most);
         CHECK((3 + others) * Most >= Budget);
+        home.ledger.registerLoans();
         CHECK(run(home) == 0);
     }
     SECTION("Told to the store, the loan is a grant like any other")
     {
-        CHECK(3 + run(home) == Budget / Most);
+        home.ledger.registerLoans();
         CHECK(store.granted("p") >= Tokens(3 * Most));
+        CHECK(3 + run(home) == Budget / Most);
         CHECK(home.reserve(Budget, Most).verdict == BudgetVerdict::Spent);
     }
     SECTION("A home that stops tells the store what it has lent")
@@ -320,41 +306,6 @@
     }
 }
 
-// Each call of the store is counted and takes time, and most programs use less than a third of their budgets.
-TEST_CASE("A home that may lend asks the store only for programs that use much, and tells it of all when it stops", "[serving][promises]")
-{
-    constexpr int Programs = 40;
-    MemoryBudgets store;
-    const auto always = [](const ProgramId &) { return true; };
-    Holder home(store, "a", {[](const HolderId &) { return false; }, always, always});
-    const auto run = [&](int n) {
-        bool isReserved = false;
-        const ProgramId program("p" + std::to_string(n));
-        home.ledger.reserve(
-            {program, Tokens(1800), Tokens(300), false}, Start, [&](const BudgetAnswer &it) { isReserved = it.verdict == BudgetVerdict::Reserved; });
-        home.ledger.settle(program, Tokens(300), Tokens(200), Start);
-        return isReserved;
-    };
-    for (int n = 0; n < Programs; ++n) {
-        REQUIRE(run(n));
-        REQUIRE(run(n));
-    }
-    CHECK(store.calls == 0);
-    CHECK(home.ledger.hasLoans());
-    // Somebody else has run one of them as well.
-    Holder other(store, "b");
-    bool hasRun = false;
-    other.ledger.reserve({ProgramId("p7"), Tokens(1800), Tokens(300), false}, Start, [&](const BudgetAnswer &) { hasRun = true; });
-    REQUIRE(hasRun);
-    const int before = store.calls;
-    home.ledger.beginRelease(Start);
-    CHECK_FALSE(home.ledger.hasLoans());
-    CHECK(store.calls - before <= 3 + 2 * static_cast<int>(BudgetStore::MostCreated));
-    for (int n = 0; n < Programs; ++n) {
-        CHECK(store.granted("p" + std::to_string(n)) >= Tokens(400));
-    }
-}
-
 TEST_CASE("A departure is recent when both clocks say so", "[serving]")
 {
     const Departure left{Milliseconds(50000), Milliseconds(900000)};
@@ -438,7 +389,8 @@
                          name + ":" + std::to_string(life),
                          {[](const HolderId &) { return false; },
                           [this](const ProgramId &program) { return lender.mayLend(program, now); },
-                          [this](const ProgramId &program) { return lender.isSoleLender(program, now); }})
+                          [this](const ProgramId &program) { return lender.isSoleLender(program, now); },
+                          [this] { return store.isRefusing; }})
             {
             }
 
@@ -448,14 +400,6 @@
                     : shared(it)
                 {
                 }
-                void create(const std::vector<std::pair<ProgramId, std::string>> &created, std::function<void(SwapResult)> onResult) override
-                {
-                    if (isRefusing) {
-                        onResult({SwapResult::Status::Refused, 0, {}});
-                    } else {
-                        shared.create(created, std::move(onResult));
-                    }
-                }
                 void swap(const ProgramId &program, std::uint64_t revision, const std::string &bytes, std::function<void(SwapResult)> onResult) override
                 {
                     if (isRefusing) {
@@ -558,6 +502,9 @@
                 }
                 break;
             case 5:
+                node.holder.ledger.registerLoans();
+                break;
+            case 6:
                 node.isCut = !node.isCut && dice(3) == 0;
                 break;
             default:
