No more of a loan is used than the store is being told of; the model knows loans

Cause, found by the model: while a home tells the store what turns have used of a loan, it went on with the rest of the loan, and once the record no longer leaves the loan alone others are granted the same tokens. Ruled out: the path on which a turn waits for more (there the loan is used up but for less than a turn).

Change: from the call on the loan ends at what the call tells; a refusal gives it back, silence doesn't. Tests first: model budget failed as first written, with the loan going on; unit section "While the store is being told ..." failed, passes. New variants ALL_LEND, LEND_AGAIN, NO_RESERVE fail as they should.

--- a/scripts/models.sh
+++ b/scripts/models.sh
@@ -49,7 +49,7 @@
     check answers fails "$variant"
 done
 check budget holds
-for variant in CREDIT GRANT_KEPT LOST_IS_REFUSED; do
+for variant in CREDIT GRANT_KEPT LOST_IS_REFUSED ALL_LEND LEND_AGAIN NO_RESERVE; do
     check budget fails "$variant"
 done
 check history holds
--- a/src/serving/budgetledger.cpp
+++ b/src/serving/budgetledger.cpp
@@ -82,17 +82,18 @@
 {
     const auto it = account.record.granted.find(m_self);
     const Tokens granted = it == account.record.granted.end() ? Tokens(0) : it->second;
-    return account.lent.value() > 0 ? std::max(granted, account.spent + account.reserved) : granted;
+    return account.loan.value() > 0 ? std::max(granted, account.spent + account.reserved) : granted;
 }
 
 // Only for a program of which this holder knows no record: what it knows to be granted elsewhere isn't lent again.
 bool BudgetLedger::tryLend(const ProgramId &program, Account &account, Tokens most) const
 {
-    const bool isUnknown = account.revision == 0 && account.record.granted.empty() && account.lent.value() == 0;
+    const bool isUnknown = account.revision == 0 && account.record.granted.empty() && account.loan.value() == 0;
     if (!isUnknown || !m_checks.mayLend(program)) {
         return false;
     }
-    account.lent = loan(account.budget, most);
+    account.loan = loan(account.budget, most);
+    account.lent = account.loan;
     logChange("budget-lent", "program={} tokens={} budget={}", program.value(), account.lent.value(), account.budget.value());
     return true;
 }
@@ -166,6 +167,8 @@
     const Tokens part(remaining.value() / GrantDivisor);
     const Tokens grant = std::max(Tokens(0), std::min(remaining, std::max(wanted - unused, part)));
     proposed.granted[m_self] = own + grant;
+    // From here on others may be granted what the store isn't told of.
+    account.lent = std::min(account.lent, own + grant);
     account.isAsking = true;
     m_store.swap(program, account.revision, proposed.encode(), [this, program, proposed](const SwapResult &result) { onSwapped(program, proposed, result); });
 }
@@ -195,16 +198,29 @@
             failWaiters(account, {BudgetVerdict::Elsewhere, *holder});
             return;
         }
-    } else if (!account.waiters.empty() && tryLend(program, account, account.waiters.front().most)) {
-        serveWaiters(program);
-        return;
-    } else if (++account.failuresInRow >= MaxTries || result.status == SwapResult::Status::Refused) {
-        failWaiters(account, {});
+    } else if (!serveUntold(program, account, result.status)) {
         return;
     }
     serveWaiters(program);
 }
 
+// The store has not answered, or has refused. Returns whether waiters may go on.
+bool BudgetLedger::serveUntold(const ProgramId &program, Account &account, SwapResult::Status status)
+{
+    const bool isRefused = status == SwapResult::Status::Refused;
+    if (isRefused) {
+        account.lent = account.loan;
+    }
+    if (!account.waiters.empty() && tryLend(program, account, account.waiters.front().most)) {
+        return true;
+    }
+    if (++account.failuresInRow >= MaxTries || isRefused) {
+        failWaiters(account, {});
+        return false;
+    }
+    return true;
+}
+
 // Turns may have begun on a loan while the store was being told.
 void BudgetLedger::adopt(Account &account, const BudgetRecord &proposed, std::uint64_t revision) const
 {
@@ -212,6 +228,7 @@
     account.revision = revision;
     if (account.spent + account.reserved <= account.record.granted[m_self]) {
         account.lent = Tokens(0);
+        account.loan = Tokens(0);
     }
 }
 
@@ -222,7 +239,7 @@
     }
     std::vector<ProgramId> programs;
     for (const auto &[program, account] : m_accounts) {
-        if (account.lent.value() > 0 && !account.isAsking) {
+        if (account.loan.value() > 0 && !account.isAsking) {
             programs.push_back(program);
         }
     }
@@ -253,7 +270,7 @@
 
 bool BudgetLedger::hasLoans() const
 {
-    return std::any_of(m_accounts.begin(), m_accounts.end(), [](const auto &it) { return it.second.lent.value() > 0; });
+    return std::any_of(m_accounts.begin(), m_accounts.end(), [](const auto &it) { return it.second.loan.value() > 0; });
 }
 
 BudgetVerdict BudgetLedger::verdictWithoutRoom(const Account &account) const
@@ -294,7 +311,7 @@
 {
     m_isReleasing = true;
     for (auto &[program, account] : m_accounts) {
-        if (now - account.usedAt < ReleaseRecent || account.lent.value() > 0) {
+        if (now - account.usedAt < ReleaseRecent || account.loan.value() > 0) {
             release(program, account);
         }
     }
@@ -303,7 +320,7 @@
 void BudgetLedger::release(const ProgramId &program, Account &account)
 {
     const Tokens needed = account.spent + account.reserved;
-    if (account.isAsking || (held(account) <= needed && account.lent.value() == 0)) {
+    if (account.isAsking || (held(account) <= needed && account.loan.value() == 0)) {
         return;
     }
     BudgetRecord proposed = account.record;
--- a/src/serving/budgetledger.h
+++ b/src/serving/budgetledger.h
@@ -125,7 +125,8 @@
         std::uint64_t revision = 0;
         Tokens spent;
         Tokens reserved;
-        Tokens lent; ///< Up to which turns may run though the store has not been told; part of it may be granted by now.
+        Tokens loan; ///< What was lent and the store has not been told of.
+        Tokens lent; ///< Up to which turns may run on it; part of it may be granted by now.
         std::vector<Waiter> waiters;
         bool isAsking = false;
         bool isReferred = false; ///< A waiter was sent here by the holder's stand-in, so nobody is asked before it.
@@ -140,6 +141,7 @@
     void adopt(Account &account, const BudgetRecord &proposed, std::uint64_t revision) const;
     void ask(const ProgramId &program, Account &account);
     void onSwapped(const ProgramId &program, const BudgetRecord &proposed, const SwapResult &result);
+    bool serveUntold(const ProgramId &program, Account &account, SwapResult::Status status);
     void serveWaiters(const ProgramId &program);
     static void failWaiters(Account &account, const BudgetAnswer &answer);
     BudgetVerdict verdictWithoutRoom(const Account &account) const;
--- a/tests/unit/servingtest.cpp
+++ b/tests/unit/servingtest.cpp
@@ -41,6 +41,10 @@
             return;
         }
         record = {record.revision + 1, bytes};
+        if (isHoldingAnswers) {
+            heldAnswers.push_back([onResult, revision = record.revision] { onResult({SwapResult::Status::Done, revision, {}}); });
+            return;
+        }
         if (answersToLose > 0) {
             --answersToLose;
             onResult({SwapResult::Status::Unknown, 0, {}});
@@ -66,6 +70,8 @@
     int calls = 0;
     int answersToLose = 0;
     bool isRefusing = false;
+    bool isHoldingAnswers = false;
+    std::vector<std::function<void()>> heldAnswers;
 };
 
 struct Holder {
@@ -299,6 +305,22 @@
         CHECK(3 + run(home) == Budget / Most);
         CHECK(home.reserve(Budget, Most).verdict == BudgetVerdict::Spent);
     }
+    SECTION("While the store is being told, no more is used than it is told")
+    {
+        store.records.clear();
+        store.isRefusing = true;
+        Holder early(store, "c", homeChecks);
+        CHECK(early.reserve(Budget, Most).verdict == BudgetVerdict::Reserved);
+        early.settle(Most, Most);
+        store.isRefusing = false;
+        CHECK(run(other) == 4);
+        store.isHoldingAnswers = true;
+        early.ledger.registerLoans(); // Finds the other's record,
+        early.ledger.registerLoans(); // and adds to it.
+        REQUIRE(store.heldAnswers.size() == 1);
+        const int inFlight = run(early);
+        CHECK(store.granted("p") - Tokens(4 * Most) >= Tokens((1 + inFlight) * Most));
+    }
     SECTION("A home that stops tells the store what it has lent")
     {
         home.ledger.beginRelease(Start);
