--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -25,7 +25,6 @@
 constexpr Milliseconds KillMargin{400};
 constexpr Milliseconds HousekeepingPeriod{5000};
 constexpr Milliseconds PlacementPeriod{40};
-constexpr Milliseconds ClosedPeriod{60000};
 /// A prompt that nobody has continued for this long has left the endpoint's cache.
 constexpr Milliseconds PrefixLife{30000};
 /// Share of the process's memory that recent turns may take.
@@ -79,7 +78,8 @@
                 m_budgetStore,
                 {[this](const HolderId &holder) { return m_fleet.liveHolder(holder, std::chrono::steady_clock::now()).has_value(); },
                  [this](const ProgramId &program) { return m_lender.mayLend(program, suspendAwareNow()); },
-                 [this](const ProgramId &program) { return m_lender.isSoleLender(program, suspendAwareNow()); }})
+                 [this](const ProgramId &program) { return m_lender.isSoleLender(program, suspendAwareNow()); },
+                 [this] { return m_store.isSuspect(); }})
     , m_archiveLinks(m_loop.context(), {MaxIdlePerPeer, PeerUnacknowledged})
     , m_archivedTurns(m_loop.context(), m_fleet, m_archiveLinks, m_turnStore, m_settings.toleratedMachines)
     , m_history(m_archivedTurns, historyBytes(m_settings))
@@ -142,60 +142,41 @@
             m_lender.setCleanStart();
         }
         logChange("former-life", "known={} stopped_as_planned={}", item.has_value(), departure.has_value());
-        m_mayBeFirstStart = m_settings.isFirstStart && item && item->revision == 0;
-        enterFleet(true);
+        enterFleet();
     });
 }
 
-// An entry that is there already is of a life that did not stop as planned.
-void InstanceDaemon::enterFleet(bool isAbsent)
+void InstanceDaemon::enterFleet()
 {
     const FleetMember member{m_settings.instance, m_settings.domain, m_settings.peers.value_or(SocketAddress()), m_holder};
     m_fleet.put(member);
-    const std::string key = Fleet::KeyPrefix + member.id.value();
     platform::StoreTransaction transaction;
-    if (isAbsent) {
-        transaction.expected.push_back({key, 0});
-    }
-    transaction.writes.push_back({key, member.encode()});
+    transaction.writes.push_back({Fleet::KeyPrefix + member.id.value(), member.encode()});
     transaction.removals.push_back(Departure::KeyPrefix + member.id.value());
-    m_store.commit(transaction, [this, isAbsent](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
+    m_store.commit(transaction, [this](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
         if (!result) {
             logChange("not-entered", "reason=\"{}\"", result.error().detail);
-            m_loop.timers().at(std::chrono::steady_clock::now() + EnterRetry, [this, isAbsent](Instant) { enterFleet(isAbsent); });
-        } else if (!result->isDone) {
-            enterFleet(false);
-        } else if (isAbsent && m_mayBeFirstStart) {
-            checkFirstStart();
+            m_loop.timers().at(std::chrono::steady_clock::now() + EnterRetry, [this](Instant) { enterFleet(); });
         }
     });
 }
 
-// The settings may name a later start a first one too, but then the store knows budgets.
+// The settings may name a restart a first start too, but then the store knows budgets.
 void InstanceDaemon::checkFirstStart()
 {
+    if (!m_settings.isFirstStart) {
+        return;
+    }
     m_budgetStore.checkEmpty([this](bool isEmpty) {
         if (!isEmpty) {
             return;
         }
         m_lender.setFirstStart();
-        m_loop.timers().at(std::chrono::steady_clock::now() + Lender::FirstSettleTime, [this](Instant) {
-            m_feed.readFleet();
-            readClosed();
-        });
-    });
-}
-
-void InstanceDaemon::readClosed()
-{
-    const Instant at = suspendAwareNow();
-    m_budgetStore.listClosed([this, at](std::set<ProgramId> programs) {
-        logChange("closed-programs-listed", "programs={}", programs.size());
-        m_lender.onClosedRead(std::move(programs), at);
+        m_loop.timers().at(std::chrono::steady_clock::now() + Lender::FirstSettleTime, [this](Instant) { m_feed.readFleet(); });
     });
 }
 
-// The list keeps an instance whose loans, or whose former lives' loans, the store doesn't know, as it keeps one that has died.
+// The list keeps an instance whose loans the store doesn't know, as it keeps one that has died.
 // Its own entry is small, and whether it is there doesn't matter.
 void InstanceDaemon::probeStore()
 {
@@ -204,7 +185,7 @@
 
 void InstanceDaemon::leaveFleet()
 {
-    if (m_hasLeft || m_budgets.hasLoans() || !m_lender.knowsFormerLoans(suspendAwareNow())) {
+    if (m_hasLeft || m_budgets.hasLoans()) {
         return;
     }
     m_hasLeft = true;
@@ -224,14 +205,14 @@
     listen();
     awaitSignals();
     readDeparture();
+    checkFirstStart();
     m_feed.start();
     m_isolation.start();
     const Instant now = std::chrono::steady_clock::now();
     m_loop.timers().every(now, PlacementPeriod, [this](Instant) { m_placement.onTimer(); });
-    m_loop.timers().every(now + ClosedPeriod, ClosedPeriod, [this](Instant) { readClosed(); });
     m_loop.timers().every(now, HousekeepingPeriod, [this](Instant at) {
         m_budgets.forgetIdle(ProgramIdleLife, at);
-        m_budgets.registerLoans(at);
+        m_budgets.registerLoans();
         m_turnStore.removeExpired(at);
         m_home.forgetIdle(PrefixLife, at);
         logSummary();
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -39,11 +39,10 @@
     void onTurnBegin(const ServerConnectionPtr &connection, const std::string &body);
     void onTurnEnd(const ServerConnectionPtr &connection, const std::string &body);
     void readDeparture();
-    void enterFleet(bool isAbsent);
+    void enterFleet();
     void leaveFleet();
     void probeStore();
     void checkFirstStart();
-    void readClosed();
     void refreshDetours();
     void onMetrics(const ServerConnectionPtr &connection);
     void logSummary();
@@ -82,7 +81,6 @@
     std::unique_ptr<ConnectionSet> m_peers;
     std::unique_ptr<ConnectionSet> m_metricsPage;
     std::optional<Instant> m_drainingSince;
-    bool m_mayBeFirstStart = false; ///< By the settings, and no earlier life has stopped here.
     bool m_hasLeft = false; ///< Or is about to: the store has been asked.
 };
 
--- a/src/lasting/lastingstores.cpp
+++ b/src/lasting/lastingstores.cpp
@@ -11,7 +11,6 @@
 namespace
 {
 constexpr const char *BudgetPrefix = "budget/";
-constexpr const char *ClosedPrefix = "closed/";
 /// Tries of one write whose answer is lost, before its turn is given up.
 constexpr int MaxSaveTries = 2;
 /// The most keys in one transaction.
@@ -33,15 +32,6 @@
     }
 }
 
-platform::StoreTransaction swapOf(const ProgramId &program, std::uint64_t expectedRevision, const std::string &bytes)
-{
-    const std::string key = BudgetPrefix + program.value();
-    platform::StoreTransaction transaction;
-    transaction.expected.push_back({key, expectedRevision});
-    transaction.writes.push_back({key, bytes});
-    return transaction;
-}
-
 SwapResult swapResult(const tl::expected<platform::TransactionResult, platform::StoreFailure> &result)
 {
     SwapResult swap;
@@ -67,73 +57,23 @@
 
 void PlatformBudgetStore::swap(const ProgramId &program, std::uint64_t expectedRevision, const std::string &bytes, std::function<void(SwapResult)> onResult)
 {
-    m_store.commit(swapOf(program, expectedRevision, bytes), [onResult = std::move(onResult)](const auto &result) { onResult(swapResult(result)); });
-}
-
-void PlatformBudgetStore::swapAndClose(const ProgramId &program,
-                                       std::uint64_t expectedRevision,
-                                       const std::string &bytes,
-                                       std::function<void(SwapResult)> onResult)
-{
-    platform::StoreTransaction transaction = swapOf(program, expectedRevision, bytes);
-    transaction.writes.push_back({ClosedPrefix + program.value(), {}});
-    m_store.commit(transaction, [onResult = std::move(onResult)](const auto &result) { onResult(swapResult(result)); });
-}
-
-void PlatformBudgetStore::create(const std::vector<std::pair<ProgramId, std::string>> &records, std::function<void(SwapResult)> onResult)
-{
+    const std::string key = BudgetPrefix + program.value();
     platform::StoreTransaction transaction;
-    for (const auto &[program, bytes] : records) {
-        const platform::StoreTransaction swap = swapOf(program, 0, bytes);
-        transaction.expected.push_back(swap.expected.front());
-        transaction.writes.push_back(swap.writes.front());
-    }
+    transaction.expected.push_back({key, expectedRevision});
+    transaction.writes.push_back({key, bytes});
     m_store.commit(transaction, [onResult = std::move(onResult)](const auto &result) { onResult(swapResult(result)); });
 }
 
 void PlatformBudgetStore::remove(const std::vector<ProgramId> &programs)
 {
     std::vector<std::string> keys;
-    keys.reserve(2 * programs.size());
+    keys.reserve(programs.size());
     for (const ProgramId &program : programs) {
         keys.push_back(BudgetPrefix + program.value());
-        keys.push_back(ClosedPrefix + program.value());
     }
     removeKeys(m_store, keys);
 }
 
-struct PlatformBudgetStore::ClosedListing {
-    std::string after;
-    std::set<ProgramId> programs;
-    std::function<void(std::set<ProgramId>)> onListed;
-};
-
-void PlatformBudgetStore::listClosed(std::function<void(std::set<ProgramId>)> onListed)
-{
-    auto listing = std::make_shared<ClosedListing>();
-    listing->onListed = std::move(onListed);
-    listClosedPage(listing);
-}
-
-void PlatformBudgetStore::listClosedPage(const std::shared_ptr<ClosedListing> &listing)
-{
-    m_store.list(ClosedPrefix, listing->after, [this, listing](const tl::expected<platform::StorePage, platform::StoreFailure> &page) {
-        if (!page) {
-            logChange("closed-programs-not-listed", "reason=\"{}\"", page.error().detail);
-            return;
-        }
-        for (const platform::StoreItem &item : page->items) {
-            listing->after = item.key;
-            listing->programs.insert(ProgramId(item.key.substr(std::string_view(ClosedPrefix).size())));
-        }
-        if (page->hasMore && !page->items.empty()) {
-            listClosedPage(listing);
-        } else {
-            listing->onListed(std::move(listing->programs));
-        }
-    });
-}
-
 void PlatformBudgetStore::checkEmpty(std::function<void(bool isEmpty)> onChecked)
 {
     m_store.list(BudgetPrefix, {}, [onChecked = std::move(onChecked)](const tl::expected<platform::StorePage, platform::StoreFailure> &page) {
--- a/src/lasting/lastingstores.h
+++ b/src/lasting/lastingstores.h
@@ -6,8 +6,6 @@
 #include "serving/turnhistory.h"
 
 #include <deque>
-#include <memory>
-#include <set>
 #include <utility>
 
 namespace flamingo
@@ -20,21 +18,12 @@
     explicit PlatformBudgetStore(platform::PlatformStore &store);
 
     void swap(const ProgramId &program, std::uint64_t expectedRevision, const std::string &bytes, std::function<void(SwapResult)> onResult) override;
-    void swapAndClose(const ProgramId &program, std::uint64_t expectedRevision, const std::string &bytes, std::function<void(SwapResult)> onResult) override;
-    void create(const std::vector<std::pair<ProgramId, std::string>> &records, std::function<void(SwapResult)> onResult) override;
     void remove(const std::vector<ProgramId> &programs) override;
 
-    /// Reads the list of programs that nobody may lend to; not called when the store doesn't answer.
-    void listClosed(std::function<void(std::set<ProgramId> programs)> onListed);
-
     /// Whether the store holds no budget at all; not called when the store doesn't answer.
     void checkEmpty(std::function<void(bool isEmpty)> onChecked);
 
 private:
-    struct ClosedListing;
-
-    void listClosedPage(const std::shared_ptr<ClosedListing> &listing);
-
     platform::PlatformStore &m_store;
 };
 
--- a/src/serving/budgetledger.cpp
+++ b/src/serving/budgetledger.cpp
@@ -21,10 +21,8 @@
 constexpr int MaxTries = 3;
 /// Programs without a turn for this long have most likely ended, so there is nobody to give their budget back to.
 constexpr Milliseconds ReleaseRecent{15000};
-/// Part of a budget that is lent. Most programs use less than a third.
+/// Part of a budget that is lent in an outage. Most programs use less than a third.
 constexpr std::int64_t LentDivisor = 2;
-/// A loan that lasts longer is told to the store, since a home that dies leaves it in doubt.
-constexpr Milliseconds MostLoanAge{60000};
 
 Tokens loan(Tokens budget, Tokens most)
 {
@@ -88,16 +86,14 @@
 }
 
 // Only for a program of which this holder knows no record: what it knows to be granted elsewhere isn't lent again.
-bool BudgetLedger::tryLend(const ProgramId &program, Account &account, Tokens most, Instant now) const
+bool BudgetLedger::tryLend(const ProgramId &program, Account &account, Tokens most) const
 {
     const bool isUnknown = account.revision == 0 && account.record.granted.empty() && account.loan.value() == 0;
     if (!isUnknown || !m_checks.mayLend(program)) {
         return false;
     }
     account.loan = loan(account.budget, most);
-    account.unlent = account.loan - most;
     account.lent = account.loan;
-    account.lentAt = now;
     logChange("budget-lent", "program={} tokens={} budget={}", program.value(), account.lent.value(), account.budget.value());
     return true;
 }
@@ -135,7 +131,7 @@
         onAnswer({BudgetVerdict::Elsewhere, *holder});
         return;
     }
-    if (tryLend(program, account, most, now) && tryReserve(account, most)) {
+    if (m_checks.isStoreAway() && tryLend(program, account, most) && tryReserve(account, most)) {
         onAnswer({BudgetVerdict::Reserved, {}});
         return;
     }
@@ -155,38 +151,26 @@
     const Tokens own = ownShare(account);
     BudgetRecord proposed = account.record;
     proposed.granted[m_self] = own;
-    if (account.revision == 0) {
+    if (m_checks.isSoleLender(program)) {
+        proposed.reserve = Tokens(0);
+    } else if (account.revision == 0) {
         const Tokens most = account.waiters.empty() ? Tokens(0) : account.waiters.front().most;
         proposed.reserve = loan(account.budget, most) - most;
     }
+    const Tokens remaining = proposed.remaining();
     // What this holder has left unreserved helps to cover what is wanted.
     const Tokens unused = own - account.spent - account.reserved;
-    const Tokens least = account.waiters.empty() ? Tokens(0) : account.waiters.front().most - unused;
-    if (proposed.remaining() < least && m_checks.isSoleLender(program)) {
-        proposed.reserve = Tokens(0);
-    }
-    const Tokens remaining = proposed.remaining();
-    if (!account.waiters.empty() && remaining < least) {
-        failWaiters(account, {verdictWithoutRoom(proposed), {}});
+    if (!account.waiters.empty() && remaining < account.waiters.front().most - unused) {
+        failWaiters(account, {verdictWithoutRoom(account), {}});
         return;
     }
-    const Tokens part((remaining + proposed.reserve).value() / GrantDivisor);
+    const Tokens part(remaining.value() / GrantDivisor);
     const Tokens grant = std::max(Tokens(0), std::min(remaining, std::max(wanted - unused, part)));
     proposed.granted[m_self] = own + grant;
     // From here on others may be granted what the store isn't told of.
     account.lent = std::min(account.lent, own + grant);
     account.isAsking = true;
-    swap(program, account, proposed, [this, program, proposed](const SwapResult &result) { onSwapped(program, proposed, result); });
-}
-
-void BudgetLedger::swap(const ProgramId &program, const Account &account, const BudgetRecord &proposed, std::function<void(SwapResult)> onResult)
-{
-    const bool isClosing = proposed.reserve.value() == 0 && (account.revision == 0 || account.record.reserve.value() > 0);
-    if (isClosing) {
-        m_store.swapAndClose(program, account.revision, proposed.encode(), std::move(onResult));
-    } else {
-        m_store.swap(program, account.revision, proposed.encode(), std::move(onResult));
-    }
+    m_store.swap(program, account.revision, proposed.encode(), [this, program, proposed](const SwapResult &result) { onSwapped(program, proposed, result); });
 }
 
 void BudgetLedger::onSwapped(const ProgramId &program, const BudgetRecord &proposed, const SwapResult &result)
@@ -214,19 +198,22 @@
             failWaiters(account, {BudgetVerdict::Elsewhere, *holder});
             return;
         }
-    } else if (!serveUntold(account, result.status)) {
+    } else if (!serveUntold(program, account, result.status)) {
         return;
     }
     serveWaiters(program);
 }
 
 // The store has not answered, or has refused. Returns whether waiters may go on.
-bool BudgetLedger::serveUntold(Account &account, SwapResult::Status status)
+bool BudgetLedger::serveUntold(const ProgramId &program, Account &account, SwapResult::Status status)
 {
     const bool isRefused = status == SwapResult::Status::Refused;
     if (isRefused) {
         account.lent = account.loan;
     }
+    if (!account.waiters.empty() && tryLend(program, account, account.waiters.front().most)) {
+        return true;
+    }
     if (++account.failuresInRow >= MaxTries || isRefused) {
         failWaiters(account, {});
         return false;
@@ -245,12 +232,14 @@
     }
 }
 
-void BudgetLedger::registerLoans(Instant now)
+void BudgetLedger::registerLoans()
 {
+    if (m_isReleasing || m_checks.isStoreAway()) {
+        return;
+    }
     std::vector<ProgramId> programs;
     for (const auto &[program, account] : m_accounts) {
-        const bool isDue = account.loan.value() > 0 && now - account.lentAt >= MostLoanAge && now - account.usedAt < ReleaseRecent;
-        if (isDue && !account.isAsking && !m_isReleasing) {
+        if (account.loan.value() > 0 && !account.isAsking) {
             programs.push_back(program);
         }
     }
@@ -284,10 +273,12 @@
     return std::any_of(m_accounts.begin(), m_accounts.end(), [](const auto &it) { return it.second.loan.value() > 0; });
 }
 
-BudgetVerdict BudgetLedger::verdictWithoutRoom(const BudgetRecord &record) const
+BudgetVerdict BudgetLedger::verdictWithoutRoom(const Account &account) const
 {
-    const auto isOthers = [this](const auto &it) { return it.first != m_self && it.second.value() > 0; };
-    const bool othersHold = record.reserve.value() > 0 || std::any_of(record.granted.begin(), record.granted.end(), isOthers);
+    const bool othersHold =
+        account.record.reserve.value() > 0 || std::any_of(account.record.granted.begin(), account.record.granted.end(), [this](const auto &it) {
+            return it.first != m_self && it.second.value() > 0;
+        });
     return othersHold ? BudgetVerdict::Unsure : BudgetVerdict::Spent;
 }
 
@@ -319,65 +310,26 @@
 void BudgetLedger::beginRelease(Instant now)
 {
     m_isReleasing = true;
-    std::vector<ProgramId> untold;
     for (auto &[program, account] : m_accounts) {
-        if (account.loan.value() > 0 && account.revision == 0 && !account.isAsking) {
-            account.isAsking = true;
-            untold.push_back(program);
-        } else if (now - account.usedAt < ReleaseRecent || account.loan.value() > 0) {
+        if (now - account.usedAt < ReleaseRecent || account.loan.value() > 0) {
             release(program, account);
         }
     }
-    for (std::size_t n = 0; n < untold.size(); n += BudgetStore::MostCreated) {
-        const auto begin = untold.begin() + static_cast<std::ptrdiff_t>(n);
-        const auto count = std::min(untold.size() - n, BudgetStore::MostCreated);
-        releaseLoans({begin, begin + static_cast<std::ptrdiff_t>(count)});
-    }
-}
-
-// What the store has to show for this holder when it keeps nothing to itself.
-BudgetRecord BudgetLedger::needed(const Account &account) const
-{
-    BudgetRecord record = account.record;
-    record.granted[m_self] = account.spent + account.reserved;
-    if (account.revision == 0) {
-        record.reserve = account.unlent;
-    }
-    return record;
-}
-
-void BudgetLedger::releaseLoans(const std::vector<ProgramId> &programs)
-{
-    std::vector<std::pair<ProgramId, std::string>> records;
-    std::vector<BudgetRecord> proposed;
-    for (const ProgramId &program : programs) {
-        proposed.push_back(needed(m_accounts.at(program)));
-        records.emplace_back(program, proposed.back().encode());
-    }
-    m_store.create(records, [this, programs, proposed](const SwapResult &result) {
-        for (std::size_t n = 0; n < programs.size(); ++n) {
-            const auto it = m_accounts.find(programs[n]);
-            if (it == m_accounts.end()) {
-                continue;
-            }
-            it->second.isAsking = false;
-            if (result.status == SwapResult::Status::Done) {
-                adopt(it->second, proposed[n], result.revision);
-            }
-            release(programs[n], it->second);
-        }
-    });
 }
 
 void BudgetLedger::release(const ProgramId &program, Account &account)
 {
-    const bool isEven = held(account) <= account.spent + account.reserved && account.loan.value() == 0;
-    if (account.isAsking || isEven) {
+    const Tokens needed = account.spent + account.reserved;
+    if (account.isAsking || (held(account) <= needed && account.loan.value() == 0)) {
         return;
     }
-    const BudgetRecord proposed = needed(account);
+    BudgetRecord proposed = account.record;
+    proposed.granted[m_self] = needed;
+    if (m_checks.isSoleLender(program)) {
+        proposed.reserve = Tokens(0);
+    }
     account.isAsking = true;
-    swap(program, account, proposed, [this, program, proposed](const SwapResult &result) { onReleased(program, proposed, result); });
+    m_store.swap(program, account.revision, proposed.encode(), [this, program, proposed](const SwapResult &result) { onReleased(program, proposed, result); });
 }
 
 void BudgetLedger::onReleased(const ProgramId &program, const BudgetRecord &proposed, const SwapResult &result)
@@ -424,9 +376,7 @@
     for (auto it = m_accounts.begin(); it != m_accounts.end();) {
         const Account &account = it->second;
         if (now - account.usedAt > idle && account.reserved.value() == 0 && account.waiters.empty() && !account.isAsking) {
-            if (account.revision != 0) {
-                gone.push_back(it->first);
-            }
+            gone.push_back(it->first);
             it = m_accounts.erase(it);
         } else {
             ++it;
--- a/src/serving/budgetledger.h
+++ b/src/serving/budgetledger.h
@@ -47,16 +47,6 @@
 public:
     virtual ~BudgetStore() = default;
     virtual void swap(const ProgramId &program, std::uint64_t expectedRevision, const std::string &bytes, std::function<void(SwapResult)> onResult) = 0;
-
-    /// Swaps, and puts the program on the list of those that nobody may lend to any more, both or neither.
-    virtual void swapAndClose(const ProgramId &program, std::uint64_t expectedRevision, const std::string &bytes, std::function<void(SwapResult)> onResult) = 0;
-
-    /// Writes records that must all be absent, all or none; at most MostCreated.
-    virtual void create(const std::vector<std::pair<ProgramId, std::string>> &records, std::function<void(SwapResult)> onResult) = 0;
-
-    static constexpr std::size_t MostCreated = 16;
-
-    /// Removes records, from the list of closed ones too.
     virtual void remove(const std::vector<ProgramId> &programs) = 0;
 };
 
@@ -85,9 +75,8 @@
 /// and reserves each turn's most out of them before the turn runs, so that most turns need no call to the store, and a
 /// holder's death can only leave a budget under-used.
 ///
-/// A program's first home lends it half of its budget without asking the store, which needn't be there, and tells the store
-/// when the program needs more, goes on for long, or the home stops. A record leaves that half alone, less one turn, by which a
-/// budget may be exceeded, until one that nobody else can have lent to needs it; the program is then closed to loans.
+/// While the store is away, a program's first home lends it half of its budget. Whoever else creates the program's record
+/// leaves that half alone, less one turn, by which a budget may be exceeded.
 class BudgetLedger
 {
 public:
@@ -100,6 +89,7 @@
         LivenessCheck isLive; ///< Whether another holder can be asked.
         LendingCheck mayLend; ///< Whether this holder may lend to a program of which it knows no record.
         LendingCheck isSoleLender; ///< Whether nobody else can have lent to the program.
+        std::function<bool()> isStoreAway = [] { return false; }; ///< The store has just failed, so asking it would take time.
     };
 
     BudgetLedger(HolderId self, BudgetStore &store, Checks checks);
@@ -110,8 +100,8 @@
     /// A reserved turn has ended and has generated so many tokens that may have reached the caller.
     void settle(const ProgramId &program, Tokens reserved, Tokens used, Instant now);
 
-    /// Tells the store of loans to programs that go on for long.
-    void registerLoans(Instant now);
+    /// Tells the store of what was lent while it was away.
+    void registerLoans();
 
     /// Whether there are loans that the store may not know of.
     bool hasLoans() const;
@@ -136,32 +126,27 @@
         Tokens spent;
         Tokens reserved;
         Tokens loan; ///< What was lent and the store has not been told of.
-        Tokens unlent; ///< What the record is to leave alone for loans when there is none yet.
         Tokens lent; ///< Up to which turns may run on it; part of it may be granted by now.
         std::vector<Waiter> waiters;
         bool isAsking = false;
         bool isReferred = false; ///< A waiter was sent here by the holder's stand-in, so nobody is asked before it.
         int failuresInRow = 0;
         Instant usedAt{};
-        Instant lentAt{};
     };
 
     Tokens held(const Account &account) const;
     Tokens ownShare(const Account &account) const;
     bool tryReserve(Account &account, Tokens most) const;
-    bool tryLend(const ProgramId &program, Account &account, Tokens most, Instant now) const;
-    void swap(const ProgramId &program, const Account &account, const BudgetRecord &proposed, std::function<void(SwapResult)> onResult);
+    bool tryLend(const ProgramId &program, Account &account, Tokens most) const;
     void adopt(Account &account, const BudgetRecord &proposed, std::uint64_t revision) const;
     void ask(const ProgramId &program, Account &account);
     void onSwapped(const ProgramId &program, const BudgetRecord &proposed, const SwapResult &result);
-    bool serveUntold(Account &account, SwapResult::Status status);
+    bool serveUntold(const ProgramId &program, Account &account, SwapResult::Status status);
     void serveWaiters(const ProgramId &program);
     static void failWaiters(Account &account, const BudgetAnswer &answer);
-    BudgetVerdict verdictWithoutRoom(const BudgetRecord &record) const;
+    BudgetVerdict verdictWithoutRoom(const Account &account) const;
     std::optional<HolderId> liveHolder(const Account &account) const;
     void release(const ProgramId &program, Account &account);
-    void releaseLoans(const std::vector<ProgramId> &programs);
-    BudgetRecord needed(const Account &account) const;
     void onReleased(const ProgramId &program, const BudgetRecord &proposed, const SwapResult &result);
 
     HolderId m_self;
--- a/src/serving/lender.cpp
+++ b/src/serving/lender.cpp
@@ -1,8 +1,5 @@
 #include "serving/lender.h"
 
-#include <algorithm>
-#include <utility>
-
 namespace flamingo
 {
 
@@ -27,16 +24,9 @@
     m_fleetReadAt = now;
 }
 
-void Lender::onClosedRead(std::set<ProgramId> closed, Instant at)
-{
-    m_closed = std::move(closed);
-    m_closedReadAt = at;
-}
-
-bool Lender::isSettled() const
+bool Lender::isSettled(Instant now) const
 {
-    const Milliseconds settleTime = m_isFirstStart ? FirstSettleTime : ProgramIdleLife;
-    return std::min(m_fleetReadAt, m_closedReadAt) - m_startedAt >= settleTime;
+    return m_isFirstStart ? m_fleetReadAt - m_startedAt >= FirstSettleTime : now - m_startedAt >= ProgramIdleLife;
 }
 
 bool Lender::isListNew(Instant now) const
@@ -44,22 +34,16 @@
     return m_fleet.isLoaded() && now - m_fleetReadAt <= Fleet::MostListAge;
 }
 
-bool Lender::knowsFormerLoans(Instant now) const
-{
-    return m_isFirstStart || m_isCleanStart || now - m_startedAt >= ProgramIdleLife;
-}
-
 bool Lender::mayLend(const ProgramId &program, Instant now) const
 {
-    const bool isOpen = m_closed.count(program) == 0;
-    return isOpen && isListNew(now) && isSettled() && m_fleet.isFirstHome(program) && m_fleet.wasFirstHome(program);
+    return isListNew(now) && isSettled(now) && m_fleet.isFirstHome(program) && m_fleet.wasFirstHome(program);
 }
 
 // Before the instances have found each other nobody lends. A former home that has left the list is owed nothing.
 bool Lender::isSoleLender(const ProgramId &program, Instant now) const
 {
     const bool isBeforeAll = m_isFirstStart && now - m_startedAt < FirstSettleTime;
-    return (isBeforeAll || (isListNew(now) && (m_isCleanStart || isSettled()))) && m_fleet.isFirstHome(program);
+    return (isBeforeAll || (isListNew(now) && (m_isCleanStart || isSettled(now)))) && m_fleet.isFirstHome(program);
 }
 
 } // namespace flamingo
--- a/src/serving/lender.h
+++ b/src/serving/lender.h
@@ -4,8 +4,6 @@
 #include "core/time.h"
 #include "serving/fleet.h"
 
-#include <set>
-
 namespace flamingo
 {
 
@@ -16,8 +14,7 @@
 /// and whether another one may have done so. That needs no call: of all instances that are listed or have been lately, the
 /// program's first home is the only one that lends, and only in a life that has lasted as long as a program that is idle
 /// is remembered. So a former life's loans and those of a former home are over before anybody lends again. An instance
-/// leaves the list only when the store knows all its loans. Programs whose budgets are used up by others beyond what is left
-/// alone for a loan are closed to lending.
+/// leaves the list only when the store knows all its loans.
 class Lender
 {
 public:
@@ -36,13 +33,6 @@
     /// The list of instances was just read.
     void onFleetRead(Instant now);
 
-    /// The programs that nobody may lend to, as the store had them at this time. It has to be read once more in a life that
-    /// is old enough to lend.
-    void onClosedRead(std::set<ProgramId> closed, Instant at);
-
-    /// Whether no loans of former lives can be left that nobody knows of, so that this one may leave the list.
-    bool knowsFormerLoans(Instant now) const;
-
     /// Whether this instance may let a program run that the store knows nothing of.
     bool mayLend(const ProgramId &program, Instant now) const;
 
@@ -50,14 +40,12 @@
     bool isSoleLender(const ProgramId &program, Instant now) const;
 
 private:
-    bool isSettled() const;
+    bool isSettled(Instant now) const;
     bool isListNew(Instant now) const;
 
     const Fleet &m_fleet;
     Instant m_startedAt;
     Instant m_fleetReadAt{};
-    Instant m_closedReadAt{};
-    std::set<ProgramId> m_closed;
     bool m_isFirstStart = false;
     bool m_isCleanStart = false;
 };
--- a/tests/unit/servingtest.cpp
+++ b/tests/unit/servingtest.cpp
@@ -53,31 +53,6 @@
         onResult({SwapResult::Status::Done, record.revision, {}});
     }
 
-    void swapAndClose(const ProgramId &program, std::uint64_t expectedRevision, const std::string &bytes, std::function<void(SwapResult)> onResult) override
-    {
-        const auto before = records[program].revision;
-        swap(program, expectedRevision, bytes, std::move(onResult));
-        if (records[program].revision != before) {
-            closed.insert(program);
-        }
-    }
-
-    void create(const std::vector<std::pair<ProgramId, std::string>> &created, std::function<void(SwapResult)> onResult) override
-    {
-        ++calls;
-        const auto isThere = [this](const auto &it) { return records[it.first].revision != 0; };
-        if (isRefusing) {
-            onResult({SwapResult::Status::Refused, 0, {}});
-        } else if (std::any_of(created.begin(), created.end(), isThere)) {
-            onResult({SwapResult::Status::Conflict, 0, {}});
-        } else {
-            for (const auto &[program, bytes] : created) {
-                records[program] = {1, bytes};
-            }
-            onResult({SwapResult::Status::Done, 1, {}});
-        }
-    }
-
     void remove(const std::vector<ProgramId> &programs) override
     {
         for (const ProgramId &program : programs) {
@@ -88,11 +63,10 @@
     Tokens granted(const std::string &program) const
     {
         const auto record = BudgetRecord::decode(records.at(ProgramId(program)).bytes);
-        return record->budget - record->remaining() - record->reserve;
+        return record->budget - record->remaining();
     }
 
     std::map<ProgramId, Record> records;
-    std::set<ProgramId> closed;
     int calls = 0;
     int answersToLose = 0;
     bool isRefusing = false;
@@ -122,9 +96,9 @@
         return answer;
     }
 
-    void settle(int reserved, int used, Instant at = Start)
+    void settle(int reserved, int used)
     {
-        ledger.settle(ProgramId("p"), Tokens(reserved), Tokens(used), at);
+        ledger.settle(ProgramId("p"), Tokens(reserved), Tokens(used), Start);
     }
 
     BudgetLedger ledger;
@@ -321,13 +295,14 @@
         CHECK(other.reserve(Budget, Most).verdict == BudgetVerdict::Unsure);
         CHECK((3 + others) * Most <= Budget + Most);
         CHECK((3 + others) * Most >= Budget);
+        home.ledger.registerLoans();
         CHECK(run(home) == 0);
     }
     SECTION("Told to the store, the loan is a grant like any other")
     {
-        CHECK(3 + run(home) == Budget / Most);
+        home.ledger.registerLoans();
         CHECK(store.granted("p") >= Tokens(3 * Most));
-        CHECK(store.closed.count(ProgramId("p")) == 1);
+        CHECK(3 + run(home) == Budget / Most);
         CHECK(home.reserve(Budget, Most).verdict == BudgetVerdict::Spent);
     }
     SECTION("While the store is being told, no more is used than it is told")
@@ -340,11 +315,8 @@
         store.isRefusing = false;
         CHECK(run(other) == 4);
         store.isHoldingAnswers = true;
-        early.ledger.registerLoans(Start + Milliseconds(30000)); // The loan is young.
-        REQUIRE(store.heldAnswers.empty());
-        early.settle(0, 0, Start + Milliseconds(60000));
-        early.ledger.registerLoans(Start + Milliseconds(60000)); // Finds the other's record,
-        early.ledger.registerLoans(Start + Milliseconds(60000)); // and adds to it.
+        early.ledger.registerLoans(); // Finds the other's record,
+        early.ledger.registerLoans(); // and adds to it.
         REQUIRE(store.heldAnswers.size() == 1);
         const int inFlight = run(early);
         CHECK(store.granted("p") - Tokens(4 * Most) >= Tokens((1 + inFlight) * Most));
@@ -356,41 +328,6 @@
     }
 }
 
-// Each call of the store is counted and takes time, and most programs use less than a third of their budgets.
-TEST_CASE("A home that may lend asks the store only for programs that use much, and tells it of all when it stops", "[serving][promises]")
-{
-    constexpr int Programs = 40;
-    MemoryBudgets store;
-    const auto always = [](const ProgramId &) { return true; };
-    Holder home(store, "a", {[](const HolderId &) { return false; }, always, always});
-    const auto run = [&](int n) {
-        bool isReserved = false;
-        const ProgramId program("p" + std::to_string(n));
-        home.ledger.reserve(
-            {program, Tokens(1800), Tokens(300), false}, Start, [&](const BudgetAnswer &it) { isReserved = it.verdict == BudgetVerdict::Reserved; });
-        home.ledger.settle(program, Tokens(300), Tokens(200), Start);
-        return isReserved;
-    };
-    for (int n = 0; n < Programs; ++n) {
-        REQUIRE(run(n));
-        REQUIRE(run(n));
-    }
-    CHECK(store.calls == 0);
-    CHECK(home.ledger.hasLoans());
-    // Somebody else has run one of them as well.
-    Holder other(store, "b");
-    bool hasRun = false;
-    other.ledger.reserve({ProgramId("p7"), Tokens(1800), Tokens(300), false}, Start, [&](const BudgetAnswer &) { hasRun = true; });
-    REQUIRE(hasRun);
-    const int before = store.calls;
-    home.ledger.beginRelease(Start);
-    CHECK_FALSE(home.ledger.hasLoans());
-    CHECK(store.calls - before <= 3 + 2 * static_cast<int>(BudgetStore::MostCreated));
-    for (int n = 0; n < Programs; ++n) {
-        CHECK(store.granted("p" + std::to_string(n)) >= Tokens(400));
-    }
-}
-
 TEST_CASE("A departure is recent when both clocks say so", "[serving]")
 {
     const Departure left{Milliseconds(50000), Milliseconds(900000)};
@@ -439,9 +376,6 @@
     CHECK_FALSE(lender.isSoleLender(ofA, at(6000)));
     CHECK_FALSE(lender.mayLend(ofA, at(20000))); // The list is of before the others came.
     lender.onFleetRead(at(5000));
-    CHECK_FALSE(lender.mayLend(ofA, at(6000))); // Some programs may be closed to loans.
-    lender.onClosedRead({ProgramId("closed")}, at(5000));
-    CHECK_FALSE(lender.mayLend(ProgramId("closed"), at(6000)));
     CHECK(lender.mayLend(ofA, at(6000)));
     CHECK_FALSE(lender.mayLend(ofB, at(6000)));
     CHECK_FALSE(lender.mayLend(ofA, at(36000))); // The list may be out of date.
@@ -453,7 +387,6 @@
     CHECK(lender.mayLend(ofA, at(41000)));
     Lender old(own, Start);
     old.onFleetRead(at(200000));
-    old.onClosedRead({}, at(200000));
     CHECK(old.mayLend(ofA, at(200000)));
 }
 
@@ -478,7 +411,8 @@
                          name + ":" + std::to_string(life),
                          {[](const HolderId &) { return false; },
                           [this](const ProgramId &program) { return lender.mayLend(program, now); },
-                          [this](const ProgramId &program) { return lender.isSoleLender(program, now); }})
+                          [this](const ProgramId &program) { return lender.isSoleLender(program, now); },
+                          [this] { return store.isRefusing; }})
             {
             }
 
@@ -488,22 +422,6 @@
                     : shared(it)
                 {
                 }
-                void swapAndClose(const ProgramId &program, std::uint64_t revision, const std::string &bytes, std::function<void(SwapResult)> onResult) override
-                {
-                    if (isRefusing) {
-                        onResult({SwapResult::Status::Refused, 0, {}});
-                    } else {
-                        shared.swapAndClose(program, revision, bytes, std::move(onResult));
-                    }
-                }
-                void create(const std::vector<std::pair<ProgramId, std::string>> &created, std::function<void(SwapResult)> onResult) override
-                {
-                    if (isRefusing) {
-                        onResult({SwapResult::Status::Refused, 0, {}});
-                    } else {
-                        shared.create(created, std::move(onResult));
-                    }
-                }
                 void swap(const ProgramId &program, std::uint64_t revision, const std::string &bytes, std::function<void(SwapResult)> onResult) override
                 {
                     if (isRefusing) {
@@ -544,7 +462,6 @@
             }
             node.fleet.setLoaded();
             node.lender.onFleetRead(now);
-            node.lender.onClosedRead(store.closed, now);
         };
         for (const std::string &name : listed) {
             start(name, true);
@@ -562,12 +479,8 @@
             return nullptr;
         };
         int handed = 0;
-        Instant ranAt = now;
         for (int step = 0; step < 400; ++step) {
             now += Milliseconds(dice(1500));
-            if (now - ranAt > ProgramIdleLife) {
-                break; // The program is over and forgotten.
-            }
             const std::string name = std::string(1, static_cast<char>('a' + dice(4)));
             const auto it = nodes.find(name);
             if (it == nodes.end() || !it->second) {
@@ -603,7 +516,7 @@
             case 4:
                 if (dice(6) == 0) {
                     node.holder.ledger.beginRelease(now);
-                    if (!node.holder.ledger.hasLoans() && node.lender.knowsFormerLoans(now) && !node.store.isRefusing) {
+                    if (!node.holder.ledger.hasLoans() && !node.store.isRefusing) {
                         listed.erase(name);
                         leftAt[name] = now;
                     }
@@ -611,7 +524,7 @@
                 }
                 break;
             case 5:
-                node.holder.ledger.registerLoans(now);
+                node.holder.ledger.registerLoans();
                 break;
             case 6:
                 node.isCut = !node.isCut && dice(3) == 0;
@@ -620,7 +533,6 @@
                 if (Node *home = homeFor(node); home && home->holder.reserve(Budget, Most).verdict == BudgetVerdict::Reserved) {
                     lentRuns += home->store.isRefusing ? 1 : 0;
                     handed += Most;
-                    ranAt = now;
                     home->holder.settle(Most, Most);
                 }
             }
