--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -176,7 +176,7 @@
     });
 }
 
-// The list keeps an instance whose loans the store doesn't know, as it keeps one that has died.
+// The list keeps an instance whose loans, or whose former lives' loans, the store doesn't know, as it keeps one that has died.
 // Its own entry is small, and whether it is there doesn't matter.
 void InstanceDaemon::probeStore()
 {
@@ -185,7 +185,7 @@
 
 void InstanceDaemon::leaveFleet()
 {
-    if (m_hasLeft || m_budgets.hasLoans()) {
+    if (m_hasLeft || m_budgets.hasLoans() || !m_lender.mayLeave(suspendAwareNow())) {
         return;
     }
     m_hasLeft = true;
--- a/src/serving/budgetledger.cpp
+++ b/src/serving/budgetledger.cpp
@@ -113,8 +113,10 @@
         onAnswer({});
         return;
     }
-    Account &account = m_accounts[turn.program];
+    const auto [it, isNew] = m_accounts.try_emplace(turn.program);
+    Account &account = it->second;
     const ProgramId &program = turn.program;
+    account.isOwnFromStart = isNew ? m_checks.isSoleLender(program) : account.isOwnFromStart;
     const Tokens most = turn.most;
     if (account.revision == 0 && account.record.granted.empty()) {
         account.budget = turn.budget;
@@ -151,7 +153,7 @@
     const Tokens own = ownShare(account);
     BudgetRecord proposed = account.record;
     proposed.granted[m_self] = own;
-    if (m_checks.isSoleLender(program)) {
+    if (account.isOwnFromStart && m_checks.isSoleLender(program)) {
         proposed.reserve = Tokens(0);
     } else if (account.revision == 0) {
         const Tokens most = account.waiters.empty() ? Tokens(0) : account.waiters.front().most;
@@ -325,7 +327,7 @@
     }
     BudgetRecord proposed = account.record;
     proposed.granted[m_self] = needed;
-    if (m_checks.isSoleLender(program)) {
+    if (account.isOwnFromStart && m_checks.isSoleLender(program)) {
         proposed.reserve = Tokens(0);
     }
     account.isAsking = true;
--- a/src/serving/budgetledger.h
+++ b/src/serving/budgetledger.h
@@ -129,6 +129,7 @@
         Tokens lent; ///< Up to which turns may run on it; part of it may be granted by now.
         std::vector<Waiter> waiters;
         bool isAsking = false;
+        bool isOwnFromStart = false; ///< Nobody else could have lent when this holder first saw the program.
         bool isReferred = false; ///< A waiter was sent here by the holder's stand-in, so nobody is asked before it.
         int failuresInRow = 0;
         Instant usedAt{};
--- a/src/serving/lender.cpp
+++ b/src/serving/lender.cpp
@@ -3,6 +3,12 @@
 namespace flamingo
 {
 
+namespace
+{
+/// Until all others have seen a newcomer on the list, also where a watch heard nothing.
+constexpr Milliseconds SeenTime{10000};
+} // namespace
+
 Lender::Lender(const Fleet &fleet, Instant startedAt)
     : m_fleet(fleet)
     , m_startedAt(startedAt)
@@ -34,6 +40,12 @@
     return m_fleet.isLoaded() && now - m_fleetReadAt <= Fleet::MostListAge;
 }
 
+bool Lender::mayLeave(Instant now) const
+{
+    const auto age = now - m_startedAt;
+    return age >= ProgramIdleLife || (age >= SeenTime && (m_isFirstStart || m_isCleanStart));
+}
+
 bool Lender::mayLend(const ProgramId &program, Instant now) const
 {
     return isListNew(now) && isSettled(now) && m_fleet.isFirstHome(program) && m_fleet.wasFirstHome(program);
@@ -43,7 +55,8 @@
 bool Lender::isSoleLender(const ProgramId &program, Instant now) const
 {
     const bool isBeforeAll = m_isFirstStart && now - m_startedAt < FirstSettleTime;
-    return (isBeforeAll || (isListNew(now) && (m_isCleanStart || isSettled(now)))) && m_fleet.isFirstHome(program);
+    const bool isClear = isBeforeAll || m_isCleanStart || isSettled(now);
+    return isClear && isListNew(now) && m_fleet.isFirstHome(program);
 }
 
 } // namespace flamingo
--- a/src/serving/lender.h
+++ b/src/serving/lender.h
@@ -33,6 +33,9 @@
     /// The list of instances was just read.
     void onFleetRead(Instant now);
 
+    /// Whether this life may leave the list: it knows of all loans of former lives, and others have seen it on the list.
+    bool mayLeave(Instant now) const;
+
     /// Whether this instance may let a program run that the store knows nothing of.
     bool mayLend(const ProgramId &program, Instant now) const;
 
