Two controls a domain watch the endpoints; one HTTP client; what was doubled is one

Each control listed all registered endpoints every two seconds, 5,520 reads/s at the target by calculation, of two thousand allowed. HttpClient (libcurl) and LinkPool (Asio) were two wires for the same protocol, and libcurl had to be kept from repeating calls by itself. BudgetLedger answered two kinds of swap by the same first lines; two main functions and the set-up of two instances stood twice; a test left a file in the repository.

Ruled out: lists at a longer period (leaving endpoints must be known within seconds); telling everybody by everybody (the square of a domain's instances).

Change: a watch by two instances of each domain, as for the configuration; they tell their domain, others tell three at random, and each control tells one a second, so that a domain without the store learns it too. A newer revision replaces an older one. HttpClient is LinkPool on a thread of its own; libcurl is gone from packages, build and deploy file. BudgetLedger::swap and isReserveNeedless; platform/runprogram.h; a fixture.

Conclusion: registered endpoints cost 30 waiting calls at the target instead of 5,520 reads/s, by calculation.

--- a/src/control/controlcore.cpp
+++ b/src/control/controlcore.cpp
@@ -21,7 +21,6 @@
 constexpr Milliseconds StartTime{20000};
 constexpr Milliseconds StartExchangePeriod{2000};
 constexpr Milliseconds ExchangePeriod{60000};
-constexpr Milliseconds ListingPeriod{2000};
 constexpr Milliseconds PublicationPeriod{100};
 constexpr Milliseconds ReadRetryPeriod{1000};
 constexpr Milliseconds WatchRetry{1000};
@@ -97,6 +96,14 @@
                         [&](const ConfigurationUpdate &update) { m_keeper.learn(update.objects); },
                         [&](const ConfigurationDigest &digest) { onDigest(link, digest); },
                         [&](const MembershipExchange &exchange) { onExchange(link, exchange); },
+                        [&](const EndpointsLeaving &leaving) {
+                            if (!adoptLeaving(leaving)) {
+                                return;
+                            }
+                            for (const InstanceId &peer : m_membership.randomLive(SpreadFanout)) {
+                                sendToControl(peer, leaving);
+                            }
+                        },
                         [&](const DrainInstance &) { drainSelf(); },
                         [&](const StatusQuery &query) {
                             m_actions.emplace_back(SendOnControlLink{link, StatusReply{query.request, ownStatus()}});
@@ -132,7 +139,7 @@
     m_actions.emplace_back(SendOnControlLink{link, membershipUpdate()});
     if (role == "scheduler") {
         m_schedulerLink = link;
-        m_actions.emplace_back(SendOnControlLink{link, EndpointsLeaving{m_listedLeaving}});
+        m_actions.emplace_back(SendOnControlLink{link, m_leaving});
     }
     if (m_isDraining) {
         m_actions.emplace_back(SendOnControlLink{link, DrainInstance{}});
@@ -239,6 +246,9 @@
 {
     for (const InstanceId &peer : m_membership.randomLive(1)) {
         sendToControl(peer, ConfigurationDigest{m_keeper.configuration().bucketSums(), false});
+        if (m_leaving.revision > 0) {
+            sendToControl(peer, m_leaving);
+        }
     }
 }
 
@@ -301,39 +311,84 @@
     return before < WatchersPerDomain;
 }
 
-void ControlCore::startWatch()
+void ControlCore::startWatches()
 {
-    if (!m_isWatching && m_now >= m_nextWatch && isWatcher()) {
-        m_isWatching = true;
-        m_actions.emplace_back(WatchConfig{m_watchRevision});
+    const auto isFree = [this](const Watch &watch) { return !watch.isWaiting && m_now >= watch.next; };
+    if ((!isFree(m_configurationWatch) && !isFree(m_endpointWatch)) || !isWatcher()) {
+        return;
+    }
+    if (isFree(m_configurationWatch)) {
+        m_configurationWatch.isWaiting = true;
+        m_actions.emplace_back(WatchConfig{m_configurationWatch.revision});
+    }
+    if (isFree(m_endpointWatch)) {
+        m_endpointWatch.isWaiting = true;
+        m_actions.emplace_back(WatchEndpoints{m_endpointWatch.revision});
     }
 }
 
 void ControlCore::onWatch(const WatchResult &result)
 {
-    m_isWatching = false;
+    m_configurationWatch.isWaiting = false;
     if (!result.isOk) {
-        m_nextWatch = m_now + WatchRetry;
+        m_configurationWatch.next = m_now + WatchRetry;
         return;
     }
-    m_watchRevision = result.revision;
+    m_configurationWatch.revision = result.revision;
     m_keeper.onWritten(result.values);
     pumpKeeper();
 }
 
-void ControlCore::onEndpointsListed(const std::vector<EndpointEntry> &endpoints)
+void ControlCore::onEndpointChanges(const EndpointChanges &changes)
 {
-    std::vector<EndpointId> leaving;
-    for (const EndpointEntry &listed : endpoints) {
-        if (listed.isLeaving && m_keeper.configuration().endpoint(listed.id)) {
-            leaving.push_back(listed.id);
+    m_endpointWatch.isWaiting = false;
+    if (!changes.isOk) {
+        m_endpointWatch.next = m_now + WatchRetry;
+        return;
+    }
+    m_endpointWatch.revision = changes.revision;
+    if (changes.isWhole) {
+        m_watchedLeaving.clear();
+    }
+    for (const EndpointId &id : changes.gone) {
+        m_watchedLeaving.erase(id);
+    }
+    for (const EndpointEntry &entry : changes.present) {
+        if (entry.isLeaving) {
+            m_watchedLeaving.insert(entry.id);
+        } else {
+            m_watchedLeaving.erase(entry.id);
         }
     }
-    if (leaving != m_listedLeaving) {
-        m_listedLeaving = leaving;
-        logChange("leaving-endpoints", "count={}", leaving.size());
+    const EndpointsLeaving leaving{{m_watchedLeaving.begin(), m_watchedLeaving.end()}, changes.revision};
+    if (adoptLeaving(leaving)) {
+        tellDomain(leaving);
+    }
+}
+
+// Returns whether it differs from what was known. Another instance's watch may be ahead of this one's.
+bool ControlCore::adoptLeaving(const EndpointsLeaving &leaving)
+{
+    if (leaving.revision <= m_leaving.revision) {
+        return false;
+    }
+    const bool isNews = leaving.endpoints != m_leaving.endpoints;
+    m_leaving = leaving;
+    if (isNews) {
+        logChange("leaving-endpoints", "count={} revision={}", leaving.endpoints.size(), leaving.revision);
         if (m_schedulerLink) {
-            m_actions.emplace_back(SendOnControlLink{*m_schedulerLink, EndpointsLeaving{leaving}});
+            m_actions.emplace_back(SendOnControlLink{*m_schedulerLink, leaving});
+        }
+    }
+    return isNews;
+}
+
+// Leaving endpoints get nothing new after seconds, so a watcher tells all for whom it watches.
+void ControlCore::tellDomain(const PeerMessage &message)
+{
+    for (const auto &[id, fact] : m_membership.members()) {
+        if (id != m_settings.id && fact.domain == m_settings.domain && fact.state == MemberState::Live) {
+            sendToControl(id, message);
         }
     }
 }
@@ -500,7 +555,7 @@
     if (!m_keeper.hasRead() && isDue(m_nextRead, ReadRetryPeriod)) {
         m_keeper.readAll(m_now);
     }
-    startWatch();
+    startWatches();
     m_startedAt = m_startedAt.value_or(m_now);
     if (isDue(m_nextExchange, m_now - *m_startedAt < StartTime ? StartExchangePeriod : ExchangePeriod)) {
         exchangeMembers();
@@ -508,9 +563,6 @@
     if (isDue(m_nextComparison, ComparisonPeriod)) {
         compareWithPeer();
     }
-    if (isDue(m_nextListing, ListingPeriod)) {
-        m_actions.emplace_back(ListRegisteredEndpoints{});
-    }
     expire();
     pumpKeeper();
 }
--- a/src/control/controlcore.h
+++ b/src/control/controlcore.h
@@ -5,7 +5,7 @@
 #include "membership/membership.h"
 #include "peerlink/messages.h"
 #include "peerlink/peerlink.h"
-#include "serving/endpointentry.h"
+#include "serving/endpointchanges.h"
 #include "settings/instancesettings.h"
 
 #include <functional>
@@ -42,11 +42,12 @@
     std::uint64_t afterRevision = 0;
 };
 
-struct ListRegisteredEndpoints {
+struct WatchEndpoints {
+    std::uint64_t afterRevision = 0;
 };
 
 /// What the control's decisions ask the threads with the wires to do.
-using ControlAction = std::variant<SendGossip, SendOnControlLink, SendToControlPeer, CallConfigStore, WatchConfig, ListRegisteredEndpoints>;
+using ControlAction = std::variant<SendGossip, SendOnControlLink, SendToControlPeer, CallConfigStore, WatchConfig, WatchEndpoints>;
 
 /// All decisions of a control process: membership, tickets, and the spreading of both. It does no I/O and reads no clock.
 class ControlCore
@@ -65,7 +66,7 @@
     void onLinkDown(LinkId link);
     void onStoreReply(const StoreReply &reply);
     void onWatch(const WatchResult &result);
-    void onEndpointsListed(const std::vector<EndpointEntry> &endpoints);
+    void onEndpointChanges(const EndpointChanges &changes);
 
     /// To be called every few milliseconds.
     void onTimer();
@@ -87,6 +88,12 @@
     std::vector<ControlAction> takeActions();
 
 private:
+    /// One prefix of the store that watchers follow.
+    struct Watch {
+        std::uint64_t revision = 0;
+        bool isWaiting = false;
+        Instant next{};
+    };
     struct PendingStatus {
         StatusHandler handler;
         nlohmann::json replies = nlohmann::json::array();
@@ -110,8 +117,10 @@
     void exchangeMembers();
     std::vector<MemberFact> knownMembers() const;
     void onExchange(LinkId link, const MembershipExchange &exchange);
-    void startWatch();
+    void startWatches();
     bool isWatcher() const;
+    bool adoptLeaving(const EndpointsLeaving &leaving);
+    void tellDomain(const PeerMessage &message);
     void drainSelf();
     nlohmann::json ownStatus() const;
     MembershipUpdate membershipUpdate() const;
@@ -130,14 +139,13 @@
     std::optional<LinkId> m_schedulerLink;
     SchedulerReport m_report;
     bool m_isDraining = false;
-    std::vector<EndpointId> m_listedLeaving;
-    std::uint64_t m_watchRevision = 0;
-    bool m_isWatching = false;
-    Instant m_nextWatch{};
+    std::set<EndpointId> m_watchedLeaving; ///< As this instance's own watch knows them.
+    EndpointsLeaving m_leaving; ///< The newest that this or another instance's watch has brought.
+    Watch m_configurationWatch;
+    Watch m_endpointWatch;
     Instant m_nextComparison{};
     Instant m_nextExchange{};
     std::optional<Instant> m_startedAt;
-    Instant m_nextListing{};
     Instant m_nextPublication{};
     Instant m_nextRead{};
     bool m_hasUnpublishedMembers = false;
--- a/src/control/controldaemon.cpp
+++ b/src/control/controldaemon.cpp
@@ -54,9 +54,9 @@
                                 decide([this, result = std::move(result)] { m_core.onWatch(result); });
                             });
                         },
-                        [this](ListRegisteredEndpoints &) {
-                            m_store->listEndpoints([this](std::vector<EndpointEntry> endpoints) {
-                                decide([this, endpoints = std::move(endpoints)] { m_core.onEndpointsListed(endpoints); });
+                        [this](WatchEndpoints &watch) {
+                            m_store->watchEndpoints(watch.afterRevision, [this](EndpointChanges changes) {
+                                decide([this, changes = std::move(changes)] { m_core.onEndpointChanges(changes); });
                             });
                         }},
                action);
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -44,7 +44,6 @@
 Commands::Commands(std::string address, std::string token)
     : m_address(std::move(address))
     , m_token(std::move(token))
-    , m_client("ctl")
 {
 }
 
--- a/src/endpoints/endpointclient.cpp
+++ b/src/endpoints/endpointclient.cpp
@@ -106,7 +106,6 @@
     : m_onDelta(std::move(onDelta))
     , m_onResult(std::move(onResult))
     , m_onMemory(std::move(onMemory))
-    , m_client("endpoints")
 {
 }
 
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -1,137 +1,121 @@
 #include "http/httpclient.h"
 
-#include <curl/curl.h>
+#include "core/loopthread.h"
+#include "http/linkpool.h"
 
-#include <algorithm>
 #include <atomic>
-#include <cctype>
 #include <future>
-#include <mutex>
-#include <thread>
+#include <map>
+#include <optional>
+#include <utility>
 
 namespace flamingo
 {
 
 namespace
 {
-constexpr int PollTimeoutMs = 50;
+/// Beyond this a peer may have closed the connection already.
+constexpr Milliseconds KeptIdle{2000};
+constexpr std::size_t MaxIdlePerAddress = 64;
+constexpr Milliseconds UnacknowledgedLimit{3000};
+constexpr std::string_view Scheme = "http://";
 
-struct Transfer {
-    HttpClient::RequestId id = 0;
-    HttpRequest request;
-    HttpClient::DoneHandler onDone;
-    HttpClient::ChunkHandler onChunk;
-    HttpResponse response;
-    CURL *easy = nullptr;
-    curl_slist *headers = nullptr;
-    Instant lastArrival;
-    std::string problem;
+struct Url {
+    SocketAddress address;
+    std::string target;
 };
 
-std::size_t onBody(char *data, std::size_t, std::size_t n, void *context)
+std::optional<Url> parseUrl(const std::string &url)
 {
-    auto *transfer = static_cast<Transfer *>(context);
-    transfer->lastArrival = std::chrono::steady_clock::now();
-    if (transfer->onChunk) {
-        transfer->onChunk({data, n});
-    } else {
-        transfer->response.body.append(data, n);
+    if (url.compare(0, Scheme.size(), Scheme) != 0) {
+        return std::nullopt;
     }
-    return n;
+    const auto slash = url.find('/', Scheme.size());
+    const auto address = parseSocketAddress(url.substr(Scheme.size(), slash == std::string::npos ? slash : slash - Scheme.size()));
+    return address ? std::optional<Url>({*address, slash == std::string::npos ? "/" : url.substr(slash)}) : std::nullopt;
 }
 
-std::size_t onHeader(char *data, std::size_t, std::size_t n, void *context)
-{
-    auto *transfer = static_cast<Transfer *>(context);
-    const std::string line(data, n);
-    const auto colon = line.find(':');
-    if (colon != std::string::npos) {
-        std::string name = line.substr(0, colon);
-        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-        const auto first = line.find_first_not_of(' ', colon + 1);
-        const auto last = line.find_last_not_of("\r\n");
-        transfer->response.headers[name] = first <= last && first != std::string::npos ? line.substr(first, last - first + 1) : "";
+LinkRequest linkRequest(const HttpRequest &request, const Url &url, bool mayReuse)
+{
+    LinkRequest link;
+    link.address = url.address;
+    link.head.method = request.method;
+    link.head.target = url.target;
+    link.head.fields.add("Host", url.address.text());
+    for (const std::string &line : request.headers) {
+        const auto colon = line.find(':');
+        if (colon != std::string::npos) {
+            const auto value = line.find_first_not_of(' ', colon + 1);
+            link.head.fields.add(line.substr(0, colon), value == std::string::npos ? std::string() : line.substr(value));
+        }
     }
-    return n;
+    link.body = request.body;
+    link.maxIdle = mayReuse ? KeptIdle : Milliseconds(0);
+    link.connectTimeout = request.connectTimeout;
+    return link;
 }
 
-HttpFailure failureOf(CURLcode code, CURL *easy)
+HttpFailure failureOf(const CallFailure &failure)
 {
-    const std::string detail = curl_easy_strerror(code);
-    if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST || code == CURLE_URL_MALFORMAT) {
-        return {HttpFailure::Kind::NotSent, detail};
-    }
-    if (code == CURLE_OPERATION_TIMEDOUT) {
-        curl_off_t connectedAfter = 0;
-        curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connectedAfter);
-        return {connectedAfter == 0 ? HttpFailure::Kind::NotSent : HttpFailure::Kind::TimedOut, detail};
-    }
-    return {HttpFailure::Kind::Broken, detail};
+    return {failure.kind == CallFailure::Kind::NotSent ? HttpFailure::Kind::NotSent : HttpFailure::Kind::Broken, failure.detail};
 }
 } // namespace
 
 struct HttpClient::Private {
-    CURLM *multi = nullptr;
-    std::thread thread;
-    std::atomic<bool> isStopping{false};
-    std::atomic<RequestId> lastId{0};
-    std::mutex mutex;
-    std::vector<std::unique_ptr<Transfer>> submitted;
-    std::vector<RequestId> cancelled;
-    std::map<RequestId, std::unique_ptr<Transfer>> active;
+    struct Transfer {
+        HttpRequest request;
+        Url url;
+        DoneHandler onDone;
+        ChunkHandler onChunk;
+        HttpResponse response;
+        OutgoingCall call;
+        Instant lastArrival{};
+        TimerService::Subscription totalTimer = 0;
+        TimerService::Subscription silenceTimer = 0;
+    };
 
-    void run();
-    void takeSubmitted();
-    void takeCancelled();
-    void begin(std::unique_ptr<Transfer> transfer);
-    void collectDone();
-    void checkSilence();
+    std::atomic<RequestId> lastId{0};
+    std::map<RequestId, Transfer> active; ///< Of the thread.
+    LoopThread thread;
+    LinkPool links{thread.loop.context(), {MaxIdlePerAddress, UnacknowledgedLimit}};
+
+    void begin(RequestId id, HttpRequest request, DoneHandler onDone, ChunkHandler onChunk);
+    void call(RequestId id, Transfer &transfer, bool mayReuse);
+    void onBody(RequestId id, std::string_view bytes);
+    void onFailure(RequestId id, const CallFailure &failure);
+    void checkSilence(RequestId id, Instant now);
+    void fail(RequestId id, HttpFailure::Kind kind, const char *detail);
     void finish(RequestId id, HttpOutcome outcome);
 };
 
-HttpClient::HttpClient(const std::string &name, long maxConnectionsPerHost)
+HttpClient::HttpClient()
     : m_private(std::make_unique<Private>())
 {
-    static const CURLcode initialised = curl_global_init(CURL_GLOBAL_DEFAULT);
-    (void)initialised;
-    m_private->multi = curl_multi_init();
-    curl_multi_setopt(m_private->multi, CURLMOPT_MAX_HOST_CONNECTIONS, maxConnectionsPerHost);
-    curl_multi_setopt(m_private->multi, CURLMOPT_MAXCONNECTS, 512L);
-    m_private->thread = std::thread([this] { m_private->run(); });
-    pthread_setname_np(m_private->thread.native_handle(), name.substr(0, 15).c_str());
 }
 
 HttpClient::~HttpClient()
 {
-    m_private->isStopping = true;
-    curl_multi_wakeup(m_private->multi);
-    m_private->thread.join();
-    curl_multi_cleanup(m_private->multi);
+    m_private->thread.call([this] {
+        while (!m_private->active.empty()) {
+            m_private->fail(m_private->active.begin()->first, HttpFailure::Kind::Cancelled, "the client is stopping");
+        }
+    });
+    m_private->thread.stop();
 }
 
 HttpClient::RequestId HttpClient::send(HttpRequest request, DoneHandler onDone, ChunkHandler onChunk)
 {
-    auto transfer = std::make_unique<Transfer>();
-    transfer->id = ++m_private->lastId;
-    transfer->request = std::move(request);
-    transfer->onDone = std::move(onDone);
-    transfer->onChunk = std::move(onChunk);
-    const RequestId id = transfer->id;
-    {
-        const std::lock_guard<std::mutex> lock(m_private->mutex);
-        m_private->submitted.push_back(std::move(transfer));
-    }
-    curl_multi_wakeup(m_private->multi);
+    const RequestId id = ++m_private->lastId;
+    asio::post(m_private->thread.loop.context(),
+               [this, id, request = std::move(request), onDone = std::move(onDone), onChunk = std::move(onChunk)]() mutable {
+                   m_private->begin(id, std::move(request), std::move(onDone), std::move(onChunk));
+               });
     return id;
 }
 
 void HttpClient::cancel(RequestId id)
 {
-    {
-        const std::lock_guard<std::mutex> lock(m_private->mutex);
-        m_private->cancelled.push_back(id);
-    }
-    curl_multi_wakeup(m_private->multi);
+    asio::post(m_private->thread.loop.context(), [this, id] { m_private->fail(id, HttpFailure::Kind::Cancelled, "cancelled"); });
 }
 
 HttpOutcome HttpClient::sendAndWait(HttpRequest request)
@@ -142,131 +126,89 @@
     return future.get();
 }
 
-void HttpClient::Private::run()
+void HttpClient::Private::begin(RequestId id, HttpRequest request, DoneHandler onDone, ChunkHandler onChunk)
 {
-    while (!isStopping) {
-        takeSubmitted();
-        takeCancelled();
-        int running = 0;
-        curl_multi_perform(multi, &running);
-        collectDone();
-        checkSilence();
-        curl_multi_poll(multi, nullptr, 0, PollTimeoutMs, nullptr);
+    auto url = parseUrl(request.url);
+    if (!url) {
+        onDone(tl::make_unexpected(HttpFailure{HttpFailure::Kind::NotSent, "not a URL with an IP address: " + request.url}));
+        return;
     }
-    takeSubmitted();
-    while (!active.empty()) {
-        finish(active.begin()->first, tl::make_unexpected(HttpFailure{HttpFailure::Kind::Cancelled, "the client is stopping"}));
+    Transfer &transfer = active[id];
+    transfer.request = std::move(request);
+    transfer.url = std::move(*url);
+    transfer.onDone = std::move(onDone);
+    transfer.onChunk = std::move(onChunk);
+    const Instant now = std::chrono::steady_clock::now();
+    transfer.lastArrival = now;
+    if (transfer.request.totalTimeout.count() > 0) {
+        const auto onTime = [this, id](Instant) { fail(id, HttpFailure::Kind::TimedOut, "no whole answer within the time limit"); };
+        transfer.totalTimer = thread.loop.timers().at(now + transfer.request.totalTimeout, onTime);
     }
+    if (transfer.request.silenceTimeout.count() > 0) {
+        checkSilence(id, now);
+    }
+    call(id, transfer, transfer.request.method == "GET");
 }
 
-void HttpClient::Private::takeSubmitted()
+void HttpClient::Private::call(RequestId id, Transfer &transfer, bool mayReuse)
 {
-    std::vector<std::unique_ptr<Transfer>> batch;
-    {
-        const std::lock_guard<std::mutex> lock(mutex);
-        batch.swap(submitted);
-    }
-    for (auto &transfer : batch) {
-        begin(std::move(transfer));
-    }
+    CallHandlers handlers;
+    handlers.onHead = [this, id](const MessageHead &head) { active.at(id).response.status = head.status; };
+    handlers.onBody = [this, id](std::string_view bytes) { onBody(id, bytes); };
+    handlers.onComplete = [this, id] { finish(id, std::move(active.at(id).response)); };
+    handlers.onFailure = [this, id](const CallFailure &failure) { onFailure(id, failure); };
+    transfer.call = links.call(linkRequest(transfer.request, transfer.url, mayReuse), std::move(handlers));
 }
 
-void HttpClient::Private::takeCancelled()
+void HttpClient::Private::onBody(RequestId id, std::string_view bytes)
 {
-    std::vector<RequestId> batch;
-    {
-        const std::lock_guard<std::mutex> lock(mutex);
-        batch.swap(cancelled);
-    }
-    for (const RequestId id : batch) {
-        finish(id, tl::make_unexpected(HttpFailure{HttpFailure::Kind::Cancelled, "cancelled"}));
+    Transfer &transfer = active.at(id);
+    transfer.lastArrival = std::chrono::steady_clock::now();
+    if (transfer.onChunk) {
+        transfer.onChunk(bytes);
+    } else {
+        transfer.response.body += bytes;
     }
 }
 
-void HttpClient::Private::begin(std::unique_ptr<Transfer> transfer)
+// Reading twice does no harm, and a kept connection may have been closed before the request arrived.
+void HttpClient::Private::onFailure(RequestId id, const CallFailure &failure)
 {
-    CURL *easy = curl_easy_init();
-    const HttpRequest &request = transfer->request;
-    transfer->easy = easy;
-    transfer->lastArrival = std::chrono::steady_clock::now();
-    for (const std::string &header : request.headers) {
-        transfer->headers = curl_slist_append(transfer->headers, header.c_str());
-    }
-    transfer->headers = curl_slist_append(transfer->headers, "Expect:");
-    curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
-    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
-    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
-    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(request.connectTimeout.count()));
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(request.totalTimeout.count()));
-    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBody);
-    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
-    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeader);
-    curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer.get());
-    curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
-    if (request.method != "GET") {
-        // On a kept connection that breaks before the answer libcurl sends again by itself, and what changes
-        // something may run twice.
-        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-    }
-    if (request.method == "POST" || request.method == "PUT") {
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
+    Transfer &transfer = active.at(id);
+    if (failure.wasReused && transfer.request.method == "GET") {
+        call(id, transfer, false);
+        return;
     }
-    curl_multi_add_handle(multi, easy);
-    active.emplace(transfer->id, std::move(transfer));
+    finish(id, tl::make_unexpected(failureOf(failure)));
 }
 
-void HttpClient::Private::collectDone()
+void HttpClient::Private::checkSilence(RequestId id, Instant now)
 {
-    int left = 0;
-    while (CURLMsg *message = curl_multi_info_read(multi, &left)) {
-        if (message->msg != CURLMSG_DONE) {
-            continue;
-        }
-        Transfer *transfer = nullptr;
-        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
-        const CURLcode code = message->data.result;
-        if (code != CURLE_OK) {
-            finish(transfer->id, tl::make_unexpected(failureOf(code, message->easy_handle)));
-            continue;
-        }
-        long status = 0;
-        curl_easy_getinfo(message->easy_handle, CURLINFO_RESPONSE_CODE, &status);
-        transfer->response.status = static_cast<int>(status);
-        HttpResponse response = std::move(transfer->response);
-        finish(transfer->id, std::move(response));
+    Transfer &transfer = active.at(id);
+    const Instant due = transfer.lastArrival + transfer.request.silenceTimeout;
+    if (now >= due) {
+        fail(id, HttpFailure::Kind::TimedOut, "nothing has arrived for too long");
+        return;
     }
+    transfer.silenceTimer = thread.loop.timers().at(due, [this, id](Instant later) { checkSilence(id, later); });
 }
 
-void HttpClient::Private::checkSilence()
+void HttpClient::Private::fail(RequestId id, HttpFailure::Kind kind, const char *detail)
 {
-    const Instant now = std::chrono::steady_clock::now();
-    std::vector<RequestId> silent;
-    for (const auto &[id, transfer] : active) {
-        const Milliseconds limit = transfer->request.silenceTimeout;
-        if (limit > Milliseconds(0) && now - transfer->lastArrival > limit) {
-            silent.push_back(id);
-        }
-    }
-    for (const RequestId id : silent) {
-        finish(id, tl::make_unexpected(HttpFailure{HttpFailure::Kind::TimedOut, "nothing has arrived for too long"}));
+    const auto it = active.find(id);
+    if (it != active.end()) {
+        it->second.call.cancel();
+        finish(id, tl::make_unexpected(HttpFailure{kind, detail}));
     }
 }
 
 void HttpClient::Private::finish(RequestId id, HttpOutcome outcome)
 {
-    const auto it = active.find(id);
-    if (it == active.end()) {
-        return;
-    }
-    const std::unique_ptr<Transfer> transfer = std::move(it->second);
-    active.erase(it);
-    curl_multi_remove_handle(multi, transfer->easy);
-    curl_easy_cleanup(transfer->easy);
-    curl_slist_free_all(transfer->headers);
-    transfer->onDone(std::move(outcome));
+    const auto node = active.extract(id);
+    Transfer &transfer = node.mapped();
+    thread.loop.timers().cancel(transfer.totalTimer);
+    thread.loop.timers().cancel(transfer.silenceTimer);
+    transfer.onDone(std::move(outcome));
 }
 
 } // namespace flamingo
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -6,9 +6,9 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace flamingo
@@ -16,7 +16,7 @@
 
 struct HttpRequest {
     std::string method = "GET";
-    std::string url;
+    std::string url; ///< http://HOST:PORT/PATH, the host as an IP address.
     std::vector<std::string> headers; ///< Each "Name: value".
     std::string body;
     Milliseconds connectTimeout{1000};
@@ -26,7 +26,6 @@
 
 struct HttpResponse {
     int status = 0;
-    std::map<std::string, std::string> headers; ///< Names in lower case.
     std::string body; ///< Empty when the body was streamed.
 };
 
@@ -40,7 +39,8 @@
 
 using HttpOutcome = tl::expected<HttpResponse, HttpFailure>;
 
-/// Sends HTTP/1.1 requests on a thread of its own, by libcurl. The callbacks run on that thread.
+/// Sends HTTP/1.1 requests by a LinkPool on a thread of its own, for users on other threads. The callbacks run on that
+/// thread. Only GET uses kept connections and is sent again when one of them turns out to be closed.
 class HttpClient
 {
 public:
@@ -48,8 +48,7 @@
     using DoneHandler = std::function<void(HttpOutcome outcome)>;
     using ChunkHandler = std::function<void(std::string_view chunk)>;
 
-    /// The most connections kept at once to one host; 0 for no limit.
-    explicit HttpClient(const std::string &name, long maxConnectionsPerHost = 0);
+    HttpClient();
 
     /// Cancels all that is under way.
     ~HttpClient();
--- a/src/instance/main.cpp
+++ b/src/instance/main.cpp
@@ -1,17 +1,7 @@
-#include "core/commandline.h"
-#include "core/log.h"
 #include "instance/instancedaemon.h"
+#include "platform/runprogram.h"
 
 int main(int argc, char **argv)
 {
-    flamingo::platform::BootSettings settings;
-    flamingo::DaemonHooks hooks;
-    hooks.load = [&](const std::string &path) { return flamingo::platform::loadBootSettings(path, settings); };
-    hooks.run = [&] {
-        flamingo::logToStandardOutput();
-        return flamingo::InstanceDaemon(settings).run();
-    };
-    hooks.defaultSettings = flamingo::platform::bootSettingsPath();
-    hooks.takesSignals = true;
-    return flamingo::runDaemon("flamingo-instance", argc, argv, hooks);
+    return flamingo::platform::runProgram<flamingo::InstanceDaemon>("flamingo-instance", argc, argv);
 }
--- a/src/lasting/journalstore.cpp
+++ b/src/lasting/journalstore.cpp
@@ -29,6 +29,25 @@
     return result;
 }
 
+EndpointChanges endpointChangesOf(const Changes &changes)
+{
+    EndpointChanges result;
+    if (!changes) {
+        return result;
+    }
+    result.isOk = true;
+    result.revision = changes->at;
+    for (const platform::StoreItem &item : changes->items) {
+        auto endpoint = item.revision != 0 ? platform::decodeEndpoint(item.key, item.data) : std::nullopt;
+        if (endpoint) {
+            result.present.push_back(std::move(*endpoint));
+        } else {
+            result.gone.emplace_back(item.key.substr(std::string_view(platform::EndpointPrefix).size()));
+        }
+    }
+    return result;
+}
+
 StoreReply replyTo(const StoreOperation &operation, StoreReply::Status status, StoreVersion version = 0, std::string value = {})
 {
     return {operation.id, status, version, std::move(value)};
@@ -146,22 +165,37 @@
     });
 }
 
-void JournalStore::listEndpoints(std::function<void(std::vector<EndpointEntry>)> onList)
+void JournalStore::watchEndpoints(std::uint64_t afterRevision, std::function<void(EndpointChanges)> onChanges)
 {
-    asio::post(m_thread.loop.context(), [this, onList = std::move(onList)]() mutable {
-        listAll(platform::EndpointPrefix, [onList = std::move(onList)](const WatchResult &result) {
-            if (!result.isOk) {
-                return;
-            }
-            std::vector<EndpointEntry> endpoints;
-            for (const StoreValue &it : result.values) {
-                if (auto endpoint = platform::decodeEndpoint(it.key, it.value)) {
-                    endpoints.push_back(std::move(*endpoint));
-                }
+    asio::post(m_thread.loop.context(), [this, afterRevision, onChanges = std::move(onChanges)]() mutable {
+        if (afterRevision == 0) {
+            listEndpoints(std::move(onChanges));
+            return;
+        }
+        m_store.watch(platform::EndpointPrefix, afterRevision, WatchTime, [this, onChanges = std::move(onChanges)](const Changes &changes) mutable {
+            if (!changes && changes.error().kind == platform::StoreFailure::Kind::HistoryGone) {
+                listEndpoints(std::move(onChanges));
+            } else {
+                onChanges(endpointChangesOf(changes));
             }
-            onList(std::move(endpoints));
         });
     });
 }
 
+void JournalStore::listEndpoints(std::function<void(EndpointChanges)> onChanges)
+{
+    listAll(platform::EndpointPrefix, [onChanges = std::move(onChanges)](const WatchResult &result) {
+        EndpointChanges changes;
+        changes.isOk = result.isOk;
+        changes.isWhole = true;
+        changes.revision = result.revision;
+        for (const StoreValue &it : result.values) {
+            if (auto endpoint = platform::decodeEndpoint(it.key, it.value)) {
+                changes.present.push_back(std::move(*endpoint));
+            }
+        }
+        onChanges(std::move(changes));
+    });
+}
+
 } // namespace flamingo
--- a/src/lasting/journalstore.h
+++ b/src/lasting/journalstore.h
@@ -4,7 +4,7 @@
 #include "core/metrics.h"
 #include "journal/storeoperation.h"
 #include "platform/platformstore.h"
-#include "serving/endpointentry.h"
+#include "serving/endpointchanges.h"
 
 #include <functional>
 #include <string>
@@ -29,8 +29,8 @@
     /// changes since then are no longer kept, the result holds all keys with the prefix.
     void watch(const std::string &prefix, std::uint64_t afterRevision, std::function<void(WatchResult result)> onResult);
 
-    /// The endpoints that have registered themselves; the handler isn't called when the store can't be reached.
-    void listEndpoints(std::function<void(std::vector<EndpointEntry> endpoints)> onList);
+    /// As watch, for the endpoints that have registered themselves. Entries that can't be read name no endpoint.
+    void watchEndpoints(std::uint64_t afterRevision, std::function<void(EndpointChanges changes)> onChanges);
 
 private:
     struct Listing;
@@ -39,6 +39,7 @@
     void change(const StoreOperation &operation, std::function<void(StoreReply)> onReply);
     void list(const std::shared_ptr<Listing> &listing);
     void listAll(const std::string &prefix, std::function<void(WatchResult result)> onResult);
+    void listEndpoints(std::function<void(EndpointChanges changes)> onChanges);
 
     LoopThread m_thread;
     platform::PlatformStore m_store;
--- a/src/peerlink/messages.h
+++ b/src/peerlink/messages.h
@@ -180,9 +180,10 @@
     std::vector<ProgramId> programs;
 };
 
-/// Control to its scheduler: endpoints that the platform lists as leaving.
+/// Control to its scheduler, and to other controls, of which only a few watch: endpoints that are registered as leaving.
 struct EndpointsLeaving {
     std::vector<EndpointId> endpoints;
+    std::uint64_t revision = 0; ///< Of the store, as of which this holds; a newer one replaces an older one.
 };
 
 using PeerMessage = std::variant<StartProgram,
--- a/src/serving/budgetledger.cpp
+++ b/src/serving/budgetledger.cpp
@@ -153,7 +153,7 @@
     const Tokens own = ownShare(account);
     BudgetRecord proposed = account.record;
     proposed.granted[m_self] = own;
-    if (account.isOwnFromStart && m_checks.isSoleLender(program)) {
+    if (isReserveNeedless(program, account)) {
         proposed.reserve = Tokens(0);
     } else if (account.revision == 0) {
         const Tokens most = account.waiters.empty() ? Tokens(0) : account.waiters.front().most;
@@ -171,18 +171,29 @@
     proposed.granted[m_self] = own + grant;
     // From here on others may be granted what the store isn't told of.
     account.lent = std::min(account.lent, own + grant);
+    swap(program, account, std::move(proposed), &BudgetLedger::onSwapped);
+}
+
+bool BudgetLedger::isReserveNeedless(const ProgramId &program, const Account &account) const
+{
+    return account.isOwnFromStart && m_checks.isSoleLender(program);
+}
+
+void BudgetLedger::swap(const ProgramId &program, Account &account, BudgetRecord proposed, SwapHandler onResult)
+{
     account.isAsking = true;
-    m_store.swap(program, account.revision, proposed.encode(), [this, program, proposed](const SwapResult &result) { onSwapped(program, proposed, result); });
+    const std::string bytes = proposed.encode();
+    m_store.swap(program, account.revision, bytes, [this, program, proposed = std::move(proposed), onResult](const SwapResult &result) {
+        const auto it = m_accounts.find(program);
+        if (it != m_accounts.end()) {
+            it->second.isAsking = false;
+            (this->*onResult)(program, it->second, proposed, result);
+        }
+    });
 }
 
-void BudgetLedger::onSwapped(const ProgramId &program, const BudgetRecord &proposed, const SwapResult &result)
+void BudgetLedger::onSwapped(const ProgramId &program, Account &account, const BudgetRecord &proposed, const SwapResult &result)
 {
-    const auto it = m_accounts.find(program);
-    if (it == m_accounts.end()) {
-        return;
-    }
-    Account &account = it->second;
-    account.isAsking = false;
     if (result.status == SwapResult::Status::Done) {
         adopt(account, proposed, result.revision);
     } else if (result.status == SwapResult::Status::Conflict) {
@@ -327,21 +338,14 @@
     }
     BudgetRecord proposed = account.record;
     proposed.granted[m_self] = needed;
-    if (account.isOwnFromStart && m_checks.isSoleLender(program)) {
+    if (isReserveNeedless(program, account)) {
         proposed.reserve = Tokens(0);
     }
-    account.isAsking = true;
-    m_store.swap(program, account.revision, proposed.encode(), [this, program, proposed](const SwapResult &result) { onReleased(program, proposed, result); });
+    swap(program, account, std::move(proposed), &BudgetLedger::onReleased);
 }
 
-void BudgetLedger::onReleased(const ProgramId &program, const BudgetRecord &proposed, const SwapResult &result)
+void BudgetLedger::onReleased(const ProgramId &program, Account &account, const BudgetRecord &proposed, const SwapResult &result)
 {
-    const auto it = m_accounts.find(program);
-    if (it == m_accounts.end()) {
-        return;
-    }
-    Account &account = it->second;
-    account.isAsking = false;
     if (result.status == SwapResult::Status::Done) {
         adopt(account, proposed, result.revision);
         release(program, account);
--- a/src/serving/budgetledger.h
+++ b/src/serving/budgetledger.h
@@ -135,20 +135,24 @@
         Instant usedAt{};
     };
 
+    using SwapHandler = void (BudgetLedger::*)(const ProgramId &program, Account &account, const BudgetRecord &proposed, const SwapResult &result);
+
     Tokens held(const Account &account) const;
     Tokens ownShare(const Account &account) const;
     bool tryReserve(Account &account, Tokens most) const;
     bool tryLend(const ProgramId &program, Account &account, Tokens most) const;
     void adopt(Account &account, const BudgetRecord &proposed, std::uint64_t revision) const;
     void ask(const ProgramId &program, Account &account);
-    void onSwapped(const ProgramId &program, const BudgetRecord &proposed, const SwapResult &result);
+    bool isReserveNeedless(const ProgramId &program, const Account &account) const;
+    void swap(const ProgramId &program, Account &account, BudgetRecord proposed, SwapHandler onResult);
+    void onSwapped(const ProgramId &program, Account &account, const BudgetRecord &proposed, const SwapResult &result);
     bool serveUntold(const ProgramId &program, Account &account, SwapResult::Status status);
     void serveWaiters(const ProgramId &program);
     static void failWaiters(Account &account, const BudgetAnswer &answer);
     BudgetVerdict verdictWithoutRoom(const Account &account) const;
     std::optional<HolderId> liveHolder(const Account &account) const;
     void release(const ProgramId &program, Account &account);
-    void onReleased(const ProgramId &program, const BudgetRecord &proposed, const SwapResult &result);
+    void onReleased(const ProgramId &program, Account &account, const BudgetRecord &proposed, const SwapResult &result);
 
     HolderId m_self;
     BudgetStore &m_store;
--- /dev/null
+++ b/src/serving/endpointchanges.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "serving/endpointentry.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace flamingo
+{
+
+/// What a watch of the registered endpoints has seen.
+struct EndpointChanges {
+    bool isOk = false;
+    bool isWhole = false; ///< Whoever isn't present has gone.
+    std::uint64_t revision = 0; ///< Where the next watch goes on.
+    std::vector<EndpointEntry> present;
+    std::vector<EndpointId> gone;
+};
+
+} // namespace flamingo
--- a/tests/harness/deployment.cpp
+++ b/tests/harness/deployment.cpp
@@ -45,7 +45,6 @@
 
 Deployment::Deployment(DeploymentPlan plan)
     : m_plan(std::move(plan))
-    , m_client("harness")
 {
     std::filesystem::create_directories(m_plan.folder);
     writeFile(m_plan.folder + "/secret", "shared secret of a test\n");
--- a/tests/harness/workload.cpp
+++ b/tests/harness/workload.cpp
@@ -34,7 +34,6 @@
 public:
     Caller(Deployment &deployment, Tally &tally, std::uint64_t seed)
         : m_tally(tally)
-        , m_client("caller")
         , m_random(seed)
     {
         for (std::size_t n = 0; n < deployment.plan().instanceDomains.size(); ++n) {
--- a/tests/measure/idle.cpp
+++ b/tests/measure/idle.cpp
@@ -47,7 +47,7 @@
     plan.basePort = 24000;
     Deployment deployment(plan);
     deployment.start();
-    HttpClient http("idle");
+    HttpClient http;
     ProgramClient client(http, {deployment.entryPort(0)}, Deployment::callerKey("omaruru"));
     if (!client.start("normal")) {
         return 1;
--- a/tests/measure/measure.cpp
+++ b/tests/measure/measure.cpp
@@ -58,7 +58,6 @@
     Run(Deployment &deployment, const LoadPlan &plan, std::uint64_t seed)
         : m_deployment(deployment)
         , m_arrivals(makeArrivals(plan, seed))
-        , m_client("callers")
     {
     }
 
--- a/tests/platform/registrytest.cpp
+++ b/tests/platform/registrytest.cpp
@@ -34,6 +34,23 @@
         "X-Program-Id: {}\r\nX-Session-Id: s\r\nX-Token-Budget: {}\r\nX-Token-Usage: 110,{}\r\nX-Prompt-Prefix: {}\r\n", program, budget, most, prefix);
     return previous.empty() ? lines : lines + "X-Previous-Turn: " + previous + "\r\n";
 }
+
+/// Two instances that are ready, before one endpoint that answers turns.
+struct TwoInstances {
+    TwoInstances()
+        : endpoint(answerChat)
+    {
+        store.put("op/config", testConfiguration(1));
+        enterEndpoint(store, "i-1", endpoint);
+        REQUIRE(first.awaitReady());
+        REQUIRE(second.awaitReady());
+    }
+
+    KvStandin store;
+    ScriptedEndpoint endpoint;
+    TestInstance first{store, 1};
+    TestInstance second{store, 2};
+};
 } // namespace
 
 TEST_CASE("Without a configuration an instance isn't ready and says that it has not run a request", "[platform]")
@@ -133,18 +150,10 @@
     CHECK(instance.isReady());
 }
 
-TEST_CASE("A program's budget holds over two instances, a kill and a restart", "[platform]")
+TEST_CASE_METHOD(TwoInstances, "A program's budget holds over two instances, a kill and a restart", "[platform]")
 {
     constexpr int Budget = 200;
     constexpr int Most = 58;
-    KvStandin store;
-    ScriptedEndpoint endpoint(answerChat);
-    store.put("op/config", testConfiguration(1));
-    enterEndpoint(store, "i-1", endpoint);
-    TestInstance first(store, 1);
-    TestInstance second(store, 2);
-    REQUIRE(first.awaitReady());
-    REQUIRE(second.awaitReady());
     int served = 0;
     int refused = 0;
     for (int n = 0; n < 24; ++n) {
@@ -192,18 +201,10 @@
 }
 
 // Outages are long against a program's life: one that begins in an outage would be over before the store is back.
-TEST_CASE("A program that begins while the store is away is served by its home and keeps its budget", "[platform]")
+TEST_CASE_METHOD(TwoInstances, "A program that begins while the store is away is served by its home and keeps its budget", "[platform]")
 {
     constexpr int Budget = 400;
     constexpr int Most = 58;
-    KvStandin store;
-    ScriptedEndpoint endpoint(answerChat);
-    store.put("op/config", testConfiguration(1));
-    enterEndpoint(store, "i-1", endpoint);
-    TestInstance first(store, 1);
-    TestInstance second(store, 2);
-    REQUIRE(first.awaitReady());
-    REQUIRE(second.awaitReady());
     const auto turn = [&](TestInstance &instance, const std::string &id) {
         return instance.send(callerRequest("/stream/a", id, turnLines("p1", Budget, Most))).status;
     };
@@ -232,16 +233,8 @@
     CHECK(served * 29 >= Budget / 2);
 }
 
-TEST_CASE("A stateful turn continues at another instance, after a kill, and never from a turn that doesn't exist", "[platform]")
+TEST_CASE_METHOD(TwoInstances, "A stateful turn continues at another instance, after a kill, and never from a turn that doesn't exist", "[platform]")
 {
-    KvStandin store;
-    ScriptedEndpoint endpoint(answerChat);
-    store.put("op/config", testConfiguration(1));
-    enterEndpoint(store, "i-1", endpoint);
-    TestInstance first(store, 1);
-    TestInstance second(store, 2);
-    REQUIRE(first.awaitReady());
-    REQUIRE(second.awaitReady());
     CHECK(first.send(callerRequest("/chat/a", "t1", turnLines("p1", 5000, 58, {}, 2), "hello ")).isWhole);
     CHECK(second.send(callerRequest("/chat/a", "t2", turnLines("p1", 5000, 58, "t1"), "and ")).isWhole);
     first.killAndRestart();
--- a/tests/promises/crashtest.cpp
+++ b/tests/promises/crashtest.cpp
@@ -22,8 +22,7 @@
 /// A program on an owner that is known, so that the owner can be killed under it.
 struct OwnedProgram {
     explicit OwnedProgram(Deployment &deployment, int entry)
-        : http("test")
-        , client(http, {deployment.entryPort(entry), deployment.entryPort((entry + 1) % 3)}, Deployment::callerKey("omaruru"))
+        : client(http, {deployment.entryPort(entry), deployment.entryPort((entry + 1) % 3)}, Deployment::callerKey("omaruru"))
     {
         REQUIRE(client.start("normal"));
         shard = static_cast<std::uint32_t>(std::stoul(client.program()));
--- a/tests/promises/networktest.cpp
+++ b/tests/promises/networktest.cpp
@@ -31,7 +31,7 @@
 {
     Deployment deployment(testPlan("store-outage"));
     deployment.start();
-    HttpClient http("test");
+    HttpClient http;
     ProgramClient client(http, {deployment.entryPort(0)}, Deployment::callerKey("kitaezo"));
     REQUIRE(client.start("normal"));
     REQUIRE(client.ask("before", 10).isOk());
@@ -114,7 +114,7 @@
     deployment.setRoute(deployment.routesBetween("d1", "d2"), "cut");
     sleepFor(6000);
     // Each side serves what it can.
-    HttpClient http("test");
+    HttpClient http;
     for (const int entry : {0, 2}) {
         ProgramClient client(http, {deployment.entryPort(entry)}, Deployment::callerKey("omaruru"));
         REQUIRE(client.start("urgent"));
@@ -131,7 +131,7 @@
 {
     Deployment deployment(proxyPlan("domain-cut-from-all"));
     deployment.start();
-    HttpClient http("test");
+    HttpClient http;
     ProgramClient inside(http, {deployment.entryPort(2)}, Deployment::callerKey("omaruru"));
     REQUIRE(inside.start("normal"));
     REQUIRE(inside.ask("before", 10).isOk());
@@ -172,7 +172,7 @@
     routes.insert(routes.end(), same.begin(), same.end());
     deployment.admin(static_cast<std::uint16_t>(deployment.plan().basePort + 181), {{"routes", routes}, {"mode", "silent"}, {"new_pass", true}});
     const auto silencedAt = std::chrono::steady_clock::now();
-    HttpClient http("test");
+    HttpClient http;
     ProgramClient client(http, {deployment.entryPort(0)}, Deployment::callerKey("omaruru"));
     REQUIRE(client.start("urgent"));
     REQUIRE(client.ask("over the silence", 10, Milliseconds(10000)).isOk());
--- a/tests/promises/operatortest.cpp
+++ b/tests/promises/operatortest.cpp
@@ -149,7 +149,7 @@
 {
     Deployment deployment(testPlan("limits-and-hung-tool"));
     deployment.start();
-    HttpClient http("test");
+    HttpClient http;
     ProgramClient looping(http, {deployment.entryPort(0)}, Deployment::callerKey("omaruru"));
     REQUIRE(looping.start("tight"));
     CallerAnswer last;
@@ -195,7 +195,7 @@
             }
             return count;
         };
-        HttpClient http("test");
+        HttpClient http;
         std::vector<std::unique_ptr<ProgramClient>> clients;
         for (int n = 0; n < 6; ++n) {
             clients.push_back(std::make_unique<ProgramClient>(
@@ -224,7 +224,7 @@
 {
     Deployment deployment(testPlan("bad-input"));
     deployment.start();
-    HttpClient http("test");
+    HttpClient http;
     ProgramClient client(http, {deployment.entryPort(0)}, Deployment::callerKey("omaruru"));
     REQUIRE(client.start("normal"));
     const std::string call = fmt::format("/v1/programs/{}/calls/1", client.program());
--- a/tests/slopes/controlfabric.cpp
+++ b/tests/slopes/controlfabric.cpp
@@ -4,6 +4,10 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <utility>
+#include <variant>
+
 namespace flamingo
 {
 
@@ -12,6 +16,7 @@
 constexpr Milliseconds MessageTime{2};
 constexpr Milliseconds TimerPeriod{10};
 constexpr std::size_t MacBytes = 16;
+constexpr LinkId SchedulerLink = 1000000;
 
 InstanceSettings settingsOf(int n, int domains)
 {
@@ -57,6 +62,16 @@
     m_deliveries.push(std::move(delivery));
 }
 
+void ControlFabric::collectOnLink(int from, SendOnControlLink &send)
+{
+    if (send.link != SchedulerLink) {
+        m_peerBytes += encodeMessage(send.message).size();
+        post(from, static_cast<int>(send.link), false, {}, std::move(send.message));
+    } else if (const auto *leaving = std::get_if<EndpointsLeaving>(&send.message)) {
+        m_toldLeaving[from] = leaving->endpoints;
+    }
+}
+
 // The link number of a message is its sender, so that an answer finds its way back.
 void ControlFabric::collect(int from)
 {
@@ -69,10 +84,8 @@
                                 m_peerBytes += encodeMessage(send.message).size();
                                 post(from, m_byAddress.at(send.address), false, {}, std::move(send.message));
                             },
-                            [&](SendOnControlLink &send) {
-                                m_peerBytes += encodeMessage(send.message).size();
-                                post(from, static_cast<int>(send.link), false, {}, std::move(send.message));
-                            },
+                            [&](SendOnControlLink &send) { collectOnLink(from, send); },
+                            [&](WatchEndpoints &) { m_watchingEndpoints.insert(from); },
                             [](auto &) {}},
                    action);
     }
@@ -120,6 +133,33 @@
     return count;
 }
 
+void ControlFabric::bringEndpoints(const EndpointChanges &changes, const std::vector<int> &cutOff)
+{
+    for (const int member : std::exchange(m_watchingEndpoints, {})) {
+        const bool isCutOff = std::find(cutOff.begin(), cutOff.end(), member) != cutOff.end();
+        m_cores[static_cast<std::size_t>(member)]->onEndpointChanges(isCutOff ? EndpointChanges() : changes);
+        collect(member);
+    }
+}
+
+void ControlFabric::connectSchedulers()
+{
+    for (std::size_t n = 0; n < m_cores.size(); ++n) {
+        m_cores[n]->onPeerMessage(SchedulerLink, Subscribe{"scheduler"});
+        collect(static_cast<int>(n));
+    }
+}
+
+int ControlFabric::toldOfLeaving(const std::vector<EndpointId> &endpoints) const
+{
+    return static_cast<int>(std::count_if(m_toldLeaving.begin(), m_toldLeaving.end(), [&](const auto &it) { return it.second == endpoints; }));
+}
+
+std::size_t ControlFabric::endpointWatches() const
+{
+    return m_watchingEndpoints.size();
+}
+
 int ControlFabric::withFullView() const
 {
     int count = 0;
--- a/tests/slopes/controlfabric.h
+++ b/tests/slopes/controlfabric.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <queue>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,18 @@
     /// How many members have the object in this ticket's state.
     int knowing(const ObjectKey &key, TicketNumber ticket) const;
 
+    /// What the store's watches of endpoints bring, to the members that wait on one and reach the store.
+    void bringEndpoints(const EndpointChanges &changes, const std::vector<int> &cutOff = {});
+
+    /// Lets each member's scheduler connect.
+    void connectSchedulers();
+
+    /// How many members' schedulers were told last that exactly these endpoints are leaving.
+    int toldOfLeaving(const std::vector<EndpointId> &endpoints) const;
+
+    /// Waiting calls to the store that watch endpoints, of all members.
+    std::size_t endpointWatches() const;
+
     /// How many members hold all others for live.
     int withFullView() const;
 
@@ -53,10 +66,13 @@
     };
 
     void collect(int from);
+    void collectOnLink(int from, SendOnControlLink &send);
     void post(int from, int to, bool isGossip, GossipMessage gossip, PeerMessage peer);
 
     std::vector<std::unique_ptr<ControlCore>> m_cores;
     std::map<std::string, int> m_byAddress;
+    std::set<int> m_watchingEndpoints;
+    std::map<int, std::vector<EndpointId>> m_toldLeaving; ///< By member, what its scheduler was told last.
     std::priority_queue<std::unique_ptr<Delivery>, std::vector<std::unique_ptr<Delivery>>, Later> m_deliveries;
     Instant m_now{std::chrono::seconds(1000)};
     std::uint64_t m_order = 0;
--- a/tests/unit/coretest.cpp
+++ b/tests/unit/coretest.cpp
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <cstdio>
 #include <fstream>
 #include <sstream>
 
@@ -59,6 +60,7 @@
     const std::string path = "settingstest.toml";
     std::ofstream(path) << "[a]\nport = \"localhost:80\"\ntime = \"5 parsecs\"\nstrange = 1\n";
     SettingsReader reader(path);
+    std::remove(path.c_str());
     (void)reader.address("a.port");
     (void)reader.duration("a.time", Milliseconds(1));
     (void)reader.text("a.missing");
--- a/tests/unit/httpclienttest.cpp
+++ b/tests/unit/httpclienttest.cpp
@@ -83,7 +83,7 @@
 TEST_CASE("A request whose answer is lost is never sent again by the client itself", "[http][promises]")
 {
     BreakingEndpoint endpoint;
-    HttpClient client("test");
+    HttpClient client;
     HttpRequest request;
     request.method = "POST";
     request.url = endpoint.url();
