--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -106,10 +106,9 @@
 HttpClient::RequestId HttpClient::send(HttpRequest request, DoneHandler onDone, ChunkHandler onChunk)
 {
     const RequestId id = ++m_private->lastId;
-    asio::post(m_private->thread.loop.context(),
-               [this, id, request = std::move(request), onDone = std::move(onDone), onChunk = std::move(onChunk)]() mutable {
-                   m_private->begin(id, std::move(request), std::move(onDone), std::move(onChunk));
-               });
+    asio::post(m_private->thread.loop.context(), [this, id, request = std::move(request), onDone = std::move(onDone), onChunk = std::move(onChunk)]() mutable {
+        m_private->begin(id, std::move(request), std::move(onDone), std::move(onChunk));
+    });
     return id;
 }
 
