A turn isn't absent while an archive is listed that wasn't asked; dead members and what they leave are swept

Its list may be ten seconds old, while a newer archive has the turn. Ruled out by reading: the archives' log after a kill, the way of a turn from archives to the store, lists read half. Change: before a turn is called absent, the list of members is read from the store; an archive on it that wasn't asked makes the answer unsure. One more call, only for turns that seem absent. Test: without the check "A turn isn't absent while the store lists an archive that this instance doesn't know" fails (1 of 2 checks), with it both pass. The soak now keeps the instances' logs when a promise is broken, and names the instance and the turn before.

Weighed: leases (they run out in outages), time stamps (clocks jump), taking the dead off the list at once (one that has lent keeps others from lending; a returning archive's turns). A member that finds itself marked enters again.

--- a/src/archive/archivedaemon.cpp
+++ b/src/archive/archivedaemon.cpp
@@ -36,7 +36,8 @@
     : m_settings(std::move(settings))
     , m_settingsFile(m_settings.path)
     , m_store(m_loop.context(), m_settings.store, m_metrics)
-    , m_turnStore(m_store)
+    , m_holder(newHolder(m_settings.instance))
+    , m_turnStore(m_store, m_holder)
     , m_links(m_loop.context(), {MaxIdlePerPeer, PeerUnacknowledged})
     , m_signals(m_loop.context(), SIGTERM, SIGINT, SIGHUP)
 {
@@ -55,6 +56,7 @@
         listen();
         enterFleet();
         m_loop.timers().every(now, BringPeriod, [this](Instant at) { bringToStore(at); });
+        m_loop.timers().every(now, FleetSweep::SignPeriod, [this](Instant) { giveSign(); });
     }
     m_loop.timers().every(now, HousekeepingPeriod, [this](Instant at) {
         reloadSettings();
@@ -254,10 +256,14 @@
 
 void ArchiveDaemon::enterFleet()
 {
+    if (m_hasLeft) {
+        return;
+    }
     const SocketAddress address{m_settings.ip, m_settings.firstFreePort};
-    const FleetMember member{m_settings.instance, m_settings.domain, address, {}, FleetMember::Role::Archive};
+    const FleetMember member{m_settings.instance, m_settings.domain, address, m_holder, FleetMember::Role::Archive};
     platform::StoreTransaction transaction;
     transaction.writes.push_back({Fleet::KeyPrefix + member.id.value(), member.encode()});
+    transaction.writes.push_back(Sweeper::sign(member.id));
     m_store.commit(transaction, [this](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
         if (!result && !m_isEmptying) {
             logChange("not-entered", "reason=\"{}\"", result.error().detail);
@@ -266,10 +272,33 @@
     });
 }
 
+// Others may have marked this archive as gone while it couldn't reach the store.
+void ArchiveDaemon::giveSign()
+{
+    const std::string key = Fleet::KeyPrefix + m_settings.instance.value();
+    m_store.read(key, [this](const tl::expected<platform::StoreItem, platform::StoreFailure> &item) {
+        if (!item || m_hasLeft) {
+            return;
+        }
+        const auto member = FleetMember::decode(m_settings.instance, item->data);
+        if (!member || member->isGone) {
+            enterFleet();
+            return;
+        }
+        platform::StoreTransaction transaction;
+        transaction.writes.push_back(Sweeper::sign(m_settings.instance));
+        m_store.commit(transaction, [](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
+            if (!result) {
+                logChange("sign-not-given", "reason=\"{}\"", result.error().detail);
+            }
+        });
+    });
+}
+
 void ArchiveDaemon::leaveFleet()
 {
     platform::StoreTransaction transaction;
-    transaction.removals.push_back(Fleet::KeyPrefix + m_settings.instance.value());
+    transaction.removals = {Fleet::KeyPrefix + m_settings.instance.value(), FleetSweep::SignPrefix + m_settings.instance.value()};
     m_store.commit(transaction, [](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
         if (!result) {
             logChange("not-left", "reason=\"{}\"", result.error().detail);
--- a/src/archive/archivedaemon.h
+++ b/src/archive/archivedaemon.h
@@ -6,6 +6,7 @@
 #include "http/connectionset.h"
 #include "http/simplecall.h"
 #include "lasting/lastingstores.h"
+#include "lasting/sweeper.h"
 #include "platform/bootsettingsfile.h"
 #include "platform/platformstore.h"
 
@@ -43,6 +44,7 @@
 
     void enterFleet();
     void leaveFleet();
+    void giveSign();
     void readRetireRequest();
     void watchRetireRequest(platform::Revision after);
     void retryLater();
@@ -55,6 +57,7 @@
     EventLoop m_loop;
     Metrics m_metrics;
     platform::PlatformStore m_store;
+    HolderId m_holder;
     PlatformTurnStore m_turnStore;
     LinkPool m_links;
     asio::signal_set m_signals;
--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -40,12 +40,6 @@
 constexpr Milliseconds PeerUnacknowledged{800};
 constexpr Milliseconds EnterRetry{500};
 
-HolderId newHolder(const InstanceId &instance)
-{
-    const auto ms = std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-    return HolderId(fmt::format("{}:{:x}:{:x}", instance.value(), ms, getpid()));
-}
-
 std::size_t historyBytes(const platform::BootSettings &settings)
 {
     return settings.memoryBytes == 0 ? DefaultHistoryBytes : std::min(DefaultHistoryBytes, settings.memoryBytes / HistoryMemoryDivisor);
@@ -68,12 +62,12 @@
 InstanceDaemon::InstanceDaemon(platform::BootSettings settings)
     : m_settings(std::move(settings))
     , m_settingsFile(m_settings.path)
+    , m_holder(newHolder(m_settings.instance))
     , m_store(m_loop.context(), m_settings.store, m_metrics)
     , m_budgetStore(m_store)
-    , m_turnStore(m_store)
+    , m_turnStore(m_store, m_holder)
     , m_fleet(m_settings.instance, m_settings.domain)
     , m_placement(rules(), m_settings.domain, m_directory)
-    , m_holder(newHolder(m_settings.instance))
     , m_lender(m_fleet, suspendAwareNow())
     , m_budgets(m_holder,
                 m_budgetStore,
@@ -99,7 +93,7 @@
              m_routes,
              m_directory,
              m_fleet,
-             {[this] { m_placement.refreshEndpoints(); }, [this] { refreshDetours(); }, [this] { m_lender.onFleetRead(suspendAwareNow()); }})
+             {[this] { m_placement.refreshEndpoints(); }, [this] { onFleetChanged(); }, [this] { m_lender.onFleetRead(suspendAwareNow()); }})
     , m_isolation(m_loop.timers(),
                   m_fleet,
                   m_peerLinks,
@@ -107,6 +101,7 @@
                   [this](bool isIsolated) { onIsolation(isIsolated); })
     , m_relays{m_loop.timers(), m_routes, m_directory, m_placement, m_endpoints, m_homes, m_archivedTurns, m_isolation, m_metrics}
     , m_signals(m_loop.context(), SIGTERM, SIGINT, SIGHUP)
+    , m_sweeper(m_store, {})
 {
     refreshDetours();
 }
@@ -150,11 +145,14 @@
 void InstanceDaemon::enterFleet()
 {
     const FleetMember member{m_settings.instance, m_settings.domain, m_settings.peers.value_or(SocketAddress()), m_holder};
+    m_isEntering = true;
     m_fleet.put(member);
     platform::StoreTransaction transaction;
     transaction.writes.push_back({Fleet::KeyPrefix + member.id.value(), member.encode()});
+    transaction.writes.push_back(Sweeper::sign(member.id));
     transaction.removals.push_back(Departure::KeyPrefix + member.id.value());
     m_store.commit(transaction, [this](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
+        m_isEntering = result.has_value();
         if (!result) {
             logChange("not-entered", "reason=\"{}\"", result.error().detail);
             m_loop.timers().at(std::chrono::steady_clock::now() + EnterRetry, [this](Instant) { enterFleet(); });
@@ -162,6 +160,34 @@
     });
 }
 
+// Others may have marked this instance as gone while it couldn't reach the store.
+void InstanceDaemon::onFleetChanged()
+{
+    refreshDetours();
+    const FleetMember *self = m_fleet.find(m_settings.instance);
+    if (!m_isEntering && !m_hasLeft && (!self || self->isGone)) {
+        enterFleet();
+    }
+}
+
+void InstanceDaemon::giveSign()
+{
+    if (m_hasLeft) {
+        return;
+    }
+    platform::StoreTransaction transaction;
+    transaction.writes.push_back(Sweeper::sign(m_settings.instance));
+    m_store.commit(transaction, [](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
+        if (!result) {
+            logChange("sign-not-given", "reason=\"{}\"", result.error().detail);
+        }
+    });
+    const auto homes = m_fleet.homes(ProgramId(FleetSweep::SignPrefix), std::chrono::steady_clock::now());
+    if (homes.front() == m_settings.instance) {
+        m_sweeper.sweep(suspendAwareNow());
+    }
+}
+
 // The settings may name a restart a first start too, but then the store knows budgets.
 void InstanceDaemon::checkFirstStart()
 {
@@ -191,7 +217,7 @@
     }
     m_hasLeft = true;
     platform::StoreTransaction transaction;
-    transaction.removals.push_back(Fleet::KeyPrefix + m_settings.instance.value());
+    transaction.removals = {Fleet::KeyPrefix + m_settings.instance.value(), FleetSweep::SignPrefix + m_settings.instance.value()};
     transaction.writes.push_back({Departure::KeyPrefix + m_settings.instance.value(), Departure::now().encode()});
     m_store.commit(transaction, [](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
         if (!result) {
@@ -219,6 +245,7 @@
         m_home.forgetIdle(PrefixLife, at);
         logSummary();
     });
+    m_loop.timers().every(now, FleetSweep::SignPeriod, [this](Instant) { giveSign(); });
     logChange("started", "instance={} domain={} version={}", m_settings.instance.value(), m_settings.domain.value(), FLAMINGO_VERSION);
     m_loop.run();
     logChange("stopped", "instance={}", m_settings.instance.value());
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -10,6 +10,7 @@
 #include "instance/relay.h"
 #include "lasting/archivedturnstore.h"
 #include "lasting/lastingstores.h"
+#include "lasting/sweeper.h"
 #include "platform/bootsettingsfile.h"
 #include "serving/lender.h"
 
@@ -42,6 +43,8 @@
     void readDeparture();
     void enterFleet();
     void leaveFleet();
+    void onFleetChanged();
+    void giveSign();
     void probeStore();
     void checkFirstStart();
     void refreshDetours();
@@ -55,6 +58,7 @@
 
     platform::BootSettings m_settings;
     platform::BootSettingsFile m_settingsFile;
+    HolderId m_holder;
     EventLoop m_loop;
     Metrics m_metrics;
     platform::PlatformStore m_store;
@@ -64,7 +68,6 @@
     EndpointDirectory m_directory;
     Fleet m_fleet;
     Placement m_placement;
-    HolderId m_holder;
     Lender m_lender;
     BudgetLedger m_budgets;
     LinkPool m_archiveLinks;
@@ -82,7 +85,9 @@
     std::unique_ptr<ConnectionSet> m_readiness;
     std::unique_ptr<ConnectionSet> m_peers;
     std::unique_ptr<ConnectionSet> m_metricsPage;
+    Sweeper m_sweeper;
     std::optional<Instant> m_drainingSince;
+    bool m_isEntering = false; ///< Or has entered.
     bool m_hasLeft = false; ///< Or is about to: the store has been asked.
 };
 
--- a/src/lasting/archivedturnstore.cpp
+++ b/src/lasting/archivedturnstore.cpp
@@ -4,6 +4,8 @@
 #include "serving/archivemessages.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 namespace flamingo
 {
@@ -39,6 +41,7 @@
 struct ArchivedTurnStore::Loading {
     RequestId id;
     std::function<void(TurnLookup)> onLoaded;
+    std::set<InstanceId> asked;
     std::size_t pending = 0;
     TurnRecordPtr found;
     bool areAllAbsent = true;
@@ -127,19 +130,38 @@
     });
 }
 
-// A turn moves from the archives to the store, so only a look into the store after the archives can say that it is absent.
 void ArchivedTurnStore::onArchivesAsked(const std::shared_ptr<Loading> &loading)
 {
     if (loading->found) {
         loading->onLoaded({TurnLookup::Status::Found, loading->found});
         return;
     }
-    const bool isCertain = loading->areAllAbsent && m_fleet.isLoaded();
-    m_store.load(loading->id, [loading, isCertain](TurnLookup lookup) {
-        if (lookup.status == TurnLookup::Status::Absent && !isCertain) {
-            lookup.status = TurnLookup::Status::Unsure;
+    if (!loading->areAllAbsent || !m_fleet.isLoaded()) {
+        loading->onLoaded({TurnLookup::Status::Unsure, nullptr});
+        return;
+    }
+    checkAllAsked(loading);
+}
+
+// This instance's own list may lack an archive that has just come. A turn moves from the archives to the store, so only a
+// look into the store after all that can say that it is absent.
+void ArchivedTurnStore::checkAllAsked(const std::shared_ptr<Loading> &loading)
+{
+    const auto onPage = [loading](const platform::StorePage &page) {
+        for (const platform::StoreItem &item : page.items) {
+            const InstanceId id(item.key.substr(std::string_view(Fleet::KeyPrefix).size()));
+            const auto member = FleetMember::decode(id, item.data);
+            const bool isArchive = member && member->role == FleetMember::Role::Archive;
+            loading->areAllAbsent = loading->areAllAbsent && (!isArchive || loading->asked.count(id) != 0);
+        }
+    };
+    m_store.listMembers(onPage, [this, loading](bool isWhole) {
+        if (!isWhole || !loading->areAllAbsent) {
+            logChange("archives-not-all-asked", "turn={} listed={}", loading->id.value(), isWhole);
+            loading->onLoaded({TurnLookup::Status::Unsure, nullptr});
+            return;
         }
-        loading->onLoaded(lookup);
+        m_store.load(loading->id, loading->onLoaded);
     });
 }
 
@@ -152,6 +174,7 @@
         return;
     }
     for (const FleetMember &archive : archives) {
+        loading->asked.insert(archive.id);
         SimpleCall call;
         call.address = archive.peers;
         call.target = ArchiveLookupPath + loading->id.value();
--- a/src/lasting/archivedturnstore.h
+++ b/src/lasting/archivedturnstore.h
@@ -19,7 +19,7 @@
 
     void save(const TurnRecordPtr &turn, std::function<void(bool isKept)> onSaved) override;
 
-    /// Absent only when the store and every archive say so.
+    /// Absent only when the store and every archive say so, and the store lists no archive that wasn't asked.
     void load(const RequestId &id, std::function<void(TurnLookup)> onLoaded) override;
 
 private:
@@ -30,6 +30,7 @@
     void toStore(const std::shared_ptr<Saving> &saving);
     void askArchives(const std::shared_ptr<Loading> &loading);
     void onArchivesAsked(const std::shared_ptr<Loading> &loading);
+    void checkAllAsked(const std::shared_ptr<Loading> &loading);
 
     asio::io_context &m_context;
     Fleet &m_fleet;
--- a/src/lasting/journalstore.cpp
+++ b/src/lasting/journalstore.cpp
@@ -54,15 +54,6 @@
 }
 } // namespace
 
-/// Reads all pages of a prefix. What changes meanwhile is behind the first page's revision.
-struct JournalStore::Listing {
-    std::string prefix;
-    std::string after;
-    bool isFirstPage = true;
-    WatchResult result;
-    std::function<void(WatchResult)> onResult;
-};
-
 JournalStore::JournalStore(SocketAddress address, Metrics &metrics)
     : m_store(m_thread.loop.context(), std::move(address), metrics)
 {
@@ -134,34 +125,19 @@
     });
 }
 
+// What changes between two pages is behind the first page's revision.
 void JournalStore::listAll(const std::string &prefix, std::function<void(WatchResult)> onResult)
 {
-    auto listing = std::make_shared<Listing>();
-    listing->prefix = prefix;
-    listing->onResult = std::move(onResult);
-    list(listing);
-}
-
-void JournalStore::list(const std::shared_ptr<Listing> &listing)
-{
-    m_store.list(listing->prefix, listing->after, [this, listing](tl::expected<platform::StorePage, platform::StoreFailure> page) {
-        if (!page) {
-            listing->onResult({});
-            return;
-        }
-        if (std::exchange(listing->isFirstPage, false)) {
-            listing->result.revision = page->at;
-        }
-        for (platform::StoreItem &item : page->items) {
-            listing->after = item.key;
-            listing->result.values.push_back({std::move(item.key), std::move(item.data)});
-        }
-        if (page->hasMore && !page->items.empty()) {
-            list(listing);
-            return;
+    auto result = std::make_shared<WatchResult>();
+    const auto onPage = [result](const platform::StorePage &page) {
+        result->revision = result->revision == 0 ? page.at : result->revision;
+        for (const platform::StoreItem &item : page.items) {
+            result->values.push_back({item.key, item.data});
         }
-        listing->result.isOk = true;
-        listing->onResult(std::move(listing->result));
+    };
+    m_store.listAll(prefix, onPage, [result, onResult = std::move(onResult)](bool isWhole) {
+        result->isOk = isWhole;
+        onResult(isWhole ? std::move(*result) : WatchResult());
     });
 }
 
--- a/src/lasting/journalstore.h
+++ b/src/lasting/journalstore.h
@@ -33,11 +33,8 @@
     void watchEndpoints(std::uint64_t afterRevision, std::function<void(EndpointChanges changes)> onChanges);
 
 private:
-    struct Listing;
-
     void read(const StoreOperation &operation, std::function<void(StoreReply)> onReply);
     void change(const StoreOperation &operation, std::function<void(StoreReply)> onReply);
-    void list(const std::shared_ptr<Listing> &listing);
     void listAll(const std::string &prefix, std::function<void(WatchResult result)> onResult);
     void listEndpoints(std::function<void(EndpointChanges changes)> onChanges);
 
--- a/src/lasting/lastingstores.cpp
+++ b/src/lasting/lastingstores.cpp
@@ -1,7 +1,12 @@
 #include "lasting/lastingstores.h"
 
+#include "core/codec.h"
 #include "core/log.h"
 #include "serving/archivemessages.h"
+#include "serving/fleet.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 
@@ -10,7 +15,6 @@
 
 namespace
 {
-constexpr const char *BudgetPrefix = "budget/";
 /// Tries of one write whose answer is lost, before its turn is given up.
 constexpr int MaxSaveTries = 2;
 /// The most keys in one transaction.
@@ -57,7 +61,7 @@
 
 void PlatformBudgetStore::swap(const ProgramId &program, std::uint64_t expectedRevision, const std::string &bytes, std::function<void(SwapResult)> onResult)
 {
-    const std::string key = BudgetPrefix + program.value();
+    const std::string key = KeyPrefix + program.value();
     platform::StoreTransaction transaction;
     transaction.expected.push_back({key, expectedRevision});
     transaction.writes.push_back({key, bytes});
@@ -69,14 +73,14 @@
     std::vector<std::string> keys;
     keys.reserve(programs.size());
     for (const ProgramId &program : programs) {
-        keys.push_back(BudgetPrefix + program.value());
+        keys.push_back(KeyPrefix + program.value());
     }
     removeKeys(m_store, keys);
 }
 
 void PlatformBudgetStore::checkEmpty(std::function<void(bool isEmpty)> onChecked)
 {
-    m_store.list(BudgetPrefix, {}, [onChecked = std::move(onChecked)](const tl::expected<platform::StorePage, platform::StoreFailure> &page) {
+    m_store.list(KeyPrefix, {}, [onChecked = std::move(onChecked)](const tl::expected<platform::StorePage, platform::StoreFailure> &page) {
         if (page) {
             onChecked(page->items.empty());
         } else {
@@ -85,32 +89,60 @@
     });
 }
 
-PlatformTurnStore::PlatformTurnStore(platform::PlatformStore &store)
+std::vector<std::string> TurnIndex::keys() const
+{
+    std::vector<std::string> keys;
+    keys.reserve(turns.size());
+    for (const RequestId &turn : turns) {
+        keys.push_back(TurnKeyPrefix + turn.value());
+    }
+    return keys;
+}
+
+std::string TurnIndex::encode() const
+{
+    return nlohmann::json{{"writer", writer}, {"turns", turns}}.dump();
+}
+
+std::optional<TurnIndex> TurnIndex::decode(const std::string &bytes)
+{
+    const auto json = parseJson(bytes);
+    if (!json || !json->is_object() || !json->contains("writer") || !json->contains("turns")) {
+        return std::nullopt;
+    }
+    return TurnIndex{(*json)["writer"].get<HolderId>(), (*json)["turns"].get<std::vector<RequestId>>()};
+}
+
+PlatformTurnStore::PlatformTurnStore(platform::PlatformStore &store, HolderId writer)
     : m_store(store)
+    , m_writer(std::move(writer))
 {
 }
 
+platform::KeyWrite PlatformTurnStore::indexOf(std::vector<RequestId> turns)
+{
+    return {fmt::format("{}{}/{}", TurnIndex::KeyPrefix, m_writer.value(), ++m_lastIndex), TurnIndex{m_writer, std::move(turns)}.encode()};
+}
+
 void PlatformTurnStore::save(const TurnRecordPtr &turn, std::function<void(bool)> onSaved)
 {
     auto saving = std::make_shared<Saving>();
     saving->turn = turn;
-    saving->bytes = turn->encode();
+    const std::string key = TurnKeyPrefix + turn->id.value();
+    saving->transaction.expected.push_back({key, 0});
+    saving->transaction.writes = {{key, turn->encode()}, indexOf({turn->id})};
     saving->onSaved = std::move(onSaved);
     trySave(saving);
 }
 
 void PlatformTurnStore::trySave(const std::shared_ptr<Saving> &saving)
 {
-    const std::string key = TurnKeyPrefix + saving->turn->id.value();
-    platform::StoreTransaction transaction;
-    transaction.expected.push_back({key, 0});
-    transaction.writes.push_back({key, saving->bytes});
     ++saving->tries;
-    m_store.commit(transaction, [this, saving](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
+    m_store.commit(saving->transaction, [this, saving](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
         const bool isAnswered = result.has_value();
         // A conflict means that an earlier try, whose answer was lost, has written the same turn.
         if (isAnswered) {
-            scheduleRemoval(saving->turn->id, saving->turn->retention);
+            scheduleRemoval(saving->transaction, saving->turn->retention);
             saving->onSaved(true);
             return;
         }
@@ -124,31 +156,39 @@
     });
 }
 
-void PlatformTurnStore::scheduleRemoval(const RequestId &turn, Milliseconds retention)
+void PlatformTurnStore::scheduleRemoval(const platform::StoreTransaction &written, Milliseconds retention)
 {
-    m_expiries.push_back({std::chrono::steady_clock::now() + retention * RetentionFactor, turn});
+    Expiry expiry{std::chrono::steady_clock::now() + retention * RetentionFactor, {}};
+    for (const platform::KeyWrite &write : written.writes) {
+        expiry.keys.push_back(write.key);
+    }
+    m_expiries.push_back(std::move(expiry));
 }
 
 // Turns never change, so writing one that is there already does no harm and needs no condition.
 void PlatformTurnStore::saveAll(const std::vector<std::pair<RequestId, std::string>> &records, std::function<void(bool)> onSaved)
 {
     platform::StoreTransaction transaction;
+    std::vector<RequestId> turns;
+    Milliseconds retention{0};
     for (const auto &[id, record] : records) {
+        const auto turn = TurnRecord::decode(id, record);
+        retention = std::max(retention, turn ? turn->retention : Milliseconds(0));
         transaction.writes.push_back({TurnKeyPrefix + id.value(), record});
+        turns.push_back(id);
     }
-    m_store.commit(transaction, [this, records, onSaved = std::move(onSaved)](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
-        const bool isKept = result && result->isDone;
-        if (!isKept) {
-            logChange("turns-not-kept", "turns={} reason=\"{}\"", records.size(), result ? "conflict" : result.error().detail);
-        }
-        for (const auto &[id, record] : records) {
-            const auto turn = isKept ? TurnRecord::decode(id, record) : std::nullopt;
-            if (turn) {
-                scheduleRemoval(id, turn->retention);
+    transaction.writes.push_back(indexOf(std::move(turns)));
+    m_store.commit(
+        transaction,
+        [this, transaction, retention, onSaved = std::move(onSaved)](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
+            const bool isKept = result && result->isDone;
+            if (isKept) {
+                scheduleRemoval(transaction, retention);
+            } else {
+                logChange("turns-not-kept", "keys={} reason=\"{}\"", transaction.writes.size(), result ? "conflict" : result.error().detail);
             }
-        }
-        onSaved(isKept);
-    });
+            onSaved(isKept);
+        });
 }
 
 void PlatformTurnStore::load(const RequestId &id, std::function<void(TurnLookup)> onLoaded)
@@ -170,11 +210,16 @@
     });
 }
 
+void PlatformTurnStore::listMembers(std::function<void(const platform::StorePage &)> onPage, std::function<void(bool)> onEnd)
+{
+    m_store.listAll(Fleet::KeyPrefix, std::move(onPage), std::move(onEnd));
+}
+
 void PlatformTurnStore::removeExpired(Instant now)
 {
     std::vector<std::string> keys;
     while (!m_expiries.empty() && m_expiries.front().at < now) {
-        keys.push_back(TurnKeyPrefix + m_expiries.front().turn.value());
+        keys.insert(keys.end(), m_expiries.front().keys.begin(), m_expiries.front().keys.end());
         m_expiries.pop_front();
     }
     removeKeys(m_store, keys);
--- a/src/lasting/lastingstores.h
+++ b/src/lasting/lastingstores.h
@@ -15,6 +15,9 @@
 class PlatformBudgetStore : public BudgetStore
 {
 public:
+    /// Where budgets lie; the rest of the key is the program.
+    static constexpr const char *KeyPrefix = "budget/";
+
     explicit PlatformBudgetStore(platform::PlatformStore &store);
 
     void swap(const ProgramId &program, std::uint64_t expectedRevision, const std::string &bytes, std::function<void(SwapResult)> onResult) override;
@@ -27,11 +30,25 @@
     platform::PlatformStore &m_store;
 };
 
-/// Turns in the platform's store, a key a turn, removed by the instance that wrote them once their retention is over.
+/// Turns that were written together, kept beside them for whoever removes them if their writer is gone.
+struct TurnIndex {
+    static constexpr const char *KeyPrefix = "turns-of/";
+
+    HolderId writer;
+    std::vector<RequestId> turns;
+
+    /// Where the turns lie.
+    std::vector<std::string> keys() const;
+
+    std::string encode() const;
+    static std::optional<TurnIndex> decode(const std::string &bytes);
+};
+
+/// Turns in the platform's store, a key a turn, removed by the process that wrote them once their retention is over.
 class PlatformTurnStore : public TurnStore
 {
 public:
-    explicit PlatformTurnStore(platform::PlatformStore &store);
+    PlatformTurnStore(platform::PlatformStore &store, HolderId writer);
 
     void save(const TurnRecordPtr &turn, std::function<void(bool isKept)> onSaved) override;
     void load(const RequestId &id, std::function<void(TurnLookup)> onLoaded) override;
@@ -39,25 +56,31 @@
     /// Writes many turns at once; all or none of them are written. The records are TurnRecord::encode().
     void saveAll(const std::vector<std::pair<RequestId, std::string>> &records, std::function<void(bool isKept)> onSaved);
 
+    /// Reads the list of instances and archives as it stands in the store now.
+    void listMembers(std::function<void(const platform::StorePage &page)> onPage, std::function<void(bool isWhole)> onEnd);
+
     /// Removes turns whose retention has been over for a while.
     void removeExpired(Instant now);
 
 private:
     struct Saving {
         TurnRecordPtr turn;
-        std::string bytes;
+        platform::StoreTransaction transaction;
         std::function<void(bool)> onSaved;
         int tries = 0;
     };
     struct Expiry {
         Instant at;
-        RequestId turn;
+        std::vector<std::string> keys;
     };
 
     void trySave(const std::shared_ptr<Saving> &saving);
-    void scheduleRemoval(const RequestId &turn, Milliseconds retention);
+    platform::KeyWrite indexOf(std::vector<RequestId> turns);
+    void scheduleRemoval(const platform::StoreTransaction &written, Milliseconds retention);
 
     platform::PlatformStore &m_store;
+    HolderId m_writer;
+    std::uint64_t m_lastIndex = 0;
     std::deque<Expiry> m_expiries;
 };
 
--- /dev/null
+++ b/src/lasting/sweeper.cpp
@@ -0,0 +1,176 @@
+#include "lasting/sweeper.h"
+
+#include "core/log.h"
+#include "lasting/lastingstores.h"
+#include "serving/budgetledger.h"
+#include "serving/departure.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace flamingo
+{
+
+namespace
+{
+/// Each key takes two of the entries of a transaction.
+constexpr std::size_t MaxConditionalRemovals = 15;
+
+std::string nameIn(const platform::StoreItem &item, const char *prefix)
+{
+    return item.key.substr(std::string_view(prefix).size());
+}
+} // namespace
+
+struct Sweeper::Pass {
+    Instant now;
+    std::vector<FleetMember> members;
+    std::map<std::string, platform::Revision> signs; ///< By member.
+};
+
+Sweeper::Sweeper(platform::PlatformStore &store, FleetSweep::Settings settings)
+    : m_store(store)
+    , m_decisions(settings)
+{
+}
+
+platform::KeyWrite Sweeper::sign(const InstanceId &id)
+{
+    return {FleetSweep::SignPrefix + id.value(), id.value()};
+}
+
+void Sweeper::sweep(Instant now)
+{
+    if (std::exchange(m_isSweeping, true)) {
+        return;
+    }
+    auto pass = std::make_shared<Pass>();
+    pass->now = now;
+    readMembers(pass);
+}
+
+void Sweeper::readMembers(const PassPtr &pass)
+{
+    const auto onMembers = [pass](const platform::StorePage &page) {
+        for (const platform::StoreItem &item : page.items) {
+            if (auto member = FleetMember::decode(InstanceId(nameIn(item, Fleet::KeyPrefix)), item.data)) {
+                pass->members.push_back(std::move(*member));
+            }
+        }
+    };
+    const auto onSigns = [pass](const platform::StorePage &page) {
+        for (const platform::StoreItem &item : page.items) {
+            pass->signs[nameIn(item, FleetSweep::SignPrefix)] = item.revision;
+        }
+    };
+    m_store.listAll(Fleet::KeyPrefix, onMembers, [this, pass, onSigns](bool isWhole) {
+        if (!isWhole) {
+            m_isSweeping = false;
+            return;
+        }
+        m_store.listAll(FleetSweep::SignPrefix, onSigns, [this, pass](bool areWhole) {
+            m_isSweeping = areWhole;
+            if (areWhole) {
+                judgeMembers(pass);
+                sweepBudgets(pass);
+            }
+        });
+    });
+}
+
+void Sweeper::judgeMembers(const PassPtr &pass)
+{
+    std::set<HolderId> lives;
+    for (const FleetMember &member : pass->members) {
+        lives.insert(member.holder);
+    }
+    m_decisions.beginPass(std::move(lives), pass->now);
+    for (const FleetMember &member : pass->members) {
+        const auto it = pass->signs.find(member.id.value());
+        const platform::Revision revision = it == pass->signs.end() ? 0 : it->second;
+        const auto verdict = m_decisions.judge(member, revision, pass->now);
+        if (verdict != FleetSweep::Verdict::Present) {
+            change(member, verdict, revision);
+        }
+    }
+}
+
+void Sweeper::change(const FleetMember &member, FleetSweep::Verdict verdict, std::uint64_t signRevision)
+{
+    const std::string sign = FleetSweep::SignPrefix + member.id.value();
+    platform::StoreTransaction transaction;
+    transaction.expected.push_back({sign, signRevision});
+    if (verdict == FleetSweep::Verdict::Gone) {
+        FleetMember gone = member;
+        gone.isGone = true;
+        transaction.writes.push_back({Fleet::KeyPrefix + member.id.value(), gone.encode()});
+    } else {
+        transaction.removals = {Fleet::KeyPrefix + member.id.value(), sign, Departure::KeyPrefix + member.id.value()};
+    }
+    logChange("member-swept", "id={} verdict={}", member.id.value(), verdict == FleetSweep::Verdict::Gone ? "gone" : "forgotten");
+    commit(transaction, "member");
+}
+
+void Sweeper::sweepBudgets(const PassPtr &pass)
+{
+    const auto onPage = [this, pass](const platform::StorePage &page) {
+        std::vector<platform::KeyExpectation> over;
+        for (const platform::StoreItem &item : page.items) {
+            const auto record = BudgetRecord::decode(item.data);
+            const auto isOver = [&](const auto &grant) { return m_decisions.isLifeOver(grant.first, pass->now); };
+            // All are asked, so that each life's time without a listing counts from its first pass on.
+            const auto n = record ? std::count_if(record->granted.begin(), record->granted.end(), isOver) : 0;
+            if (n > 0 && static_cast<std::size_t>(n) == record->granted.size()) {
+                over.push_back({item.key, item.revision});
+            }
+        }
+        removeUnchanged(over);
+    };
+    m_store.listAll(PlatformBudgetStore::KeyPrefix, onPage, [this, pass](bool) { sweepTurns(pass); });
+}
+
+void Sweeper::sweepTurns(const PassPtr &pass)
+{
+    const auto onPage = [this, pass](const platform::StorePage &page) {
+        for (const platform::StoreItem &item : page.items) {
+            const auto index = TurnIndex::decode(item.data);
+            if (index && m_decisions.isLifeOver(index->writer, pass->now)) {
+                removeTurns(item);
+            }
+        }
+    };
+    m_store.listAll(TurnIndex::KeyPrefix, onPage, [this](bool) { m_isSweeping = false; });
+}
+
+void Sweeper::removeUnchanged(const std::vector<platform::KeyExpectation> &keys)
+{
+    for (std::size_t begin = 0; begin < keys.size(); begin += MaxConditionalRemovals) {
+        platform::StoreTransaction transaction;
+        for (std::size_t n = begin; n < std::min(begin + MaxConditionalRemovals, keys.size()); ++n) {
+            transaction.expected.push_back(keys[n]);
+            transaction.removals.push_back(keys[n].key);
+        }
+        commit(transaction, "budgets");
+    }
+}
+
+// Turns never change, so the index alone is the condition.
+void Sweeper::removeTurns(const platform::StoreItem &index)
+{
+    platform::StoreTransaction transaction;
+    transaction.expected.push_back({index.key, index.revision});
+    transaction.removals = TurnIndex::decode(index.data)->keys();
+    transaction.removals.push_back(index.key);
+    commit(transaction, "turns");
+}
+
+void Sweeper::commit(const platform::StoreTransaction &transaction, const char *what)
+{
+    m_store.commit(transaction, [what, n = transaction.removals.size()](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
+        const char *outcome = !result ? "failed" : result->isDone ? "done" : "changed-meanwhile";
+        logChange("swept", "what={} keys={} outcome={} reason=\"{}\"", what, n, outcome, result ? std::string() : result.error().detail);
+    });
+}
+
+} // namespace flamingo
--- a/src/serving/fleet.cpp
+++ b/src/serving/fleet.cpp
@@ -26,7 +26,7 @@
 
 std::string FleetMember::encode() const
 {
-    return nlohmann::json{{"domain", domain}, {"peers", peers.text()}, {"holder", holder}, {"archive", role == Role::Archive}}.dump();
+    return nlohmann::json{{"domain", domain}, {"peers", peers.text()}, {"holder", holder}, {"archive", role == Role::Archive}, {"gone", isGone}}.dump();
 }
 
 std::optional<FleetMember> FleetMember::decode(const InstanceId &id, const std::string &bytes)
@@ -40,7 +40,7 @@
         return std::nullopt;
     }
     const Role role = json.value("archive", false) ? Role::Archive : Role::Instance;
-    return FleetMember{id, DomainId(json.value("domain", "")), *address, HolderId(json.value("holder", "")), role};
+    return FleetMember{id, DomainId(json.value("domain", "")), *address, HolderId(json.value("holder", "")), role, json.value("gone", false)};
 }
 
 Fleet::Fleet(InstanceId self, DomainId ownDomain)
@@ -109,7 +109,7 @@
 
 bool Fleet::isReachable(const Member &member, Instant now) const
 {
-    return now >= member.usableAt && (!m_isCutOff || member.member.domain == m_ownDomain);
+    return !member.member.isGone && now >= member.usableAt && (!m_isCutOff || member.member.domain == m_ownDomain);
 }
 
 std::optional<InstanceId> Fleet::liveHolder(const HolderId &holder, Instant now) const
@@ -180,7 +180,7 @@
 {
     std::vector<FleetMember> members;
     for (const auto &[id, member] : m_members) {
-        if (id != m_self && member.member.role == FleetMember::Role::Instance) {
+        if (id != m_self && member.member.role == FleetMember::Role::Instance && !member.member.isGone) {
             members.push_back(member.member);
         }
     }
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -25,6 +25,7 @@
     SocketAddress peers; ///< Where other instances connect.
     HolderId holder; ///< Under which this life of it takes parts of budgets; only instances.
     Role role = Role::Instance;
+    bool isGone = false; ///< No sign of life for long: it gets nothing new, but what it has done still counts.
 
     std::string encode() const;
     static std::optional<FleetMember> decode(const InstanceId &id, const std::string &bytes);
--- a/tests/soak/callerrecord.cpp
+++ b/tests/soak/callerrecord.cpp
@@ -19,7 +19,7 @@
 
 std::string lineOf(const SentRequest &sent, const std::string &what)
 {
-    return fmt::format("attempt {} of program {}, status {}: {}", sent.attempt, sent.program, sent.status, what);
+    return fmt::format("attempt {} after \"{}\" by instance {}, status {}: {}", sent.attempt, sent.previous, sent.instance + 1, sent.status, what);
 }
 } // namespace
 
--- a/tests/soak/callerrecord.h
+++ b/tests/soak/callerrecord.h
@@ -22,6 +22,7 @@
     Kind kind = Kind::Booking;
     std::string attempt;
     std::string program;
+    std::size_t instance = 0; ///< To which it was sent.
     std::string previous; ///< Of a chat, the attempt that it continues from.
     std::string input;
     int status = 0; ///< 0 when no answer came.
--- a/tests/soak/platformsoak.cpp
+++ b/tests/soak/platformsoak.cpp
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <csignal>
 #include <cstdio>
+#include <fstream>
 #include <memory>
 #include <random>
 #include <thread>
@@ -188,7 +189,8 @@
                                  m_lastAttempt);
         }
         lines += previous.empty() ? std::string() : "X-Previous-Turn: " + previous + "\r\n";
-        const CallerAnswer got = m_system.instances[m_random() % Instances]->send(callerRequest(path, sent.attempt, lines, sent.input));
+        sent.instance = m_random() % Instances;
+        const CallerAnswer got = m_system.instances[sent.instance]->send(callerRequest(path, sent.attempt, lines, sent.input));
         sent.status = got.status;
         sent.isWhole = got.isWhole;
         sent.body = got.body;
@@ -205,6 +207,16 @@
     int m_lastAttempt = 0;
 };
 
+/// Writes the instances' logs into the current folder.
+void keepLogs(const System &system, std::uint64_t seed)
+{
+    for (std::size_t n = 0; n < system.instances.size(); ++n) {
+        const std::string name = fmt::format("platform-soak-{}-instance-{}.log", seed, n + 1);
+        std::ofstream(name) << system.instances[n]->log();
+        fmt::print("log: {}\n", name);
+    }
+}
+
 /// After the faults each kind is served again.
 bool recovers(System &system, CallerRecord &record, std::uint64_t seed)
 {
@@ -253,6 +265,9 @@
     for (const std::string &line : broken) {
         fmt::print("broken: {}\n", line);
     }
+    if (!broken.empty()) {
+        keepLogs(system, seed);
+    }
     const auto [served, sent] = record.served();
     fmt::print("soak: seed {}, started {}, recovered {}, {} of {} served, {} promises broken\n", seed, isStarted, isRecovered, served, sent, broken.size());
     return isStarted && isRecovered && broken.empty() ? 0 : 1;
