Endpoints and members that change together are taken in together

Each registered endpoint of a batch renewed all views of the dispatcher and wrote a line: endpoints times endpoints, in each instance.

Ruled out by reading: placement (nothing waits then), heartbeats of endpoints (they change nothing).

Change: RegistryFeed renews once for what comes together; more than 24 changes in a batch are told in one line.

--- a/src/instance/registryfeed.cpp
+++ b/src/instance/registryfeed.cpp
@@ -27,6 +27,9 @@
 /// The list of instances can wait until the other two are there again.
 constexpr Milliseconds InstanceRetryDelay{2000};
 
+/// Beyond this many changes that come together, as at a start, one line tells of all.
+constexpr std::size_t MaxLoggedItems = 24;
+
 Instant now()
 {
     return std::chrono::steady_clock::now();
@@ -113,9 +116,7 @@
 {
     logChange("listed", "prefix={} items={} revision={}", feed.prefix, feed.listed.size(), feed.after);
     if (&feed != &m_endpoints) {
-        for (const platform::StoreItem &item : feed.listed) {
-            apply(item);
-        }
+        applyAll(feed.listed);
         return;
     }
     std::vector<EndpointEntry> entries;
@@ -155,8 +156,8 @@
         onAnswer(feed);
         for (const platform::StoreItem &item : changes->items) {
             feed.newest = std::max(feed.newest, item.changedAt);
-            apply(item);
         }
+        applyAll(changes->items);
         feed.after = std::max(feed.after, changes->at);
         if (&feed == &m_instances) {
             m_hooks.onFleetRead();
@@ -267,29 +268,45 @@
     }
 }
 
-void RegistryFeed::apply(const platform::StoreItem &item)
+// What follows from a change grows with all endpoints or instances, so it is done once for changes that come together.
+void RegistryFeed::applyAll(const std::vector<platform::StoreItem> &items)
 {
-    if (item.key == platform::ConfigurationKey) {
-        applyConfiguration(item.data);
-        return;
+    const bool areLogged = items.size() <= MaxLoggedItems;
+    bool haveEndpointsChanged = false;
+    bool hasFleetChanged = false;
+    for (const platform::StoreItem &item : items) {
+        if (item.key == platform::ConfigurationKey) {
+            applyConfiguration(item.data);
+        } else if (item.key.rfind(Fleet::KeyPrefix, 0) == 0) {
+            applyInstance(item, areLogged);
+            hasFleetChanged = true;
+        } else if (item.key.rfind(platform::EndpointPrefix, 0) == 0) {
+            haveEndpointsChanged = applyEndpoint(item, areLogged) || haveEndpointsChanged;
+        }
     }
-    if (item.key.rfind(Fleet::KeyPrefix, 0) == 0) {
-        applyInstance(item);
-        return;
+    if (!areLogged) {
+        logChange("many-changed", "first={} items={}", items.front().key, items.size());
     }
-    if (item.key.rfind(platform::EndpointPrefix, 0) != 0) {
-        return;
+    if (haveEndpointsChanged) {
+        m_hooks.onEndpoints();
     }
+    if (hasFleetChanged) {
+        m_hooks.onFleet();
+    }
+}
+
+bool RegistryFeed::applyEndpoint(const platform::StoreItem &item, bool isLogged)
+{
     const EndpointId id(item.key.substr(std::string_view(platform::EndpointPrefix).size()));
     const auto entry = item.revision == 0 ? std::nullopt : platform::decodeEndpoint(item.key, item.data);
     const bool isChange = entry ? m_directory.put(*entry) : m_directory.remove(id, now());
-    if (isChange) {
+    if (isChange && isLogged) {
         logChange("endpoint-changed", "endpoint={} state={} revision={}", id.value(), entry ? (entry->isLeaving ? "leaving" : "ready") : "gone", item.revision);
-        m_hooks.onEndpoints();
     }
+    return isChange;
 }
 
-void RegistryFeed::applyInstance(const platform::StoreItem &item)
+void RegistryFeed::applyInstance(const platform::StoreItem &item, bool isLogged)
 {
     const InstanceId id(item.key.substr(std::string_view(Fleet::KeyPrefix).size()));
     const auto member = item.revision == 0 ? std::nullopt : FleetMember::decode(id, item.data);
@@ -298,8 +315,10 @@
     } else {
         m_fleet.remove(id, now());
     }
-    logChange("instance-changed", "id={} state={} revision={}", id.value(), member ? "present" : "gone", item.revision);
-    m_hooks.onFleet();
+    if (isLogged) {
+        const char *state = !member ? "absent" : member->isGone ? "gone" : "present";
+        logChange("instance-changed", "id={} state={} revision={}", id.value(), state, item.revision);
+    }
 }
 
 void RegistryFeed::applyConfiguration(const std::string &bytes)
--- a/src/instance/registryfeed.h
+++ b/src/instance/registryfeed.h
@@ -22,8 +22,8 @@
 {
 public:
     struct Hooks {
-        std::function<void()> onEndpoints; ///< The directory has changed.
-        std::function<void()> onFleet; ///< Instances have come or gone.
+        std::function<void()> onEndpoints; ///< The directory has changed; called once for changes that come together.
+        std::function<void()> onFleet; ///< Instances have come or gone; likewise.
         std::function<void()> onFleetRead; ///< The list of instances is as new as the store's.
     };
 
@@ -68,8 +68,9 @@
     void onFailure(Feed &feed, const platform::StoreFailure &failure);
     void onAnswer(Feed &feed);
     void retry(Feed &feed);
-    void apply(const platform::StoreItem &item);
-    void applyInstance(const platform::StoreItem &item);
+    void applyAll(const std::vector<platform::StoreItem> &items);
+    bool applyEndpoint(const platform::StoreItem &item, bool isLogged);
+    void applyInstance(const platform::StoreItem &item, bool isLogged);
     void applyConfiguration(const std::string &bytes);
     void applyListing(const Feed &feed);
 
--- a/tests/platform/lastingtest.cpp
+++ b/tests/platform/lastingtest.cpp
@@ -1,10 +1,14 @@
 #include "core/loopthread.h"
+#include "instance/registryfeed.h"
 #include "lasting/archivedturnstore.h"
 #include "lasting/sweeper.h"
 #include "platform/testinstance.h"
 
 #include <catch2/catch.hpp>
 
+#include <fmt/format.h>
+
+#include <atomic>
 #include <future>
 
 using namespace flamingo;
@@ -114,3 +118,25 @@
     CHECK(store.get("turn/t2") == "x");
     CHECK(store.keys(TurnIndex::KeyPrefix).size() == 1);
 }
+
+// What an instance does on a change of the endpoints grows with their number, so done for each of them it would be the square.
+TEST_CASE_METHOD(Fixture, "Endpoints that come together are taken in together", "[platform]")
+{
+    constexpr std::size_t Endpoints = 300;
+    RouteTable routes;
+    EndpointDirectory directory;
+    std::atomic<int> refreshes{0};
+    RegistryFeed feed(client, loop.loop.timers(), routes, directory, fleet, {[&] { ++refreshes; }, [] {}, [] {}});
+    loop.call([&] {
+        feed.start();
+        return true;
+    });
+    const auto known = [&] { return loop.call([&] { return directory.all().size(); }); };
+    for (std::size_t n = 0; n < Endpoints; ++n) {
+        store.put(fmt::format("servers/i-{}", n),
+                  R"({"service":"app","address":"127.0.0.1:1","zone":"z","version":"v1","slots":1,"state":"ready","cold-left-ms":0,"sequence":1})");
+    }
+    CHECK(eventually([&] { return known() == Endpoints; }));
+    CHECK(refreshes < static_cast<int>(Endpoints) / 10);
+    loop.stop();
+}
