--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -152,7 +152,7 @@
     transaction.writes.push_back(Sweeper::sign(member.id));
     transaction.removals.push_back(Departure::KeyPrefix + member.id.value());
     m_store.commit(transaction, [this](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
-        m_isEntering = result.has_value();
+        m_isEntering = false;
         if (!result) {
             logChange("not-entered", "reason=\"{}\"", result.error().detail);
             m_loop.timers().at(std::chrono::steady_clock::now() + EnterRetry, [this](Instant) { enterFleet(); });
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -87,7 +87,7 @@
     std::unique_ptr<ConnectionSet> m_metricsPage;
     Sweeper m_sweeper;
     std::optional<Instant> m_drainingSince;
-    bool m_isEntering = false; ///< Or has entered.
+    bool m_isEntering = true; ///< Until the store has answered.
     bool m_hasLeft = false; ///< Or is about to: the store has been asked.
 };
 
--- a/tests/platform/registrytest.cpp
+++ b/tests/platform/registrytest.cpp
@@ -1,4 +1,5 @@
 #include "platform/testinstance.h"
+#include "serving/fleet.h"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -291,3 +292,21 @@
     instance.editSettings("grace-s = 7", "grace-s =");
     CHECK(eventually([&] { return instance.log().find("event=reload-failed") != std::string::npos; }, Milliseconds(8000)));
 }
+
+TEST_CASE("An instance that others have marked as gone, or taken off the list, enters again", "[platform]")
+{
+    KvStandin store;
+    store.put("op/config", testConfiguration(1));
+    TestInstance instance(store, 1);
+    const std::string key = std::string(Fleet::KeyPrefix) + "edge-1";
+    const auto isPresent = [&] { return store.get(key).find("\"gone\":false") != std::string::npos; };
+    REQUIRE(eventually(isPresent));
+    REQUIRE(eventually([&] { return instance.log().find("listed prefix=instance/") != std::string::npos; }));
+    auto gone = FleetMember::decode(InstanceId("edge-1"), store.get(key));
+    REQUIRE(gone);
+    gone->isGone = true;
+    store.put(key, gone->encode());
+    CHECK(eventually(isPresent));
+    store.remove(key);
+    CHECK(eventually(isPresent));
+}
