What the dead leave is swept only once nothing of it may be asked for any more

Cause, from the last read: a life counted as over after thirty minutes, whatever the routes' retention. On a deployment that keeps turns for hours, the turns of a dead writer would have been removed while they may be continued, and a program that comes back would have found its budget whole. Change: a life is over after twice the longest retention of any route, if that is longer; archives and instances are forgotten after four times of it at the earliest. Test: "What may still be continued is not swept ...": fails without it, passes with it.

--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -184,7 +184,7 @@
     });
     const auto homes = m_fleet.homes(ProgramId(FleetSweep::SignPrefix), std::chrono::steady_clock::now());
     if (homes.front() == m_settings.instance) {
-        m_sweeper.sweep(suspendAwareNow());
+        m_sweeper.sweep(suspendAwareNow(), m_routes.longestRetention());
     }
 }
 
--- a/src/lasting/sweeper.cpp
+++ b/src/lasting/sweeper.cpp
@@ -40,8 +40,9 @@
     return {FleetSweep::SignPrefix + id.value(), id.value()};
 }
 
-void Sweeper::sweep(Instant now)
+void Sweeper::sweep(Instant now, Milliseconds retention)
 {
+    m_decisions.setRetention(retention);
     if (std::exchange(m_isSweeping, true)) {
         return;
     }
--- a/src/lasting/sweeper.h
+++ b/src/lasting/sweeper.h
@@ -19,8 +19,9 @@
 public:
     Sweeper(platform::PlatformStore &store, FleetSweep::Settings settings);
 
-    /// One pass; does nothing while one is under way. A pass that fails is taken up by the next one.
-    void sweep(Instant now);
+    /// One pass; does nothing while one is under way. A pass that fails is taken up by the next one. The retention is the
+    /// longest of any route in force.
+    void sweep(Instant now, Milliseconds retention);
 
     /// Tells that a member lives.
     static platform::KeyWrite sign(const InstanceId &id);
--- a/src/serving/fleetsweep.cpp
+++ b/src/serving/fleetsweep.cpp
@@ -1,5 +1,6 @@
 #include "serving/fleetsweep.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -40,9 +41,20 @@
     return std::chrono::duration_cast<Milliseconds>(now - observation.since);
 }
 
+void FleetSweep::setRetention(Milliseconds retention)
+{
+    m_retention = std::max(m_retention, retention);
+}
+
+Milliseconds FleetSweep::goneAfter() const
+{
+    return std::max(m_settings.goneAfter, m_retention * 2);
+}
+
 Milliseconds FleetSweep::forgottenAfter(const FleetMember &member) const
 {
-    return member.role == FleetMember::Role::Archive ? m_settings.archiveForgottenAfter : m_settings.instanceForgottenAfter;
+    const bool isArchive = member.role == FleetMember::Role::Archive;
+    return std::max(isArchive ? m_settings.archiveForgottenAfter : m_settings.instanceForgottenAfter, m_retention * 4);
 }
 
 FleetSweep::Verdict FleetSweep::judge(const FleetMember &member, std::uint64_t signRevision, Instant now)
@@ -51,12 +63,12 @@
     if (silence >= forgottenAfter(member)) {
         return Verdict::Forgotten;
     }
-    return silence >= m_settings.goneAfter && !member.isGone ? Verdict::Gone : Verdict::Present;
+    return silence >= goneAfter() && !member.isGone ? Verdict::Gone : Verdict::Present;
 }
 
 bool FleetSweep::isLifeOver(const HolderId &life, Instant now)
 {
-    return m_listedLives.count(life) == 0 && unchangedFor(m_lives[life.value()], 0, now) >= m_settings.goneAfter;
+    return m_listedLives.count(life) == 0 && unchangedFor(m_lives[life.value()], 0, now) >= goneAfter();
 }
 
 } // namespace flamingo
--- a/src/serving/fleetsweep.h
+++ b/src/serving/fleetsweep.h
@@ -26,8 +26,8 @@
     static constexpr Milliseconds SignPeriod{300000};
 
     struct Settings {
-        Milliseconds goneAfter{1800000};
-        Milliseconds archiveForgottenAfter{7200000}; ///< Beyond the longest time for which turns are kept.
+        Milliseconds goneAfter{1800000}; ///< Or twice the retention, if that is longer.
+        Milliseconds archiveForgottenAfter{7200000}; ///< Or four times the retention.
         Milliseconds instanceForgottenAfter{86400000}; ///< Beyond the life of a program.
         Milliseconds maxPause{900000}; ///< Of passes; after a longer one, all observations begin anew.
     };
@@ -40,6 +40,9 @@
 
     explicit FleetSweep(Settings settings);
 
+    /// Programs may come back and turns may be continued for so long after their last use. The longest that was told counts.
+    void setRetention(Milliseconds retention);
+
     /// Begins a pass over what the store holds, with the lives that are listed in it.
     void beginPass(std::set<HolderId> listedLives, Instant now);
 
@@ -56,11 +59,13 @@
         bool isOfThisPass = false;
     };
 
+    Milliseconds goneAfter() const;
     Milliseconds forgottenAfter(const FleetMember &member) const;
     static void forgetPassed(std::map<std::string, Observation> &observations);
     Milliseconds unchangedFor(Observation &observation, std::uint64_t revision, Instant now) const;
 
     const Settings m_settings;
+    Milliseconds m_retention{0};
     Instant m_passAt{};
     std::set<HolderId> m_listedLives;
     std::map<std::string, Observation> m_signs; ///< By member.
--- a/src/serving/routetable.cpp
+++ b/src/serving/routetable.cpp
@@ -39,6 +39,15 @@
     return true;
 }
 
+Milliseconds RouteTable::longestRetention() const
+{
+    Milliseconds longest{0};
+    for (const Route &route : m_configuration.routes) {
+        longest = std::max(longest, route.retention);
+    }
+    return longest;
+}
+
 bool RouteTable::isLoaded() const
 {
     return m_isLoaded;
--- a/src/serving/routetable.h
+++ b/src/serving/routetable.h
@@ -19,6 +19,9 @@
     /// Whether there is any configuration yet.
     bool isLoaded() const;
 
+    /// For how long turns of any route are kept at the most.
+    Milliseconds longestRetention() const;
+
     /// Among the host's routes, the one with the longest prefix of the path; nullptr when there is none.
     const Route *find(std::string_view host, std::string_view path) const;
 
--- a/tests/platform/lastingtest.cpp
+++ b/tests/platform/lastingtest.cpp
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <future>
+#include <thread>
 
 using namespace flamingo;
 
@@ -37,10 +38,10 @@
         return result.get_future().get();
     }
 
-    void sweep()
+    void sweep(Milliseconds retention = Milliseconds(0))
     {
-        loop.call([this] {
-            sweeper.sweep(std::chrono::steady_clock::now());
+        loop.call([this, retention] {
+            sweeper.sweep(std::chrono::steady_clock::now(), retention);
             return true;
         });
     }
@@ -119,6 +120,18 @@
     CHECK(store.keys(TurnIndex::KeyPrefix).size() == 1);
 }
 
+TEST_CASE_METHOD(Fixture, "What may still be continued is not swept, however long the retention is", "[platform]")
+{
+    store.put("turn/t1", "x");
+    store.put(std::string(TurnIndex::KeyPrefix) + "over/1", TurnIndex{HolderId("over"), {RequestId("t1")}}.encode());
+    const Instant end = std::chrono::steady_clock::now() + GoneAfter * 5;
+    while (std::chrono::steady_clock::now() < end) {
+        sweep(GoneAfter * 10);
+        std::this_thread::sleep_for(Milliseconds(20));
+    }
+    CHECK(store.get("turn/t1") == "x");
+}
+
 // What an instance does on a change of the endpoints grows with their number, so done for each of them it would be the square.
 TEST_CASE_METHOD(Fixture, "Endpoints that come together are taken in together", "[platform]")
 {
