--- a/tests/unit/coretest.cpp
+++ b/tests/unit/coretest.cpp
@@ -60,7 +60,6 @@
     const std::string path = "settingstest.toml";
     std::ofstream(path) << "[a]\nport = \"localhost:80\"\ntime = \"5 parsecs\"\nstrange = 1\n";
     SettingsReader reader(path);
-    std::remove(path.c_str());
     (void)reader.address("a.port");
     (void)reader.duration("a.time", Milliseconds(1));
     (void)reader.text("a.missing");
@@ -77,6 +76,7 @@
     const auto unknown = second.problems();
     REQUIRE(unknown.size() == 1);
     REQUIRE(unknown[0].find("settingstest.toml:4: a.strange") != std::string::npos);
+    std::remove(path.c_str());
 }
 
 TEST_CASE("Timers run when they are due, in order, and can be cancelled")
