One place for a member's own entry; what the last read of the change found

Ruled out: RegistryFeed's own paging (it needs the kind of failure and drops pages of a listing that has been replaced).

--- a/src/archive/archivedaemon.cpp
+++ b/src/archive/archivedaemon.cpp
@@ -3,7 +3,7 @@
 #include "core/commandline.h"
 #include "core/log.h"
 #include "platform/recordcodec.h"
-#include "serving/fleet.h"
+#include "serving/fleetsweep.h"
 
 #include <csignal>
 
@@ -36,6 +36,7 @@
     : m_settings(std::move(settings))
     , m_settingsFile(m_settings.path)
     , m_store(m_loop.context(), m_settings.store, m_metrics)
+    , m_entry(m_store, m_settings.instance)
     , m_holder(newHolder(m_settings.instance))
     , m_turnStore(m_store, m_holder)
     , m_links(m_loop.context(), {MaxIdlePerPeer, PeerUnacknowledged})
@@ -261,10 +262,7 @@
     }
     const SocketAddress address{m_settings.ip, m_settings.firstFreePort};
     const FleetMember member{m_settings.instance, m_settings.domain, address, m_holder, FleetMember::Role::Archive};
-    platform::StoreTransaction transaction;
-    transaction.writes.push_back({Fleet::KeyPrefix + member.id.value(), member.encode()});
-    transaction.writes.push_back(Sweeper::sign(member.id));
-    m_store.commit(transaction, [this](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
+    m_store.commit(m_entry.entering(member), [this](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
         if (!result && !m_isEmptying) {
             logChange("not-entered", "reason=\"{}\"", result.error().detail);
             m_loop.timers().at(std::chrono::steady_clock::now() + RetryDelay, [this](Instant) { enterFleet(); });
@@ -283,25 +281,8 @@
         const auto member = FleetMember::decode(m_settings.instance, item->data);
         if (!member || member->isGone) {
             enterFleet();
-            return;
-        }
-        platform::StoreTransaction transaction;
-        transaction.writes.push_back(Sweeper::sign(m_settings.instance));
-        m_store.commit(transaction, [](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
-            if (!result) {
-                logChange("sign-not-given", "reason=\"{}\"", result.error().detail);
-            }
-        });
-    });
-}
-
-void ArchiveDaemon::leaveFleet()
-{
-    platform::StoreTransaction transaction;
-    transaction.removals = {Fleet::KeyPrefix + m_settings.instance.value(), FleetSweep::SignPrefix + m_settings.instance.value()};
-    m_store.commit(transaction, [](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
-        if (!result) {
-            logChange("not-left", "reason=\"{}\"", result.error().detail);
+        } else {
+            m_entry.giveSign();
         }
     });
 }
@@ -357,7 +338,7 @@
     // It stays on the list while it holds turns, so that it is asked for them.
     if (isEmpty && !m_hasLeft) {
         m_hasLeft = true;
-        leaveFleet();
+        m_entry.leave({});
     }
     if (m_stoppingSince && (isEmpty || now - *m_stoppingSince > m_settings.stopGrace - KillMargin)) {
         m_loop.stop();
--- a/src/archive/archivedaemon.h
+++ b/src/archive/archivedaemon.h
@@ -6,7 +6,7 @@
 #include "http/connectionset.h"
 #include "http/simplecall.h"
 #include "lasting/lastingstores.h"
-#include "lasting/sweeper.h"
+#include "lasting/memberentry.h"
 #include "platform/bootsettingsfile.h"
 #include "platform/platformstore.h"
 
@@ -43,7 +43,6 @@
     void forget(const RequestId &id);
 
     void enterFleet();
-    void leaveFleet();
     void giveSign();
     void readRetireRequest();
     void watchRetireRequest(platform::Revision after);
@@ -57,6 +56,7 @@
     EventLoop m_loop;
     Metrics m_metrics;
     platform::PlatformStore m_store;
+    MemberEntry m_entry;
     HolderId m_holder;
     PlatformTurnStore m_turnStore;
     LinkPool m_links;
--- a/src/control/controlcore.cpp
+++ b/src/control/controlcore.cpp
@@ -327,26 +327,31 @@
     }
 }
 
+// Returns whether the watch has brought anything; the next one goes on behind it, or is made again after a while.
+bool ControlCore::finishWatch(Watch &watch, bool isOk, std::uint64_t revision) const
+{
+    watch.isWaiting = false;
+    if (isOk) {
+        watch.revision = revision;
+    } else {
+        watch.next = m_now + WatchRetry;
+    }
+    return isOk;
+}
+
 void ControlCore::onWatch(const WatchResult &result)
 {
-    m_configurationWatch.isWaiting = false;
-    if (!result.isOk) {
-        m_configurationWatch.next = m_now + WatchRetry;
-        return;
+    if (finishWatch(m_configurationWatch, result.isOk, result.revision)) {
+        m_keeper.onWritten(result.values);
+        pumpKeeper();
     }
-    m_configurationWatch.revision = result.revision;
-    m_keeper.onWritten(result.values);
-    pumpKeeper();
 }
 
 void ControlCore::onEndpointChanges(const EndpointChanges &changes)
 {
-    m_endpointWatch.isWaiting = false;
-    if (!changes.isOk) {
-        m_endpointWatch.next = m_now + WatchRetry;
+    if (!finishWatch(m_endpointWatch, changes.isOk, changes.revision)) {
         return;
     }
-    m_endpointWatch.revision = changes.revision;
     if (changes.isWhole) {
         m_watchedLeaving.clear();
     }
--- a/src/control/controlcore.h
+++ b/src/control/controlcore.h
@@ -118,6 +118,7 @@
     std::vector<MemberFact> knownMembers() const;
     void onExchange(LinkId link, const MembershipExchange &exchange);
     void startWatches();
+    bool finishWatch(Watch &watch, bool isOk, std::uint64_t revision) const;
     bool isWatcher() const;
     bool adoptLeaving(const EndpointsLeaving &leaving);
     void tellDomain(const PeerMessage &message);
--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -66,6 +66,7 @@
     , m_store(m_loop.context(), m_settings.store, m_metrics)
     , m_budgetStore(m_store)
     , m_turnStore(m_store, m_holder)
+    , m_entry(m_store, m_settings.instance)
     , m_fleet(m_settings.instance, m_settings.domain)
     , m_placement(rules(), m_settings.domain, m_directory)
     , m_lender(m_fleet, suspendAwareNow())
@@ -76,7 +77,7 @@
                  [this](const ProgramId &program) { return m_lender.isSoleLender(program, suspendAwareNow()); },
                  [this] { return m_store.isSuspect(); }})
     , m_archiveLinks(m_loop.context(), {MaxIdlePerPeer, PeerUnacknowledged})
-    , m_archivedTurns(m_loop.context(), m_fleet, m_archiveLinks, m_turnStore, m_settings.toleratedMachines)
+    , m_archivedTurns(m_loop.context(), m_fleet, m_archiveLinks, m_store, m_turnStore, m_settings.toleratedMachines)
     , m_history(m_archivedTurns, historyBytes(m_settings))
     , m_endpoints(m_loop.context(), {MaxIdlePerEndpoint, EndpointUnacknowledged})
     , m_peerLinks(m_loop.context(), {MaxIdlePerPeer, PeerUnacknowledged})
@@ -144,15 +145,16 @@
 
 void InstanceDaemon::enterFleet()
 {
+    if (m_hasLeft) {
+        return;
+    }
     const FleetMember member{m_settings.instance, m_settings.domain, m_settings.peers.value_or(SocketAddress()), m_holder};
     m_isEntering = true;
     m_fleet.put(member);
-    platform::StoreTransaction transaction;
-    transaction.writes.push_back({Fleet::KeyPrefix + member.id.value(), member.encode()});
-    transaction.writes.push_back(Sweeper::sign(member.id));
+    platform::StoreTransaction transaction = m_entry.entering(member);
     transaction.removals.push_back(Departure::KeyPrefix + member.id.value());
     m_store.commit(transaction, [this](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
-        m_isEntering = false;
+        m_isEntering = !result;
         if (!result) {
             logChange("not-entered", "reason=\"{}\"", result.error().detail);
             m_loop.timers().at(std::chrono::steady_clock::now() + EnterRetry, [this](Instant) { enterFleet(); });
@@ -175,13 +177,7 @@
     if (m_hasLeft) {
         return;
     }
-    platform::StoreTransaction transaction;
-    transaction.writes.push_back(Sweeper::sign(m_settings.instance));
-    m_store.commit(transaction, [](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
-        if (!result) {
-            logChange("sign-not-given", "reason=\"{}\"", result.error().detail);
-        }
-    });
+    m_entry.giveSign();
     const auto homes = m_fleet.homes(ProgramId(FleetSweep::SignPrefix), std::chrono::steady_clock::now());
     if (homes.front() == m_settings.instance) {
         m_sweeper.sweep(suspendAwareNow(), m_routes.longestRetention());
@@ -203,13 +199,13 @@
     });
 }
 
-// The list keeps an instance whose loans, or whose former lives' loans, the store doesn't know, as it keeps one that has died.
 // Its own entry is small, and whether it is there doesn't matter.
 void InstanceDaemon::probeStore()
 {
     m_store.read(Fleet::KeyPrefix + m_settings.instance.value(), [](const tl::expected<platform::StoreItem, platform::StoreFailure> &) {});
 }
 
+// The list keeps an instance whose loans, or whose former lives' loans, the store doesn't know, as it keeps one that has died.
 void InstanceDaemon::leaveFleet()
 {
     if (m_hasLeft || m_budgets.hasLoans() || !m_lender.mayLeave(suspendAwareNow())) {
@@ -217,13 +213,8 @@
     }
     m_hasLeft = true;
     platform::StoreTransaction transaction;
-    transaction.removals = {Fleet::KeyPrefix + m_settings.instance.value(), FleetSweep::SignPrefix + m_settings.instance.value()};
     transaction.writes.push_back({Departure::KeyPrefix + m_settings.instance.value(), Departure::now().encode()});
-    m_store.commit(transaction, [](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
-        if (!result) {
-            logChange("not-left", "reason=\"{}\"", result.error().detail);
-        }
-    });
+    m_entry.leave(std::move(transaction));
 }
 
 int InstanceDaemon::run()
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -10,6 +10,7 @@
 #include "instance/relay.h"
 #include "lasting/archivedturnstore.h"
 #include "lasting/lastingstores.h"
+#include "lasting/memberentry.h"
 #include "lasting/sweeper.h"
 #include "platform/bootsettingsfile.h"
 #include "serving/lender.h"
@@ -64,6 +65,7 @@
     platform::PlatformStore m_store;
     PlatformBudgetStore m_budgetStore;
     PlatformTurnStore m_turnStore;
+    MemberEntry m_entry;
     RouteTable m_routes;
     EndpointDirectory m_directory;
     Fleet m_fleet;
@@ -87,7 +89,7 @@
     std::unique_ptr<ConnectionSet> m_metricsPage;
     Sweeper m_sweeper;
     std::optional<Instant> m_drainingSince;
-    bool m_isEntering = true; ///< Until the store has answered.
+    bool m_isEntering = true; ///< Until the store has taken the entry.
     bool m_hasLeft = false; ///< Or is about to: the store has been asked.
 };
 
--- a/src/lasting/archivedturnstore.cpp
+++ b/src/lasting/archivedturnstore.cpp
@@ -1,11 +1,13 @@
 #include "lasting/archivedturnstore.h"
 
 #include "core/log.h"
+#include "lasting/memberentry.h"
 #include "serving/archivemessages.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
-#include <string_view>
+#include <vector>
 
 namespace flamingo
 {
@@ -47,10 +49,16 @@
     bool areAllAbsent = true;
 };
 
-ArchivedTurnStore::ArchivedTurnStore(asio::io_context &context, Fleet &fleet, LinkPool &links, PlatformTurnStore &store, std::size_t toleratedMachines)
+ArchivedTurnStore::ArchivedTurnStore(asio::io_context &context,
+                                     Fleet &fleet,
+                                     LinkPool &links,
+                                     platform::PlatformStore &platformStore,
+                                     PlatformTurnStore &store,
+                                     std::size_t toleratedMachines)
     : m_context(context)
     , m_fleet(fleet)
     , m_links(links)
+    , m_platformStore(platformStore)
     , m_store(store)
     , m_copiesWanted(std::max(LeastCopies, toleratedMachines + 1))
 {
@@ -136,32 +144,34 @@
         loading->onLoaded({TurnLookup::Status::Found, loading->found});
         return;
     }
-    if (!loading->areAllAbsent || !m_fleet.isLoaded()) {
-        loading->onLoaded({TurnLookup::Status::Unsure, nullptr});
-        return;
+    if (loading->areAllAbsent && m_fleet.isLoaded()) {
+        checkAllAsked(loading);
+    } else {
+        loadAgain(loading, false);
     }
-    checkAllAsked(loading);
 }
 
-// This instance's own list may lack an archive that has just come. A turn moves from the archives to the store, so only a
-// look into the store after all that can say that it is absent.
+// This instance's own list may lack an archive that has just come.
 void ArchivedTurnStore::checkAllAsked(const std::shared_ptr<Loading> &loading)
 {
-    const auto onPage = [loading](const platform::StorePage &page) {
-        for (const platform::StoreItem &item : page.items) {
-            const InstanceId id(item.key.substr(std::string_view(Fleet::KeyPrefix).size()));
-            const auto member = FleetMember::decode(id, item.data);
-            const bool isArchive = member && member->role == FleetMember::Role::Archive;
-            loading->areAllAbsent = loading->areAllAbsent && (!isArchive || loading->asked.count(id) != 0);
+    readMembers(m_platformStore, [this, loading](const std::optional<std::vector<FleetMember>> &members) {
+        const auto isAsked = [&](const FleetMember &it) { return it.role != FleetMember::Role::Archive || loading->asked.count(it.id) != 0; };
+        const bool areAllAsked = members && std::all_of(members->begin(), members->end(), isAsked);
+        if (!areAllAsked) {
+            logChange("archives-not-all-asked", "turn={} listed={}", loading->id.value(), members.has_value());
         }
-    };
-    m_store.listMembers(onPage, [this, loading](bool isWhole) {
-        if (!isWhole || !loading->areAllAbsent) {
-            logChange("archives-not-all-asked", "turn={} listed={}", loading->id.value(), isWhole);
-            loading->onLoaded({TurnLookup::Status::Unsure, nullptr});
-            return;
+        loadAgain(loading, areAllAsked);
+    });
+}
+
+// A turn moves from the archives to the store, so only a look into the store after all others can say that it is absent.
+void ArchivedTurnStore::loadAgain(const std::shared_ptr<Loading> &loading, bool isCertain)
+{
+    m_store.load(loading->id, [loading, isCertain](TurnLookup lookup) {
+        if (lookup.status == TurnLookup::Status::Absent && !isCertain) {
+            lookup.status = TurnLookup::Status::Unsure;
         }
-        m_store.load(loading->id, loading->onLoaded);
+        loading->onLoaded(lookup);
     });
 }
 
--- a/src/lasting/archivedturnstore.h
+++ b/src/lasting/archivedturnstore.h
@@ -15,7 +15,12 @@
 class ArchivedTurnStore : public TurnStore
 {
 public:
-    ArchivedTurnStore(asio::io_context &context, Fleet &fleet, LinkPool &links, PlatformTurnStore &store, std::size_t toleratedMachines);
+    ArchivedTurnStore(asio::io_context &context,
+                      Fleet &fleet,
+                      LinkPool &links,
+                      platform::PlatformStore &platformStore,
+                      PlatformTurnStore &store,
+                      std::size_t toleratedMachines);
 
     void save(const TurnRecordPtr &turn, std::function<void(bool isKept)> onSaved) override;
 
@@ -31,10 +36,12 @@
     void askArchives(const std::shared_ptr<Loading> &loading);
     void onArchivesAsked(const std::shared_ptr<Loading> &loading);
     void checkAllAsked(const std::shared_ptr<Loading> &loading);
+    void loadAgain(const std::shared_ptr<Loading> &loading, bool isCertain);
 
     asio::io_context &m_context;
     Fleet &m_fleet;
     LinkPool &m_links;
+    platform::PlatformStore &m_platformStore;
     PlatformTurnStore &m_store;
     const std::size_t m_copiesWanted;
 };
--- a/src/lasting/lastingstores.cpp
+++ b/src/lasting/lastingstores.cpp
@@ -3,7 +3,6 @@
 #include "core/codec.h"
 #include "core/log.h"
 #include "serving/archivemessages.h"
-#include "serving/fleet.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -36,6 +35,16 @@
     }
 }
 
+std::vector<std::string> writtenKeys(const platform::StoreTransaction &transaction)
+{
+    std::vector<std::string> keys;
+    keys.reserve(transaction.writes.size());
+    for (const platform::KeyWrite &write : transaction.writes) {
+        keys.push_back(write.key);
+    }
+    return keys;
+}
+
 SwapResult swapResult(const tl::expected<platform::TransactionResult, platform::StoreFailure> &result)
 {
     SwapResult swap;
@@ -142,7 +151,7 @@
         const bool isAnswered = result.has_value();
         // A conflict means that an earlier try, whose answer was lost, has written the same turn.
         if (isAnswered) {
-            scheduleRemoval(saving->transaction, saving->turn->retention);
+            scheduleRemoval(writtenKeys(saving->transaction), saving->turn->retention);
             saving->onSaved(true);
             return;
         }
@@ -156,13 +165,9 @@
     });
 }
 
-void PlatformTurnStore::scheduleRemoval(const platform::StoreTransaction &written, Milliseconds retention)
+void PlatformTurnStore::scheduleRemoval(std::vector<std::string> keys, Milliseconds retention)
 {
-    Expiry expiry{std::chrono::steady_clock::now() + retention * RetentionFactor, {}};
-    for (const platform::KeyWrite &write : written.writes) {
-        expiry.keys.push_back(write.key);
-    }
-    m_expiries.push_back(std::move(expiry));
+    m_expiries.push_back({std::chrono::steady_clock::now() + retention * RetentionFactor, std::move(keys)});
 }
 
 // Turns never change, so writing one that is there already does no harm and needs no condition.
@@ -178,17 +183,18 @@
         turns.push_back(id);
     }
     transaction.writes.push_back(indexOf(std::move(turns)));
-    m_store.commit(
-        transaction,
-        [this, transaction, retention, onSaved = std::move(onSaved)](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
-            const bool isKept = result && result->isDone;
-            if (isKept) {
-                scheduleRemoval(transaction, retention);
-            } else {
-                logChange("turns-not-kept", "keys={} reason=\"{}\"", transaction.writes.size(), result ? "conflict" : result.error().detail);
-            }
-            onSaved(isKept);
-        });
+    auto keys = writtenKeys(transaction);
+    m_store.commit(transaction,
+                   [this, keys = std::move(keys), retention, onSaved = std::move(onSaved)](
+                       const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
+                       const bool isKept = result && result->isDone;
+                       if (isKept) {
+                           scheduleRemoval(keys, retention);
+                       } else {
+                           logChange("turns-not-kept", "keys={} reason=\"{}\"", keys.size(), result ? "conflict" : result.error().detail);
+                       }
+                       onSaved(isKept);
+                   });
 }
 
 void PlatformTurnStore::load(const RequestId &id, std::function<void(TurnLookup)> onLoaded)
@@ -210,11 +216,6 @@
     });
 }
 
-void PlatformTurnStore::listMembers(std::function<void(const platform::StorePage &)> onPage, std::function<void(bool)> onEnd)
-{
-    m_store.listAll(Fleet::KeyPrefix, std::move(onPage), std::move(onEnd));
-}
-
 void PlatformTurnStore::removeExpired(Instant now)
 {
     std::vector<std::string> keys;
--- a/src/lasting/lastingstores.h
+++ b/src/lasting/lastingstores.h
@@ -56,9 +56,6 @@
     /// Writes many turns at once; all or none of them are written. The records are TurnRecord::encode().
     void saveAll(const std::vector<std::pair<RequestId, std::string>> &records, std::function<void(bool isKept)> onSaved);
 
-    /// Reads the list of instances and archives as it stands in the store now.
-    void listMembers(std::function<void(const platform::StorePage &page)> onPage, std::function<void(bool isWhole)> onEnd);
-
     /// Removes turns whose retention has been over for a while.
     void removeExpired(Instant now);
 
@@ -76,7 +73,7 @@
 
     void trySave(const std::shared_ptr<Saving> &saving);
     platform::KeyWrite indexOf(std::vector<RequestId> turns);
-    void scheduleRemoval(const platform::StoreTransaction &written, Milliseconds retention);
+    void scheduleRemoval(std::vector<std::string> keys, Milliseconds retention);
 
     platform::PlatformStore &m_store;
     HolderId m_writer;
--- a/src/lasting/sweeper.cpp
+++ b/src/lasting/sweeper.cpp
@@ -1,12 +1,14 @@
 #include "lasting/sweeper.h"
 
 #include "core/log.h"
-#include "lasting/lastingstores.h"
+#include "lasting/memberentry.h"
 #include "serving/budgetledger.h"
 #include "serving/departure.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
+#include <string_view>
 #include <utility>
 
 namespace flamingo
@@ -16,11 +18,6 @@
 {
 /// Each key takes two of the entries of a transaction.
 constexpr std::size_t MaxConditionalRemovals = 15;
-
-std::string nameIn(const platform::StoreItem &item, const char *prefix)
-{
-    return item.key.substr(std::string_view(prefix).size());
-}
 } // namespace
 
 struct Sweeper::Pass {
@@ -35,48 +32,34 @@
 {
 }
 
-platform::KeyWrite Sweeper::sign(const InstanceId &id)
-{
-    return {FleetSweep::SignPrefix + id.value(), id.value()};
-}
-
 void Sweeper::sweep(Instant now, Milliseconds retention)
 {
     m_decisions.setRetention(retention);
     if (std::exchange(m_isSweeping, true)) {
         return;
     }
-    auto pass = std::make_shared<Pass>();
-    pass->now = now;
-    readMembers(pass);
+    readMembers(m_store, [this, now](std::optional<std::vector<FleetMember>> members) {
+        if (!members) {
+            m_isSweeping = false;
+            return;
+        }
+        readSigns(std::make_shared<Pass>(Pass{now, std::move(*members), {}}));
+    });
 }
 
-void Sweeper::readMembers(const PassPtr &pass)
+void Sweeper::readSigns(const PassPtr &pass)
 {
-    const auto onMembers = [pass](const platform::StorePage &page) {
-        for (const platform::StoreItem &item : page.items) {
-            if (auto member = FleetMember::decode(InstanceId(nameIn(item, Fleet::KeyPrefix)), item.data)) {
-                pass->members.push_back(std::move(*member));
-            }
-        }
-    };
-    const auto onSigns = [pass](const platform::StorePage &page) {
+    const auto onPage = [pass](const platform::StorePage &page) {
         for (const platform::StoreItem &item : page.items) {
-            pass->signs[nameIn(item, FleetSweep::SignPrefix)] = item.revision;
+            pass->signs[item.key.substr(std::string_view(FleetSweep::SignPrefix).size())] = item.revision;
         }
     };
-    m_store.listAll(Fleet::KeyPrefix, onMembers, [this, pass, onSigns](bool isWhole) {
-        if (!isWhole) {
-            m_isSweeping = false;
-            return;
+    m_store.listAll(FleetSweep::SignPrefix, onPage, [this, pass](bool isWhole) {
+        m_isSweeping = isWhole;
+        if (isWhole) {
+            judgeMembers(pass);
+            sweepBudgets(pass);
         }
-        m_store.listAll(FleetSweep::SignPrefix, onSigns, [this, pass](bool areWhole) {
-            m_isSweeping = areWhole;
-            if (areWhole) {
-                judgeMembers(pass);
-                sweepBudgets(pass);
-            }
-        });
     });
 }
 
@@ -137,7 +120,7 @@
         for (const platform::StoreItem &item : page.items) {
             const auto index = TurnIndex::decode(item.data);
             if (index && m_decisions.isLifeOver(index->writer, pass->now)) {
-                removeTurns(item);
+                removeTurns({item.key, item.revision}, *index);
             }
         }
     };
@@ -157,12 +140,12 @@
 }
 
 // Turns never change, so the index alone is the condition.
-void Sweeper::removeTurns(const platform::StoreItem &index)
+void Sweeper::removeTurns(const platform::KeyExpectation &key, const TurnIndex &index)
 {
     platform::StoreTransaction transaction;
-    transaction.expected.push_back({index.key, index.revision});
-    transaction.removals = TurnIndex::decode(index.data)->keys();
-    transaction.removals.push_back(index.key);
+    transaction.expected.push_back(key);
+    transaction.removals = index.keys();
+    transaction.removals.push_back(key.key);
     commit(transaction, "turns");
 }
 
--- a/src/lasting/sweeper.h
+++ b/src/lasting/sweeper.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lasting/lastingstores.h"
 #include "platform/platformstore.h"
 #include "serving/fleetsweep.h"
 
@@ -23,20 +24,17 @@
     /// longest of any route in force.
     void sweep(Instant now, Milliseconds retention);
 
-    /// Tells that a member lives.
-    static platform::KeyWrite sign(const InstanceId &id);
-
 private:
     struct Pass;
     using PassPtr = std::shared_ptr<Pass>;
 
-    void readMembers(const PassPtr &pass);
+    void readSigns(const PassPtr &pass);
     void judgeMembers(const PassPtr &pass);
     void change(const FleetMember &member, FleetSweep::Verdict verdict, std::uint64_t signRevision);
     void sweepBudgets(const PassPtr &pass);
     void sweepTurns(const PassPtr &pass);
     void removeUnchanged(const std::vector<platform::KeyExpectation> &keys);
-    void removeTurns(const platform::StoreItem &index);
+    void removeTurns(const platform::KeyExpectation &key, const TurnIndex &index);
     void commit(const platform::StoreTransaction &transaction, const char *what);
 
     platform::PlatformStore &m_store;
--- a/tests/platform/lastingtest.cpp
+++ b/tests/platform/lastingtest.cpp
@@ -62,7 +62,7 @@
     Fleet fleet{InstanceId("edge-1"), DomainId("zone-1")};
     LinkPool links{loop.loop.context(), {}};
     PlatformTurnStore turns{client, HolderId("life-1")};
-    ArchivedTurnStore archived{loop.loop.context(), fleet, links, turns, 1};
+    ArchivedTurnStore archived{loop.loop.context(), fleet, links, client, turns, 1};
     Sweeper sweeper{client, {GoneAfter, ForgottenAfter, ForgottenAfter * 2, Milliseconds(5000)}};
 };
 } // namespace
