Bound what endpoints, peers and the store may send

Cause: a body that isn't a stream was kept whole before it was judged, a stream's event until its blank line, and answers of peers and of the store likewise; nothing limited any of them, nor informational responses, nor what a caller leaves unread. Ruled out: heads, chunk lines and trailers, which http_parser limits already (their cases passed before the change). Change: ClientRequest::maxBodyBytes, checked by the connection against the announced length and the bytes that arrive; a limit for events; BufferQuota for what a process holds of all responses together; a caller that leaves 4 MiB unread is disconnected; 16 informational responses at most. A handler may now cancel its own request.

--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -17,6 +17,8 @@
 /// Number of responses to earlier requests that are skipped while a request waits for its own. After one more the request
 /// fails and the connection is closed.
 constexpr int MaxSkippedResponses = 2;
+/// Number of informational responses (status 1xx) that are skipped likewise.
+constexpr int MaxInformationalResponses = 16;
 /// Percentage of the peer's idle timeout after which a connection is not reused, since the peer may be closing it.
 constexpr int KeepAliveUsePercent = 70;
 constexpr Milliseconds DefaultKeepAliveTime{4000};
@@ -63,6 +65,7 @@
         m_isRequestWritten = false;
         m_hasResponse = false;
         m_skippedResponses = 0;
+        m_informationalResponses = 0;
         m_requestBytes = serializeRequest(m_request.head, m_request.body.size());
         m_requestBytes += m_request.body;
         m_request.body.clear();
@@ -77,6 +80,8 @@
     void cancel(std::uint64_t requestNumber)
     {
         if (m_isBusy && requestNumber == m_requestNumber) {
+            // One of the handlers may be running, so they are destroyed later.
+            asio::post(m_socket.get_executor(), [handlers = std::move(m_handlers)] {});
             m_handlers = {};
             close();
         }
@@ -241,21 +246,39 @@
         const bool isInformational = head.status >= 100 && head.status < 200;
         const bool isForOtherRequest = id && *id != m_request.responseId;
         m_isSkippingResponse = isInformational || isForOtherRequest;
+        m_bodyBytes = 0;
         if (m_isSkippingResponse) {
-            m_skippedResponses += isForOtherRequest ? 1 : 0;
-            if (m_skippedResponses > MaxSkippedResponses || (isForOtherRequest && !head.isFramed)) {
-                fail(RequestFailure::Kind::Broken, "an answer to another request");
-            }
+            skipResponse(isForOtherRequest && !head.isFramed, isForOtherRequest);
             return;
         }
         m_hasResponse = true;
+        if (head.contentLength > 0 && static_cast<std::size_t>(head.contentLength) > m_request.maxBodyBytes) {
+            fail(RequestFailure::Kind::Broken, "a body over the size limit");
+            return;
+        }
         if (m_handlers.onHead) {
             m_handlers.onHead(head);
         }
     }
 
+    void skipResponse(bool isEndUnknown, bool isForOtherRequest)
+    {
+        m_skippedResponses += isForOtherRequest ? 1 : 0;
+        m_informationalResponses += isForOtherRequest ? 0 : 1;
+        if (m_skippedResponses > MaxSkippedResponses || isEndUnknown) {
+            fail(RequestFailure::Kind::Broken, "an answer to another request");
+        } else if (m_informationalResponses > MaxInformationalResponses) {
+            fail(RequestFailure::Kind::Broken, "too many informational responses");
+        }
+    }
+
     void onBody()
     {
+        m_bodyBytes += m_parser.body().size();
+        if (m_bodyBytes > m_request.maxBodyBytes) {
+            fail(RequestFailure::Kind::Broken, "a body over the size limit");
+            return;
+        }
         if (!m_isSkippingResponse && m_handlers.onBody) {
             m_handlers.onBody(m_parser.body());
         }
@@ -315,7 +338,9 @@
     Instant m_idleSince;
     Instant m_reusableUntil;
     std::uint64_t m_requestNumber = 0;
+    std::size_t m_bodyBytes = 0; ///< Of the response being read.
     int m_skippedResponses = 0;
+    int m_informationalResponses = 0;
     bool m_isConnected = false;
     bool m_isBusy = false;
     bool m_isRequestWritten = false;
--- a/src/http/connectionpool.h
+++ b/src/http/connectionpool.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -31,6 +32,10 @@
     bool wasConnectionReused = false;
 };
 
+/// For responses that are passed on as they arrive.
+constexpr std::size_t UnlimitedBodyBytes = std::numeric_limits<std::size_t>::max();
+constexpr std::size_t DefaultMaxBodyBytes = std::size_t(8) * 1024 * 1024;
+
 /// A request to a peer, endpoint or store.
 struct ClientRequest {
     SocketAddress address;
@@ -43,6 +48,8 @@
     /// empty for no check.
     std::string responseId;
     std::string responseIdField;
+    /// The request fails when the body of its response, or of one that is skipped, is longer.
+    std::size_t maxBodyBytes = DefaultMaxBodyBytes;
 };
 
 /// Called on the thread of the event loop, never from inside ConnectionPool::send. After onComplete or onFailure, no
@@ -67,7 +74,7 @@
     RequestHandle(std::weak_ptr<detail::ClientConnection> connection, std::uint64_t number);
 
     /// Cancels the request by closing its connection, so that the peer stops working on it. No handler is called
-    /// afterwards.
+    /// afterwards. A handler of the request itself may call this.
     void cancel();
 
 private:
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -156,7 +156,9 @@
     handlers.onBody = [this, id](std::string_view bytes) { onBody(id, bytes); };
     handlers.onComplete = [this, id] { finish(id, std::move(activeTransfers.at(id).response)); };
     handlers.onFailure = [this, id](const RequestFailure &failure) { onFailure(id, failure); };
-    transfer.handle = connections.send(clientRequest(transfer.request, transfer.url, mayReuse), std::move(handlers));
+    ClientRequest request = clientRequest(transfer.request, transfer.url, mayReuse);
+    request.maxBodyBytes = transfer.onChunk ? UnlimitedBodyBytes : DefaultMaxBodyBytes;
+    transfer.handle = connections.send(std::move(request), std::move(handlers));
 }
 
 void HttpClient::Private::onBody(TransferId id, std::string_view bytes)
--- a/src/instance/attempt.h
+++ b/src/instance/attempt.h
@@ -3,6 +3,7 @@
 #include "core/timerservice.h"
 #include "http/connectionpool.h"
 #include "http/eventsplitter.h"
+#include "instance/bufferquota.h"
 #include "serving/endpointentry.h"
 #include "serving/requestmetadata.h"
 
@@ -15,13 +16,19 @@
 
 /// One attempt to run a request: the endpoint it was sent to, and the response received so far.
 struct Attempt {
+    explicit Attempt(BufferQuota &quota)
+        : bufferedBytes(quota)
+    {
+    }
+
     EndpointEntry endpoint;
     RequestHandle call;
     Instant sentAt;
     std::optional<Instant> firstByteAt;
     MessageHead responseHead;
     ResponseMetadata responseMetadata;
-    std::string responseBody;
+    std::string responseBody; ///< Of a response that is passed on once it is complete.
+    BufferedBytes bufferedBytes; ///< Those of responseBody.
     EventSplitter eventSplitter;
     int eventCount = 0;
     std::uint64_t number = 0; ///< Counts the attempts of a request, from 1.
--- /dev/null
+++ b/src/instance/bufferquota.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstddef>
+
+namespace flamingo
+{
+
+/// Limits how many bytes of responses in progress a process holds in memory, so that endpoints that send without end can't use
+/// it up. It is used on one thread.
+class BufferQuota
+{
+public:
+    /// Bytes that each response may hold even while the others use up the limit.
+    static constexpr std::size_t GuaranteedBytes = std::size_t(64) * 1024;
+    /// Bytes that a single response may hold.
+    static constexpr std::size_t MaxResponseBytes = std::size_t(8) * 1024 * 1024;
+
+    /// maxBytes is the limit for all responses together, beside what is guaranteed to each.
+    explicit BufferQuota(std::size_t maxBytes);
+
+private:
+    friend class BufferedBytes;
+
+    const std::size_t m_maxBytes;
+    std::size_t m_usedBytes = 0;
+};
+
+/// The bytes that one response holds of a quota. The destructor returns them.
+class BufferedBytes
+{
+public:
+    explicit BufferedBytes(BufferQuota &quota);
+    ~BufferedBytes();
+    BufferedBytes(BufferedBytes &&other) noexcept;
+    BufferedBytes(const BufferedBytes &) = delete;
+    BufferedBytes &operator=(const BufferedBytes &) = delete;
+    BufferedBytes &operator=(BufferedBytes &&) = delete;
+
+    /// Adds bytes to those that the response holds. Returns false, without any effect, if a limit would be exceeded.
+    bool tryAdd(std::size_t bytes);
+
+private:
+    BufferQuota &m_quota;
+    std::size_t m_bytes = 0;
+};
+
+} // namespace flamingo
--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -31,6 +31,10 @@
 /// The turn cache may take up one part in this many of the process's memory limit.
 constexpr std::size_t TurnCacheMemoryDivisor = 5;
 constexpr std::size_t MaxTurnCacheBytes = std::size_t(24) * 1024 * 1024;
+/// Responses in progress may take up one part in this many of the process's memory limit. Buffers that grow may take up twice
+/// their contents.
+constexpr std::size_t ResponseMemoryDivisor = 8;
+constexpr std::size_t MaxResponseBufferBytes = std::size_t(128) * 1024 * 1024;
 constexpr std::size_t MaxIdleConnectionsPerEndpoint = 6;
 constexpr Milliseconds EndpointAckTimeout{1200};
 /// A forwarded call may be a watch, which blocks in the store until its own timeout.
@@ -41,9 +45,10 @@
 constexpr Milliseconds PeerAckTimeout{800};
 constexpr Milliseconds RegistrationRetryDelay{500};
 
-std::size_t turnCacheMemoryLimit(const platform::BootSettings &settings)
+/// One part of the process's memory limit, at most maxBytes.
+std::size_t memoryShare(const platform::BootSettings &settings, std::size_t divisor, std::size_t maxBytes)
 {
-    return settings.memoryBytes == 0 ? MaxTurnCacheBytes : std::min(MaxTurnCacheBytes, settings.memoryBytes / TurnCacheMemoryDivisor);
+    return settings.memoryBytes == 0 ? maxBytes : std::min(maxBytes, settings.memoryBytes / divisor);
 }
 
 PolicyRules policyRules()
@@ -79,7 +84,7 @@
                  [this] { return m_store.hasRecentFailure(); }})
     , m_archiveConnections(m_loop.context(), {MaxIdleConnectionsPerPeer, PeerAckTimeout})
     , m_replicatedTurnStore(m_loop.context(), m_members, m_archiveConnections, m_store, m_turnStore, m_settings.toleratedMachineFailures)
-    , m_turnCache(m_replicatedTurnStore, turnCacheMemoryLimit(m_settings))
+    , m_turnCache(m_replicatedTurnStore, memoryShare(m_settings, TurnCacheMemoryDivisor, MaxTurnCacheBytes))
     , m_endpointConnections(m_loop.context(), {MaxIdleConnectionsPerEndpoint, EndpointAckTimeout})
     , m_peerConnections(m_loop.context(), {MaxIdleConnectionsPerPeer, PeerAckTimeout})
     , m_homeService(m_budgets, m_turnCache, m_settings.instance)
@@ -102,6 +107,7 @@
                           m_peerConnections,
                           {[this] { return m_store.lastDirectResponseAt(); }, [this] { probeStore(); }},
                           [this](bool isIsolated) { onIsolationChanged(isIsolated); })
+    , m_responseBuffers(memoryShare(m_settings, ResponseMemoryDivisor, MaxResponseBufferBytes))
     , m_proxyContext{m_loop.timers(),
                      m_routes,
                      m_endpointDirectory,
@@ -109,6 +115,7 @@
                      m_endpointConnections,
                      m_homeClient,
                      m_replicatedTurnStore,
+                     m_responseBuffers,
                      m_isolationDetector,
                      m_metrics}
     , m_signals(m_loop.context(), SIGTERM, SIGINT, SIGHUP)
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -81,6 +81,7 @@
     HomeClient m_homeClient;
     RegistryWatcher m_registryWatcher;
     IsolationDetector m_isolationDetector;
+    BufferQuota m_responseBuffers;
     ProxyContext m_proxyContext;
     asio::signal_set m_signals;
     std::unique_ptr<ConnectionSet> m_callerServer;
--- a/src/instance/proxiedrequest.cpp
+++ b/src/instance/proxiedrequest.cpp
@@ -33,6 +33,9 @@
 constexpr std::int64_t ExpectedOutputDivisor = 2;
 constexpr int MostUrgentEnginePriority = 3;
 constexpr int LeastUrgentEnginePriority = 9;
+constexpr std::size_t MaxEventBytes = std::size_t(1024) * 1024;
+/// A caller that leaves more bytes of its stream unread is disconnected.
+constexpr std::size_t MaxUnsentBytes = std::size_t(4) * 1024 * 1024;
 
 PriorityClass priorityClass(int routePriority)
 {
@@ -62,6 +65,7 @@
     , m_connection(std::move(connection))
     , m_request(std::move(request))
     , m_metadata(platform::decodeRequest(m_request.head))
+    , m_outputBytes(m_context.responseBuffers)
 {
 }
 
@@ -212,6 +216,7 @@
     request.connectTimeout = EndpointConnectTimeout;
     request.responseId = m_metadata.id.value();
     request.responseIdField = platform::attemptIdField();
+    request.maxBodyBytes = m_route.kind == CallKind::Stream ? UnlimitedBodyBytes : BufferQuota::MaxResponseBytes;
     return request;
 }
 
@@ -222,7 +227,7 @@
         return;
     }
     const Instant now = std::chrono::steady_clock::now();
-    m_attempt.emplace();
+    m_attempt.emplace(m_context.responseBuffers);
     m_attempt->endpoint = endpoint;
     m_attempt->sentAt = now;
     m_attempt->number = ++m_attemptCount;
@@ -269,13 +274,18 @@
     }
     const bool isUsable = isSuccess(attempt.responseHead.status) && attempt.responseMetadata.hasSignature && !attempt.responseMetadata.isContentEncoded;
     if (m_route.kind == CallKind::Stream && isUsable) {
-        onEvents(attempt.eventSplitter.feed(bytes));
-    } else {
+        if (!onEvents(attempt.eventSplitter.feed(bytes)) || attempt.eventSplitter.incompleteEvent().size() > MaxEventBytes) {
+            onResponseTooLong();
+        }
+    } else if (attempt.bufferedBytes.tryAdd(bytes.size())) {
         attempt.responseBody += bytes;
+    } else {
+        onResponseTooLong();
     }
 }
 
-void ProxiedRequest::onEvents(const std::vector<StreamEvent> &events)
+// Returns false when an event can't be forwarded.
+bool ProxiedRequest::onEvents(const std::vector<StreamEvent> &events)
 {
     for (const StreamEvent &event : events) {
         if (!m_lastEventId.empty() && !isLaterEvent(event.id, m_lastEventId)) {
@@ -284,8 +294,17 @@
         if (!m_hasResponseStarted) {
             startResponse();
         }
-        forwardEvent(event);
+        if (!forwardEvent(event)) {
+            return false;
+        }
     }
+    return true;
+}
+
+void ProxiedRequest::onResponseTooLong()
+{
+    m_attempt->call.cancel();
+    onAttemptFailed("response over the size limit", false);
 }
 
 void ProxiedRequest::startResponse()
@@ -295,8 +314,12 @@
     m_connection->startStream(m_attempt->responseHead.status, platform::encodeResponseFields(m_attempt->responseHead), UnknownLength);
 }
 
-void ProxiedRequest::forwardEvent(const StreamEvent &event)
+bool ProxiedRequest::forwardEvent(const StreamEvent &event)
 {
+    const bool isOutputTooLong = m_route.isStateful && !m_outputBytes.tryAdd(event.data.size() + 1);
+    if (isOutputTooLong || m_connection->unsentBytes() > MaxUnsentBytes) {
+        return false;
+    }
     ++m_attempt->eventCount;
     ++m_forwardedEvents;
     if (!event.id.empty()) {
@@ -307,6 +330,7 @@
         m_output += '\n';
     }
     m_connection->write(event.bytes);
+    return true;
 }
 
 void ProxiedRequest::onResponseComplete()
--- a/src/instance/proxiedrequest.h
+++ b/src/instance/proxiedrequest.h
@@ -30,6 +30,7 @@
     ConnectionPool &endpointConnections;
     HomeClient &homeClient;
     TurnStore &turnStore;
+    BufferQuota &responseBuffers;
     const IsolationDetector &isolationDetector;
     Metrics &metrics;
 };
@@ -54,9 +55,10 @@
 
     void onResponseHead(const MessageHead &head);
     void onResponseBody(std::string_view bytes);
-    void onEvents(const std::vector<StreamEvent> &events);
+    bool onEvents(const std::vector<StreamEvent> &events);
     void startResponse();
-    void forwardEvent(const StreamEvent &event);
+    bool forwardEvent(const StreamEvent &event);
+    void onResponseTooLong();
     void onResponseComplete();
     void onCallFailure(const RequestFailure &failure);
     void onRejected();
@@ -88,6 +90,7 @@
     std::string m_forwardedBody;
     std::vector<RequestId> m_ancestors;
     std::string m_output; ///< Of a stateful turn, so far.
+    BufferedBytes m_outputBytes; ///< Those of m_output.
     DispatchRequest m_dispatchRequest;
     std::optional<CallId> m_queuedCallId;
     std::optional<Attempt> m_attempt;
--- a/tests/platform/scriptedendpoint.cpp
+++ b/tests/platform/scriptedendpoint.cpp
@@ -60,6 +60,25 @@
     asio::write(m_socket, asio::buffer(bytes), ignored);
 }
 
+void ScriptedEndpoint::Connection::writeEndlessly(std::string start, std::string repeated)
+{
+    m_repeated = std::move(repeated);
+    write(std::move(start));
+    writeAgain();
+}
+
+void ScriptedEndpoint::Connection::writeAgain()
+{
+    if (m_isClosed) {
+        return;
+    }
+    asio::async_write(m_socket, asio::buffer(m_repeated), [self = shared_from_this()](const asio::error_code &ec, std::size_t) {
+        if (!ec) {
+            self->writeAgain();
+        }
+    });
+}
+
 void ScriptedEndpoint::Connection::writeLater(Milliseconds after, std::string bytes)
 {
     m_endpoint.m_thread.loop.timers().at(std::chrono::steady_clock::now() + after, [self = shared_from_this(), bytes = std::move(bytes)](Instant) {
--- a/tests/platform/scriptedendpoint.h
+++ b/tests/platform/scriptedendpoint.h
@@ -33,6 +33,9 @@
         void start();
         void write(std::string bytes);
 
+        /// Writes the first bytes, and then the others again and again until the connection is closed.
+        void writeEndlessly(std::string start, std::string repeated);
+
         /// Writes after a delay, if the connection is still open.
         void writeLater(Milliseconds after, std::string bytes);
         void closeLater(Milliseconds after);
@@ -41,12 +44,14 @@
     private:
         void read();
         void onBytes(std::string_view bytes);
+        void writeAgain();
 
         ScriptedEndpoint &m_endpoint;
         asio::ip::tcp::socket m_socket;
         MessageParser m_parser{MessageParser::Kind::Requests};
         ReceivedRequest m_request;
         std::array<char, 8192> m_buffer;
+        std::string m_repeated;
         bool m_isClosed = false;
     };
 
--- a/tests/platform/testinstance.cpp
+++ b/tests/platform/testinstance.cpp
@@ -1,5 +1,7 @@
 #include "platform/testinstance.h"
 
+#include "serving/memberdirectory.h"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -59,11 +61,16 @@
 } // namespace
 
 TestInstance::TestInstance(const KvStandIn &store, int number, int toleratedMachines)
+    : TestInstance(store.address(), number, toleratedMachines)
+{
+}
+
+TestInstance::TestInstance(const SocketAddress &store, int number, int toleratedMachines)
     : m_ip(fmt::format("127.0.1.{}", number))
     , m_folder(std::filesystem::temp_directory_path() / fmt::format("flamingo-instance-{}-{}", getpid(), number))
 {
     std::filesystem::create_directories(m_folder);
-    std::ofstream(m_folder / "boot.toml") << settingsText(m_ip, number, store.address(), toleratedMachines);
+    std::ofstream(m_folder / "boot.toml") << settingsText(m_ip, number, store, toleratedMachines);
     start();
 }
 
@@ -246,6 +253,12 @@
                           state));
 }
 
+void registerInstance(KvStandIn &store, const std::string &id, const std::string &domain, const SocketAddress &peerAddress)
+{
+    const MemberRecord member{InstanceId(id), DomainId(domain), peerAddress, IncarnationId(id + ".1")};
+    store.put(MemberDirectory::KeyPrefix + id, member.encode());
+}
+
 std::string callerRequest(const std::string &path, const std::string &attemptId, const std::string &headerLines, const std::string &body)
 {
     return fmt::format("POST {} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {}\r\nX-Deadline-Ms: 3000\r\n{}Content-Length: {}\r\n\r\n{}",
--- a/tests/platform/testinstance.h
+++ b/tests/platform/testinstance.h
@@ -25,6 +25,7 @@
 public:
     /// toleratedMachines is the number of machines with disks that may be lost at once.
     TestInstance(const KvStandIn &store, int number, int toleratedMachines = 1);
+    TestInstance(const SocketAddress &store, int number, int toleratedMachines = 1);
     ~TestInstance();
 
     /// Waits until the instance is ready. Returns false after five seconds.
@@ -83,6 +84,9 @@
 /// Writes an endpoint's entry to the store.
 void registerEndpoint(KvStandIn &store, const std::string &id, const ScriptedEndpoint &endpoint, const std::string &state = "ready");
 
+/// Writes the member entry of an instance that listens for its peers on the address.
+void registerInstance(KvStandIn &store, const std::string &id, const std::string &domain, const SocketAddress &peerAddress);
+
 /// The bytes of a request; the path selects the route: /book/, /ask/, /stream/ or /chat/.
 std::string callerRequest(const std::string &path, const std::string &attemptId, const std::string &headerLines = {}, const std::string &body = "x");
 
