Renew watches that may be lost, and tell peers of new versions without traffic

Beside it, found by reading: a version that a peer reports was looked for once only, and instances without callers exchanged no versions at all. Ruled out: shorter watches for all, which cost a call each. Change: a watch waits at most 2 s while the last call has failed or a peer is ahead, until the version has been seen; pings between failure domains carry the registry versions.

--- a/src/instance/homeservice.cpp
+++ b/src/instance/homeservice.cpp
@@ -50,17 +50,6 @@
     return json.contains("session") ? std::optional<SessionId>(json.at("session").get<SessionId>()) : std::nullopt;
 }
 
-void writeVersions(Json &json, const RegistryVersions &versions)
-{
-    json["configuration"] = versions.configuration;
-    json["endpoints"] = versions.endpoints;
-}
-
-RegistryVersions readVersions(const Json &json)
-{
-    return {json.at("configuration").get<ConfigurationVersion>(), json.at("endpoints").get<std::uint64_t>()};
-}
-
 /// Decodes CBOR with a function that may throw on missing fields. A malformed message is logged and dropped.
 template<typename T, typename Decode>
 std::optional<T> decodeMessage(const char *name, const std::string &bytes, Decode decode)
@@ -76,9 +65,8 @@
 
 std::string BeginTurnRequest::encode() const
 {
-    Json json = {{"program", program}, {"most", maxTokens}, {"referred", isForwarded}};
+    Json json = {{"program", program}, {"most", maxTokens}, {"referred", isForwarded}, {"versions", registryVersions}};
     writeSession(json, session);
-    writeVersions(json, registryVersions);
     if (budget) {
         json["budget"] = *budget;
     }
@@ -95,7 +83,7 @@
         request.program = json.at("program").get<ProgramId>();
         request.maxTokens = json.at("most").get<Tokens>();
         request.session = readSession(json);
-        request.registryVersions = readVersions(json);
+        request.registryVersions = json.at("versions").get<RegistryVersions>();
         request.isForwarded = json.at("referred").get<bool>();
         if (json.contains("budget")) {
             request.budget = json.at("budget").get<Tokens>();
@@ -113,9 +101,9 @@
                  {"lookup", static_cast<int>(history.status)},
                  {"ids", history.ids},
                  {"text", toBinary(history.text)},
-                 {"holder", holder}};
+                 {"holder", holder},
+                 {"versions", registryVersions}};
     writePrefix(json, cachedPrefix);
-    writeVersions(json, registryVersions);
     return toCbor(json);
 }
 
@@ -129,7 +117,7 @@
         response.history.text = fromBinary(json.at("text"));
         response.cachedPrefix = readPrefix(json);
         response.holder = json.at("holder").get<IncarnationId>();
-        response.registryVersions = readVersions(json);
+        response.registryVersions = json.at("versions").get<RegistryVersions>();
         return response;
     });
 }
--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -102,10 +102,12 @@
           m_endpointDirectory,
           m_members,
           {[this] { m_dispatchQueue.refreshEndpoints(); }, [this] { onMembersChanged(); }, [this] { m_provisionalGrantPolicy.onListRead(suspendAwareNow()); }})
-    , m_isolationDetector(m_loop.timers(),
+    , m_isolationDetector(m_loop.context(),
+                          m_loop.timers(),
                           m_members,
                           m_peerConnections,
                           {[this] { return m_store.lastDirectResponseAt(); }, [this] { probeStore(); }},
+                          {[this] { return m_registryWatcher.seenVersions(); }, [this](const RegistryVersions &it) { m_registryWatcher.onPeerVersions(it); }},
                           [this](bool isIsolated) { onIsolationChanged(isIsolated); })
     , m_responseBuffers(memoryShare(m_settings, ResponseMemoryDivisor, MaxResponseBufferBytes))
     , m_proxyContext{m_loop.timers(),
@@ -387,6 +389,15 @@
     });
 }
 
+void InstanceDaemon::onPing(const ServerConnectionPtr &connection, const std::string &body)
+{
+    constexpr int StatusOk = 200;
+    if (const auto versions = RegistryVersions::decode(body)) {
+        m_registryWatcher.onPeerVersions(*versions);
+    }
+    connection->respond(StatusOk, {}, m_registryWatcher.seenVersions().encode());
+}
+
 void InstanceDaemon::onEndTurn(const ServerConnectionPtr &connection, const std::string &body)
 {
     constexpr int StatusOk = 200;
@@ -405,8 +416,7 @@
     const std::string_view prefix = StorePathPrefix;
     const std::string &target = request.head.target;
     if (target == IsolationDetector::PingPath) {
-        constexpr int StatusOk = 200;
-        connection->respond(StatusOk, {}, {});
+        onPing(connection, request.body);
         return;
     }
     if (target == HomeClient::BeginTurnPath) {
--- a/src/instance/isolationdetector.cpp
+++ b/src/instance/isolationdetector.cpp
@@ -1,6 +1,7 @@
 #include "instance/isolationdetector.h"
 
 #include "core/log.h"
+#include "http/internalrequest.h"
 
 #include <algorithm>
 
@@ -22,15 +23,19 @@
 constexpr std::size_t PingsPerInterval = 2;
 } // namespace
 
-IsolationDetector::IsolationDetector(TimerService &timers,
+IsolationDetector::IsolationDetector(asio::io_context &context,
+                                     TimerService &timers,
                                      MemberDirectory &members,
                                      ConnectionPool &peerConnections,
                                      StoreHooks store,
+                                     VersionHooks versions,
                                      std::function<void(bool)> onChange)
-    : m_timers(timers)
+    : m_context(context)
+    , m_timers(timers)
     , m_members(members)
     , m_peerConnections(peerConnections)
     , m_store(std::move(store))
+    , m_versions(std::move(versions))
     , m_onChange(std::move(onChange))
 {
 }
@@ -75,16 +80,22 @@
 
 void IsolationDetector::ping(const MemberRecord &member)
 {
-    ClientRequest request;
+    InternalRequest request;
     request.address = member.peerAddress;
-    request.head.method = "GET";
-    request.head.target = PingPath;
-    request.head.fields.add("Host", member.peerAddress.text());
+    request.method = "POST";
+    request.target = PingPath;
+    request.body = m_versions.ownVersions().encode();
     request.connectTimeout = PingConnectTimeout;
-    ResponseHandlers handlers;
-    handlers.onComplete = [this] { m_lastPeerResponseAt = std::chrono::steady_clock::now(); };
-    // Failures need no handling; only the time since the last response counts.
-    m_peerConnections.send(std::move(request), std::move(handlers));
+    sendInternalRequest(m_context, m_peerConnections, std::move(request), [this](const std::optional<InternalResponse> &response) {
+        // Failures need no handling; only the time since the last response counts.
+        if (!response) {
+            return;
+        }
+        m_lastPeerResponseAt = std::chrono::steady_clock::now();
+        if (const auto versions = response->body.empty() ? std::nullopt : RegistryVersions::decode(response->body)) {
+            m_versions.onPeerVersions(*versions);
+        }
+    });
 }
 
 void IsolationDetector::setIsolated(bool isIsolated)
--- a/src/instance/isolationdetector.h
+++ b/src/instance/isolationdetector.h
@@ -3,6 +3,7 @@
 #include "core/timerservice.h"
 #include "http/connectionpool.h"
 #include "serving/memberdirectory.h"
+#include "serving/registryversions.h"
 
 #include <functional>
 
@@ -11,11 +12,13 @@
 
 /// Detects whether this instance is isolated: it reaches neither the store nor any instance in another failure domain. An
 /// isolated instance has its callers sent elsewhere. If only the store is unreachable, all instances are affected alike
-/// and callers are best served where they are, so that doesn't count as isolated.
+/// and callers are best served where they are, so that doesn't count as isolated. Its pings carry the registry versions, so
+/// that instances exchange them even when no caller's request makes them talk.
 class IsolationDetector
 {
 public:
-    /// Path of the request sent to other instances. Any response counts, whatever its status.
+    /// Path of the request sent to other instances, with the sender's registry versions as its body and the receiver's in
+    /// the response. Any response counts, whatever its status.
     static constexpr const char *PingPath = "/ping";
 
     struct StoreHooks {
@@ -23,8 +26,19 @@
         std::function<void()> probe; ///< Sends a small request to the store.
     };
 
+    struct VersionHooks {
+        std::function<RegistryVersions()> ownVersions;
+        std::function<void(const RegistryVersions &)> onPeerVersions;
+    };
+
     /// onChange is called with the new state whenever it changes.
-    IsolationDetector(TimerService &timers, MemberDirectory &members, ConnectionPool &peerConnections, StoreHooks store, std::function<void(bool)> onChange);
+    IsolationDetector(asio::io_context &context,
+                      TimerService &timers,
+                      MemberDirectory &members,
+                      ConnectionPool &peerConnections,
+                      StoreHooks store,
+                      VersionHooks versions,
+                      std::function<void(bool)> onChange);
 
     void start();
     bool isIsolated() const;
@@ -37,10 +51,12 @@
     void ping(const MemberRecord &member);
     void setIsolated(bool isIsolated);
 
+    asio::io_context &m_context;
     TimerService &m_timers;
     MemberDirectory &m_members;
     ConnectionPool &m_peerConnections;
     StoreHooks m_store;
+    VersionHooks m_versions;
     std::function<void(bool)> m_onChange;
     Instant m_lastPeerResponseAt{}; ///< From an instance in another failure domain.
     Instant m_lastPingAt{};
--- a/src/instance/registrywatcher.cpp
+++ b/src/instance/registrywatcher.cpp
@@ -22,7 +22,7 @@
 constexpr Milliseconds EndpointCoalescingDelay{150};
 constexpr Milliseconds MemberCoalescingDelay{1500};
 /// Normally this instance's own watch reports a change within this time after a peer has seen it.
-constexpr Milliseconds PeerRevisionDelay{200};
+constexpr Milliseconds PeerVersionDelay{200};
 constexpr Milliseconds RetryDelay{300};
 /// The member list is less urgent than the other two and can wait until those are available again.
 constexpr Milliseconds MemberRetryDelay{2000};
@@ -141,7 +141,9 @@
         return MemberWatchTimeout;
     }
     const auto instances = static_cast<int>(m_members.otherInstances().size()) + 1;
-    const Milliseconds longest = std::clamp(WatchTimeoutPerInstance * instances, MinWatchTimeout, MaxWatchTimeout);
+    // While the store leaves calls unanswered or this instance misses a change, the watch may have got lost as well.
+    const bool mayBeLost = watched.isStoreUnavailable || watched.consecutiveFailures > 0 || isBehindPeers(watched);
+    const Milliseconds longest = mayBeLost ? MinWatchTimeout : std::clamp(WatchTimeoutPerInstance * instances, MinWatchTimeout, MaxWatchTimeout);
     // Random timeouts spread the instances' watches over time, so that one of them notices a change sooner.
     const auto half = longest.count() / 2;
     return Milliseconds(half + static_cast<std::int64_t>(m_random()) % (half + 1));
@@ -199,29 +201,38 @@
         return;
     }
     if (versions.configuration > m_routes.configuration().version) {
-        checkPeerRevision(m_watchedConfiguration, versions.configuration.value());
+        checkPeerVersion(m_watchedConfiguration, versions.configuration.value());
     }
     if (versions.endpoints > m_watchedEndpoints.newestRevision) {
-        checkPeerRevision(m_watchedEndpoints, versions.endpoints);
+        checkPeerVersion(m_watchedEndpoints, versions.endpoints);
     }
 }
 
-// Each revision is checked once, and after a delay, because this instance's own watch usually reports it shortly.
-void RegistryWatcher::checkPeerRevision(WatchedPrefix &watched, platform::Revision revision)
+// Each version is checked once, and after a delay, because this instance's own watch usually reports it shortly. From then on
+// watches are short until the version has been seen.
+void RegistryWatcher::checkPeerVersion(WatchedPrefix &watched, std::uint64_t version)
 {
-    if (revision <= watched.newestPeerRevision) {
+    if (version <= watched.newestPeerVersion) {
         return;
     }
-    watched.newestPeerRevision = revision;
-    m_timers.at(now() + PeerRevisionDelay, [this, &watched, revision](Instant) {
-        const platform::Revision seen = &watched == &m_watchedConfiguration ? m_routes.configuration().version.value() : watched.newestRevision;
-        if (seen < revision && !watched.isStoreUnavailable) {
-            logChange("peer-ahead", "prefix={} seen={} peer={}", watched.prefix, seen, revision);
+    watched.newestPeerVersion = version;
+    m_timers.at(now() + PeerVersionDelay, [this, &watched, version](Instant) {
+        if (isBehindPeers(watched) && !watched.isStoreUnavailable) {
+            logChange("peer-ahead", "prefix={} peer={}", watched.prefix, version);
             watch(watched);
         }
     });
 }
 
+// Peers report the configuration by its own version, which is not a revision of the store.
+bool RegistryWatcher::isBehindPeers(const WatchedPrefix &watched) const
+{
+    if (&watched == &m_watchedConfiguration) {
+        return watched.newestPeerVersion > m_routes.configuration().version.value();
+    }
+    return watched.newestPeerVersion > std::max(watched.newestRevision, watched.watchRevision);
+}
+
 void RegistryWatcher::onFailure(WatchedPrefix &watched, const platform::StoreFailure &failure)
 {
     if (failure.kind == platform::StoreFailure::Kind::Compacted) {
--- a/src/instance/registrywatcher.h
+++ b/src/instance/registrywatcher.h
@@ -55,7 +55,7 @@
         Milliseconds coalescingDelay{0}; ///< Between a change and the next call, so that successive changes form a batch.
         std::uint64_t callNumber = 0; ///< Of the latest call; responses to earlier calls are ignored.
         platform::Revision newestRevision = 0; ///< Of the newest change seen.
-        platform::Revision newestPeerRevision = 0; ///< The newest that a peer has reported.
+        std::uint64_t newestPeerVersion = 0; ///< The newest that a peer has reported; compare isBehindPeers().
         platform::Revision watchRevision = 0; ///< Where the next watch begins; 0 if the prefix has to be listed again.
         bool isLoaded = false;
         bool isStoreUnavailable = false;
@@ -69,7 +69,8 @@
     void watch(WatchedPrefix &watched);
     void scheduleWatch(WatchedPrefix &watched, Milliseconds delay);
     Milliseconds watchTimeout(const WatchedPrefix &watched);
-    void checkPeerRevision(WatchedPrefix &watched, platform::Revision revision);
+    void checkPeerVersion(WatchedPrefix &watched, std::uint64_t version);
+    bool isBehindPeers(const WatchedPrefix &watched) const;
     void onFailure(WatchedPrefix &watched, const platform::StoreFailure &failure);
     void onResponse(WatchedPrefix &watched);
     void retry(WatchedPrefix &watched);
--- a/src/serving/registryversions.h
+++ b/src/serving/registryversions.h
@@ -2,7 +2,11 @@
 
 #include "serving/route.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <cstdint>
+#include <optional>
+#include <string>
 
 namespace flamingo
 {
@@ -12,6 +16,14 @@
 struct RegistryVersions {
     ConfigurationVersion configuration;
     std::uint64_t endpoints = 0; ///< Revision of the newest change to the list of endpoints.
+
+    std::string encode() const;
+    static std::optional<RegistryVersions> decode(const std::string &bytes);
 };
 
+/// Conversion from and to JSON, found by argument-dependent lookup. from_json throws an nlohmann::json::exception if a field
+/// is missing or of another type.
+void to_json(nlohmann::json &json, const RegistryVersions &versions);
+void from_json(const nlohmann::json &json, RegistryVersions &versions);
+
 } // namespace flamingo
--- a/tests/platform/testinstance.cpp
+++ b/tests/platform/testinstance.cpp
@@ -17,7 +17,6 @@
 {
 constexpr int CallersPort = 18149;
 constexpr int ReadyPort = 18141;
-constexpr int PeersPort = 18144;
 
 std::string settingsText(const std::string &ip, int number, const SocketAddress &store, int toleratedMachines)
 {
@@ -46,7 +45,7 @@
                        ip,
                        CallersPort,
                        ReadyPort,
-                       PeersPort,
+                       TestInstance::PeerPort,
                        store.text(),
                        toleratedMachines);
 }
--- a/tests/platform/testinstance.h
+++ b/tests/platform/testinstance.h
@@ -23,6 +23,9 @@
 class TestInstance
 {
 public:
+    /// Where instances listen for their peers.
+    static constexpr std::uint16_t PeerPort = 18144;
+
     /// toleratedMachines is the number of machines with disks that may be lost at once.
     TestInstance(const KvStandIn &store, int number, int toleratedMachines = 1);
     TestInstance(const SocketAddress &store, int number, int toleratedMachines = 1);
