Send no request whose time ran out while the process was paused

Cause: on waking up, the process finds responses and expired timers together; a response that frees a slot dispatched the next request before that request's deadline timer ran. It was sent with 1 ms left, and answered 504 though it need not have run. Change: sendTo looks at the deadline; the connection looks at sendBy when it is established, since the time that the request's head states was computed before that.

--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -180,6 +180,10 @@
 
     void write()
     {
+        if (std::chrono::steady_clock::now() > m_request.sendBy) {
+            asio::post(m_socket.get_executor(), [self = shared_from_this(), number = m_requestNumber] { self->failUnsent(number); });
+            return;
+        }
         asio::async_write(m_socket, asio::buffer(m_requestBytes), [self = shared_from_this()](const asio::error_code &ec, std::size_t) {
             self->m_isRequestWritten = !ec;
             // A write error does not fail the request: a peer may respond and close before it has read everything, so the
@@ -187,6 +191,13 @@
         });
     }
 
+    void failUnsent(std::uint64_t requestNumber)
+    {
+        if (m_isBusy && requestNumber == m_requestNumber) {
+            fail(RequestFailure::Kind::NotSent, "too late to be sent");
+        }
+    }
+
     void read()
     {
         m_socket.async_read_some(asio::buffer(m_readBuffer), [self = shared_from_this()](const asio::error_code &ec, std::size_t n) {
--- a/src/http/connectionpool.h
+++ b/src/http/connectionpool.h
@@ -44,6 +44,8 @@
     /// Maximum idle time of a connection to be reused; 0 for a new connection.
     Milliseconds maxIdleTime{0};
     Milliseconds connectTimeout{1000};
+    /// If no connection is there by then, as after a pause of the process, the request fails without being sent.
+    Instant sendBy = Instant::max();
     /// Responses with another value in the header field responseIdField belong to an earlier request and are skipped;
     /// empty for no check.
     std::string responseId;
--- a/src/instance/proxiedrequest.cpp
+++ b/src/instance/proxiedrequest.cpp
@@ -214,6 +214,7 @@
     request.body = m_forwardedBody;
     request.maxIdleTime = m_route.mayRepeat() ? MaxIdleForRepeatable : MaxIdleForNonRepeatable;
     request.connectTimeout = EndpointConnectTimeout;
+    request.sendBy = now + EndpointConnectTimeout;
     request.responseId = m_metadata.id.value();
     request.responseIdField = platform::attemptIdField();
     request.maxBodyBytes = m_route.kind == CallKind::Stream ? UnlimitedBodyBytes : BufferQuota::MaxResponseBytes;
@@ -227,6 +228,12 @@
         return;
     }
     const Instant now = std::chrono::steady_clock::now();
+    if (now >= m_deadline - ResponseMargin) {
+        // The process was paused, and the deadline's timer has yet to run.
+        m_context.dispatchQueue.onFailed(m_dispatchRequest, endpoint.id, false);
+        onDeadline();
+        return;
+    }
     m_attempt.emplace(m_context.responseBuffers);
     m_attempt->endpoint = endpoint;
     m_attempt->sentAt = now;
--- a/tests/platform/scriptedendpoint.cpp
+++ b/tests/platform/scriptedendpoint.cpp
@@ -100,6 +100,13 @@
     m_socket.close(ignored);
 }
 
+void ScriptedEndpoint::Connection::reset()
+{
+    asio::error_code ignored;
+    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 ScriptedEndpoint::ScriptedEndpoint(Script script)
     : m_script(std::move(script))
 {
--- a/tests/platform/scriptedendpoint.h
+++ b/tests/platform/scriptedendpoint.h
@@ -41,6 +41,9 @@
         void closeLater(Milliseconds after);
         void close();
 
+        /// Closes the connection with a reset.
+        void reset();
+
     private:
         void read();
         void onBytes(std::string_view bytes);
--- /dev/null
+++ b/tests/platform/slowstreamtest.cpp
@@ -0,0 +1,70 @@
+#include "platform/testinstance.h"
+
+#include <catch2/catch.hpp>
+
+using namespace flamingo;
+
+// A stream ends by its route's timeout and by nothing else: silence between events doesn't end it sooner, and a byte now and then
+// doesn't keep it alive.
+
+namespace
+{
+using Connection = ScriptedEndpoint::Connection;
+
+const std::string EventStream = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+/// Timeout of the routes of the test configuration.
+constexpr Milliseconds RouteTimeout{3000};
+constexpr Milliseconds TimeoutTolerance{500};
+
+/// An instance with one endpoint.
+struct Fixture {
+    explicit Fixture(ScriptedEndpoint::Script script)
+        : endpoint(std::move(script))
+    {
+        store.put("op/config", testConfiguration(1));
+        registerEndpoint(store, "i-1", endpoint);
+        REQUIRE(instance.awaitReady());
+    }
+
+    ScriptedEndpoint endpoint;
+    KvStandIn store;
+    TestInstance instance{store, 1};
+};
+} // namespace
+
+TEST_CASE("A slow stream is passed on whole, on routes that may be repeated and on others", "[platform][slow]")
+{
+    Fixture it([](Connection &connection, const ReceivedRequest &request) {
+        connection.write(ScriptedEndpoint::responseHead(request, EventStream));
+        connection.write(ScriptedEndpoint::chunk(ScriptedEndpoint::event(1, "one")));
+        connection.writeLater(Milliseconds(1300), ScriptedEndpoint::chunk(ScriptedEndpoint::event(2, "two")));
+        connection.writeLater(Milliseconds(2600), ScriptedEndpoint::chunk(ScriptedEndpoint::event(3, "three")) + "0\r\n\r\n");
+    });
+    for (const std::string route : {"/chat/", "/stream/"}) {
+        const CallerResponse response = it.instance.send(callerRequest(route + "a", "slow" + std::string(1, route[1])));
+        INFO(route);
+        CHECK(response.isComplete);
+        CHECK(response.body == ScriptedEndpoint::event(1, "one") + ScriptedEndpoint::event(2, "two") + ScriptedEndpoint::event(3, "three"));
+    }
+    CHECK(it.endpoint.requests().size() == 2);
+}
+
+TEST_CASE("A stalled stream that sends a byte now and then is ended at the route's timeout", "[platform][slow]")
+{
+    Fixture it([](Connection &connection, const ReceivedRequest &request) {
+        connection.write(ScriptedEndpoint::responseHead(request, EventStream));
+        connection.write(ScriptedEndpoint::chunk(ScriptedEndpoint::event(1, "one")));
+        for (int n = 1; n < 40; ++n) {
+            connection.writeLater(Milliseconds(200 * n), ScriptedEndpoint::chunk(":"));
+        }
+    });
+    for (const std::string route : {"/chat/", "/stream/"}) {
+        const int closedBefore = it.endpoint.connectionsClosedByCaller();
+        const Instant begin = std::chrono::steady_clock::now();
+        const CallerResponse response = it.instance.send(callerRequest(route + "a", "stall" + std::string(1, route[1])), RouteTimeout + TimeoutTolerance);
+        INFO(route);
+        CHECK_FALSE(response.isComplete);
+        CHECK(std::chrono::steady_clock::now() - begin < RouteTimeout + TimeoutTolerance);
+        CHECK(eventually([&] { return it.endpoint.connectionsClosedByCaller() > closedBefore; }, Milliseconds(500)));
+    }
+}
--- a/tests/platform/testinstance.cpp
+++ b/tests/platform/testinstance.cpp
@@ -134,9 +134,11 @@
     asio::io_context context;
     auto socket = connectTo(context, m_ip, CallersPort);
     asio::error_code ignored;
+    CallerResponse response;
+    socket.remote_endpoint(ignored);
+    response.wasConnected = !ignored;
     asio::write(socket, asio::buffer(bytes), ignored);
     MessageParser parser(MessageParser::Kind::Responses);
-    CallerResponse response;
     std::array<char, 8192> buf{};
     bool isOver = false;
     std::function<void()> read = [&] {
--- a/tests/platform/testinstance.h
+++ b/tests/platform/testinstance.h
@@ -13,6 +13,7 @@
 
 /// The response that a caller received.
 struct CallerResponse {
+    bool wasConnected = false; ///< The instance's machine has accepted the connection.
     int status = 0; ///< 0 if no head has arrived.
     HeaderFields fields;
     std::string body;
