Long calls that have ended give back their share of the slots

Cause: the dispatcher marks a call as long when it is queued, in the queue's own copy of the request; the end of the call was reported with the caller's copy, which had no mark. Each long call took a part of the share for good, until an instance that had seen slow tokens for a while held every turn in its queue up to the deadline, beside free endpoints, and until it was restarted. Ruled out: backoff after failures, leaving endpoints (the lists were right). Change: DispatchQueue::enqueue marks the caller's request, as CallRunner's does.

--- a/src/instance/dispatchqueue.cpp
+++ b/src/instance/dispatchqueue.cpp
@@ -33,7 +33,7 @@
     dispatchWaiting();
 }
 
-Result<CallId> DispatchQueue::enqueue(DispatchRequest request, DispatchHandler onDispatch)
+Result<CallId> DispatchQueue::enqueue(DispatchRequest &request, DispatchHandler onDispatch)
 {
     request.id = CallId(++m_lastCallId);
     const CallId id = request.id;
--- a/src/instance/dispatchqueue.h
+++ b/src/instance/dispatchqueue.h
@@ -24,8 +24,8 @@
     void refreshEndpoints();
 
     /// Queues a request, or returns the dispatcher's error. The handler is called once an endpoint has been chosen, possibly
-    /// before this returns.
-    Result<CallId> enqueue(DispatchRequest request, DispatchHandler onDispatch);
+    /// before this returns. The request gets its id and its kind, which belong to the same request in later calls.
+    Result<CallId> enqueue(DispatchRequest &request, DispatchHandler onDispatch);
 
     /// Removes a waiting request; its handler is not called.
     void remove(CallId call);
--- a/src/instance/proxiedrequest.cpp
+++ b/src/instance/proxiedrequest.cpp
@@ -180,10 +180,11 @@
         request.cachedPrefixTokens = m_cachedPrefix->tokens;
     }
     m_dispatchRequest = request;
-    const auto queued = m_context.dispatchQueue.enqueue(request, [self = shared_from_this()](const EndpointEntry &endpoint, const std::string &reason) {
-        self->m_queuedCallId.reset();
-        self->sendTo(endpoint, reason);
-    });
+    const auto queued =
+        m_context.dispatchQueue.enqueue(m_dispatchRequest, [self = shared_from_this()](const EndpointEntry &endpoint, const std::string &reason) {
+            self->m_queuedCallId.reset();
+            self->sendTo(endpoint, reason);
+        });
     if (!queued) {
         if (m_possibleExecutors.empty() && !m_hasResponseStarted) {
             refuse(503, errorInfo(queued.error().kind).name, queued.error().retryAfter.value_or(DefaultRetryAfter));
