Spread programs over endpoints of equal cost by a hash

Cause: an instance of a large fleet has no observations of most endpoints, so their costs are equal, and it took the first in the order of ids. All instances have that order: in the new test 40 dispatchers with 100 programs each put all 4,000 on one of 20 endpoints. Change: among the endpoints within 1 ms of the lowest cost, a rendezvous hash of program and endpoint decides. Test: dispatchqueuetest.cpp, the busiest endpoint gets under 1.4 times the mean (the issue's target); before, 20 times.

--- a/src/policy/dispatcher.cpp
+++ b/src/policy/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "policy/dispatcher.h"
 
+#include "core/digest.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -28,6 +30,8 @@
 /// A stream is moved only if that saves at least this much.
 constexpr double MinMoveGainMs = 400.0;
 constexpr double CrossDomainCostMs = 3.0;
+/// Differences in cost up to this one are noise.
+constexpr double EqualCostMs = 1.0;
 constexpr double DefaultServiceTimeMs = 200.0;
 constexpr Milliseconds MinRetryAfter{200};
 constexpr Milliseconds MaxRetryAfter{10000};
@@ -249,6 +253,26 @@
     return {};
 }
 
+// Many dispatchers that know nothing of each other see the same costs. If each took the first of the cheapest endpoints, all would take
+// the same one. A hash spreads the programs, and sends the calls of one program to the same endpoint whichever dispatcher has them.
+std::optional<EndpointId>
+Dispatcher::chooseAmongEqual(const DispatchRequest &call, const std::vector<std::pair<double, EndpointId>> &candidates, double lowestCostMs) const
+{
+    std::optional<EndpointId> best;
+    std::uint64_t highestWeight = 0;
+    for (const auto &[costMs, id] : candidates) {
+        if (costMs > lowestCostMs + EqualCostMs) {
+            continue;
+        }
+        const std::uint64_t weight = stableHash(id.value(), stableHash(call.program.value()));
+        if (!best || weight > highestWeight) {
+            best = id;
+            highestWeight = weight;
+        }
+    }
+    return best;
+}
+
 Dispatcher::EndpointChoice Dispatcher::chooseEndpoint(const DispatchRequest &call, Pool &pool, Instant now) const
 {
     if (!m_rules.usesPrefixAffinity && !m_rules.avoidsSlowEndpoints) {
@@ -256,6 +280,7 @@
     }
     EndpointChoice best;
     double lowestCostMs = std::numeric_limits<double>::max();
+    std::vector<std::pair<double, EndpointId>> candidates;
     for (const EndpointId &id : pool.endpoints) {
         const Endpoint &endpoint = m_endpoints.at(id);
         if (endpoint.info.isLeaving || !endpoint.state.isUsable(now) || isBeingProbed(endpoint, pool, now)) {
@@ -272,12 +297,17 @@
             }
             totalCostMs += endpoint.state.serviceTimeMs() / std::max(1.0, endpoint.state.concurrencyLimit(m_rules));
         }
+        if (hasFreeSlot) {
+            candidates.emplace_back(totalCostMs, id);
+        }
         if (totalCostMs < lowestCostMs) {
             lowestCostMs = totalCostMs;
-            best.endpoint = hasFreeSlot ? std::optional<EndpointId>(id) : std::nullopt;
             best.waitsForAffinity = !hasFreeSlot;
         }
     }
+    if (!best.waitsForAffinity) {
+        best.endpoint = chooseAmongEqual(call, candidates, lowestCostMs);
+    }
     if (best.endpoint) {
         best.reason = fmt::format("lowest cost {:.1f} ms", lowestCostMs);
     }
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -138,6 +138,9 @@
         std::string reason;
     };
 
+    std::optional<EndpointId>
+    chooseAmongEqual(const DispatchRequest &call, const std::vector<std::pair<double, EndpointId>> &candidates, double lowestCostMs) const;
+
     /// The endpoint that has the call's prefix cached, as far as is known.
     std::optional<EndpointId> knownPrefixEndpoint(const DispatchRequest &call) const;
     Tokens cachedPrefixTokens(const DispatchRequest &call, const EndpointId &endpoint) const;
--- a/tests/platform/dispatchqueuetest.cpp
+++ b/tests/platform/dispatchqueuetest.cpp
@@ -3,6 +3,9 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <map>
+#include <optional>
+
 using namespace flamingo;
 
 namespace
@@ -73,3 +76,46 @@
         }
     }
 }
+
+// Load pattern: many dispatchers, each of which sees a small part of the programs and knows nothing of what the others have placed.
+TEST_CASE("Dispatchers that don't know each other spread the programs over the endpoints", "[platform][dispatch]")
+{
+    constexpr int Dispatchers = 40;
+    constexpr int ProgramsPerDispatcher = 100;
+    constexpr int Endpoints = 20;
+    constexpr double MaxShareOfMean = 1.4;
+    EndpointDirectory directory;
+    for (int n = 0; n < Endpoints; ++n) {
+        directory.put(endpointEntry(fmt::format("i-{}", n)));
+    }
+    CallObservation observation;
+    observation.timeToFirstToken = Milliseconds(50);
+    observation.totalTime = Milliseconds(200);
+    observation.generatedTokens = Tokens(40);
+    std::map<EndpointId, int> programs;
+    for (int n = 0; n < Dispatchers; ++n) {
+        DispatchQueue queue(PolicyRules(), Domain, directory);
+        queue.refreshEndpoints();
+        for (int k = 0; k < ProgramsPerDispatcher; ++k) {
+            const Instant now = std::chrono::steady_clock::now();
+            DispatchRequest call;
+            call.program = ProgramId(fmt::format("p{}-{}", n, k));
+            call.pool = Pool;
+            call.arrivedAt = now;
+            call.deadline = now + Milliseconds(60000);
+            call.promptTokens = Tokens(500);
+            call.expectedAnswerTokens = Tokens(40);
+            std::optional<EndpointId> endpoint;
+            REQUIRE(queue.enqueue(call, [&](const EndpointEntry &entry, const std::string &) { endpoint = entry.id; }));
+            REQUIRE(endpoint);
+            ++programs[*endpoint];
+            queue.onFinished(call, *endpoint, observation);
+        }
+    }
+    const double mean = static_cast<double>(Dispatchers) * ProgramsPerDispatcher / Endpoints;
+    CHECK(programs.size() == Endpoints);
+    for (const auto &[id, count] : programs) {
+        INFO(id.value() << " got " << count << " programs, the mean is " << mean);
+        CHECK(count < MaxShareOfMean * mean);
+    }
+}
--- a/tests/platform/endlessbytestest.cpp
+++ b/tests/platform/endlessbytestest.cpp
@@ -4,8 +4,8 @@
 #include <fmt/format.h>
 
 #include <fstream>
-#include <sstream>
 #include <memory>
+#include <sstream>
 #include <thread>
 
 using namespace flamingo;
