--- a/src/instance/registrymessages.h
+++ b/src/instance/registrymessages.h
@@ -23,7 +23,7 @@
 
 /// A registry reader's response to a poll.
 struct RegistryUpdate {
-    bool isFromReader = false; ///< Whether the instance is a reader and has listed the keys; the other fields are unset otherwise.
+    bool isFromReader = false; ///< The sender is a reader and has listed the keys; if it isn't, the other fields are unset.
     bool isListing = false; ///< The items are all keys, since the reader doesn't know all changes since the revision of the poll.
     bool isStoreUnavailable = false; ///< The reader gets no response from the store.
     Milliseconds age{0}; ///< Since the store last confirmed that the reader is up to date.
--- a/src/instance/registrywatcher.cpp
+++ b/src/instance/registrywatcher.cpp
@@ -2,7 +2,6 @@
 
 #include "core/digest.h"
 #include "core/log.h"
-#include "http/internalrequest.h"
 
 #include <algorithm>
 #include <utility>
@@ -201,25 +200,27 @@
     request.body = poll.encode();
     request.responseTimeout = poll.wait + PollTimeoutMargin;
     const Instant polledAt = suspendAwareNow();
-    sendInternalRequest(m_peers.context,
-                        m_peers.connections,
-                        std::move(request),
-                        [this, &watched, reader, callNumber, polledAt](const std::optional<InternalResponse> &response) {
-                            if (callNumber != watched.callNumber) {
-                                return;
-                            }
-                            constexpr int StatusOk = 200;
-                            const auto update = response && response->status == StatusOk ? RegistryUpdate::decode(response->body) : std::nullopt;
-                            const Milliseconds maxAge = &watched == &m_watchedMembers ? MaxMemberUpdateAge : MaxUpdateAge;
-                            const bool isOutdated = update && !update->isStoreUnavailable && update->age > maxAge;
-                            if (!update || !update->isFromReader || isOutdated) {
-                                logChange("reader-left", "prefix={} reader={} responded={}", watched.prefix, reader.id.value(), update.has_value());
-                                m_readers.onFailure(reader.id, now());
-                                watch(watched);
-                                return;
-                            }
-                            onUpdate(watched, reader, *update, polledAt);
-                        });
+    const auto onResponse = [this, &watched, reader, callNumber, polledAt](const std::optional<InternalResponse> &response) {
+        if (callNumber == watched.callNumber) {
+            onPollResponse(watched, reader, response, polledAt);
+        }
+    };
+    sendInternalRequest(m_peers.context, m_peers.connections, std::move(request), onResponse);
+}
+
+void RegistryWatcher::onPollResponse(WatchedPrefix &watched, const MemberRecord &reader, const std::optional<InternalResponse> &response, Instant polledAt)
+{
+    constexpr int StatusOk = 200;
+    const auto update = response && response->status == StatusOk ? RegistryUpdate::decode(response->body) : std::nullopt;
+    const Milliseconds maxAge = &watched == &m_watchedMembers ? MaxMemberUpdateAge : MaxUpdateAge;
+    const bool isOutdated = update && !update->isStoreUnavailable && update->age > maxAge;
+    if (update && update->isFromReader && !isOutdated) {
+        onUpdate(watched, reader, *update, polledAt);
+        return;
+    }
+    logChange("reader-left", "prefix={} reader={} responded={}", watched.prefix, reader.id.value(), update.has_value());
+    m_readers.onFailure(reader.id, now());
+    watch(watched);
 }
 
 void RegistryWatcher::onUpdate(WatchedPrefix &watched, const MemberRecord &reader, const RegistryUpdate &update, Instant polledAt)
--- a/src/instance/registrywatcher.h
+++ b/src/instance/registrywatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/timerservice.h"
+#include "http/internalrequest.h"
 #include "instance/registryfeed.h"
 #include "instance/registryreplica.h"
 #include "platform/platformstore.h"
@@ -85,6 +86,7 @@
     void watch(WatchedPrefix &watched);
     void watchStore(WatchedPrefix &watched);
     void pollReader(WatchedPrefix &watched, const MemberRecord &reader);
+    void onPollResponse(WatchedPrefix &watched, const MemberRecord &reader, const std::optional<InternalResponse> &response, Instant polledAt);
     void onUpdate(WatchedPrefix &watched, const MemberRecord &reader, const RegistryUpdate &update, Instant polledAt);
     bool bypassesReader(WatchedPrefix &watched);
     void bypassUnavailableReader();
