Break off a stream that its caller doesn't read, and don't send it again

Cause: found on reading the diff: a stream over the limit of unread bytes, or a stateful turn whose output is too long, counted as a failure of its endpoint, so a route that may be repeated sent it to the next one, whose events would not be read either. Change: such a stream is broken off with the outcome stream-over-limit. Before: endlessbytestest.cpp 'Events without end ...', on /stream/ two requests at the endpoint instead of one; after: one.

--- a/src/instance/proxiedrequest.cpp
+++ b/src/instance/proxiedrequest.cpp
@@ -274,7 +274,9 @@
         const int eventsBefore = m_stream.forwardedEvents();
         const bool isForwarded = m_stream.forward(*m_connection, attempt.responseHead, attempt.eventSplitter.feed(bytes));
         attempt.eventCount += m_stream.forwardedEvents() - eventsBefore;
-        if (!isForwarded || attempt.eventSplitter.incompleteEvent().size() > MaxEventBytes) {
+        if (!isForwarded) {
+            breakOffStream();
+        } else if (attempt.eventSplitter.incompleteEvent().size() > MaxEventBytes) {
             onResponseTooLong();
         }
     } else if (attempt.bufferedBytes.tryAdd(bytes.size())) {
@@ -284,6 +286,15 @@
     }
 }
 
+// The caller doesn't read its stream, or a turn's output is too long to be kept. Another endpoint's events would fare no better.
+void ProxiedRequest::breakOffStream()
+{
+    m_attempt->call.cancel();
+    endAttempt(false);
+    m_connection->abort();
+    finish("stream-over-limit", 0);
+}
+
 void ProxiedRequest::onResponseTooLong()
 {
     m_attempt->call.cancel();
--- a/src/instance/proxiedrequest.h
+++ b/src/instance/proxiedrequest.h
@@ -56,6 +56,7 @@
 
     void onResponseHead(const MessageHead &head);
     void onResponseBody(std::string_view bytes);
+    void breakOffStream();
     void onResponseTooLong();
     void onResponseComplete();
     void onCallFailure(const RequestFailure &failure);
--- a/tests/platform/endlessbytestest.cpp
+++ b/tests/platform/endlessbytestest.cpp
@@ -170,10 +170,17 @@
 
 TEST_CASE_METHOD(EndlessFixture, "Events without end to a caller that does not read stay within the memory of the process", "[platform][endless]")
 {
-    response = {"events", "SIGNEDTransfer-Encoding: chunked\r\n\r\n", chunkOf("id: 1\ndata: " + Block + "\n\n")};
-    instance->sendAndDisconnect(callerRequest("/chat/a", "unread"), Milliseconds(2500));
-    CHECK(peakMemoryKb(*instance) < MemoryLimitKb);
-    CHECK(eventually([&] { return endpoint.connectionsClosedByCaller() > 0; }, FailureLimit));
+    response = {"events", "SIGNEDTransfer-Encoding: chunked\r\n\r\n", chunkOf("id: x\ndata: " + Block + "\n\n")};
+    // Neither stream is sent again, although one may be: the next endpoint's events wouldn't be read either.
+    for (const std::string route : {"/chat/", "/stream/"}) {
+        const int closedBefore = endpoint.connectionsClosedByCaller();
+        const std::size_t requestsBefore = endpoint.requests().size();
+        instance->sendAndDisconnect(callerRequest(route + "a", "unread" + std::string(1, route[1])), Milliseconds(2500));
+        INFO(route);
+        CHECK(peakMemoryKb(*instance) < MemoryLimitKb);
+        CHECK(eventually([&] { return endpoint.connectionsClosedByCaller() > closedBefore; }, FailureLimit));
+        CHECK(endpoint.requests().size() == requestsBefore + 1);
+    }
     CHECK(instance->send(callerRequest("/book/s", "after", {}, "sound")).status == 200);
 }
 
