Review case 5: programs that begin after a machine was added can't use half of their budget

Cause: a process that has run for less than 180 s holds back half of each new program's budget, for as long as the program lasts. Change: review/5; the harness can add a machine that doesn't start with the whole system.

--- a/review/common/harness.cpp
+++ b/review/common/harness.cpp
@@ -179,7 +179,7 @@
     return fmt::format("{}.{}", m_network, m_machines.size() + 1);
 }
 
-Machine &Deployment::add(const std::string &name, const std::string &zone, bool hasDisk)
+Machine &Deployment::add(const std::string &name, const std::string &zone, bool hasDisk, bool isFirstStart)
 {
     auto machine = std::make_unique<Machine>();
     machine->name = name;
@@ -189,7 +189,7 @@
     machine->folder = m_folder / name;
     std::filesystem::create_directories(machine->folder);
     m_machines.push_back(std::move(machine));
-    start(*m_machines.back(), true);
+    start(*m_machines.back(), isFirstStart);
     return *m_machines.back();
 }
 
--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -91,8 +91,8 @@
 
     flamingo::KvStandIn store;
 
-    /// Adds a machine and starts its process for the first time.
-    Machine &add(const std::string &name, const std::string &zone, bool hasDisk);
+    /// Adds a machine and starts its process. isFirstStart is set when the whole system starts for the first time.
+    Machine &add(const std::string &name, const std::string &zone, bool hasDisk, bool isFirstStart = true);
 
     /// Starts the machine's process again, as the platform does after its end.
     void start(Machine &machine, bool isFirstStart = false);
