Review case 3: the late stream begins well before the other one ends

Cause: the stream was sent 20 ms after the other one had ended, just before the instance would have noticed that it was idle. Change: review/3 sends it 3.7 s after SIGTERM, half a second before the other one ends; both have twelve events.

--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -17,13 +17,13 @@
 namespace
 {
 constexpr int TimeoutMs = 5000;
-constexpr int Events = 11;
+constexpr int Events = 12;
 constexpr Milliseconds EventPause{380}; ///< Below the 400 ms that the route declares in target-gap-ms.
 constexpr int GraceSeconds = 8;
 /// The client's other stream, during which the process is told to stop.
 constexpr Milliseconds StopAfter{300};
 /// After SIGTERM.
-constexpr Milliseconds LateRequestAfter{3900};
+constexpr Milliseconds LateRequestAfter{3700};
 
 void respond(ScriptedEndpoint::Connection &connection, const ReceivedRequest &request, Record &record)
 {
