--- a/review/common/harness.cpp
+++ b/review/common/harness.cpp
@@ -379,10 +379,10 @@
     std::this_thread::sleep_until(at);
 }
 
-int runCase(const std::string &folder, Verdict (*body)(Record &record))
+int runCase(const std::string &recordFile, Verdict (*body)(Record &record))
 {
     std::signal(SIGPIPE, SIG_IGN);
-    Record record(folder + "/record.txt");
+    Record record(recordFile);
     record.write(fmt::format("case begins, TROUBLE={}", hasTrouble() ? 1 : 0));
     Verdict verdict = Verdict::NotRun;
     try {
--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -135,7 +135,7 @@
 
 void sleepUntil(Instant at);
 
-/// Runs a case, catching errors. The result is the exit code.
-int runCase(const std::string &folder, Verdict (*body)(Record &record));
+/// Runs a case, catching errors, and writes its record to the file. The result is the exit code.
+int runCase(const std::string &recordFile, Verdict (*body)(Record &record));
 
 } // namespace review
