Break off a stream that ends inside an event

Cause: finishStream() wrote the bytes after the last whole event and finished, whatever they were. Where the connection's end is the body's end, a crash reads like an end; behind a length or a last chunk only the framing was looked at. Ruled out: the read error itself. An answer may end with its channel, and between events that is its end. Change: judgeResponse() (serving, no I/O) judges a response; a stream of events that ends inside one is broken off: resumed where the route allows it, else the caller's stream is cut, and the turn isn't kept. Blank lines may be CR or mixed too.

--- a/src/http/eventsplitter.cpp
+++ b/src/http/eventsplitter.cpp
@@ -10,12 +10,18 @@
 /// The position after the blank line that ends the first event of the text; npos when the event is incomplete.
 std::size_t eventEnd(std::string_view text)
 {
-    const auto lfEnd = text.find("\n\n");
-    const auto crlfEnd = text.find("\r\n\r\n");
-    if (lfEnd == std::string_view::npos && crlfEnd == std::string_view::npos) {
-        return std::string_view::npos;
+    std::size_t end = std::string_view::npos;
+    // Lines may end with LF, CRLF or CR.
+    for (const std::string_view separator : {"\n\n", "\n\r\n", "\r\r"}) {
+        const auto at = text.substr(0, end).find(separator);
+        end = at == std::string_view::npos ? end : at + separator.size();
     }
-    return crlfEnd < lfEnd ? crlfEnd + 4 : lfEnd + 2;
+    return end;
+}
+
+bool isBlankOrComment(std::string_view line)
+{
+    return line.empty() || line.front() == ':';
 }
 
 std::string_view fieldValue(std::string_view line, std::size_t nameSize)
@@ -27,18 +33,22 @@
     return line;
 }
 
+/// Removes the first line from the text and returns it without its end. A CRLF leaves an empty line, which has no meaning here.
+std::string_view takeLine(std::string_view &text)
+{
+    const auto end = std::min(text.find_first_of("\r\n"), text.size());
+    const std::string_view line = text.substr(0, end);
+    text.remove_prefix(std::min(end + 1, text.size()));
+    return line;
+}
+
 StreamEvent parseEvent(std::string_view text)
 {
     StreamEvent event;
     event.bytes = std::string(text);
     bool hasData = false;
     while (!text.empty()) {
-        const auto end = std::min(text.find('\n'), text.size());
-        std::string_view line = text.substr(0, end);
-        text.remove_prefix(std::min(end + 1, text.size()));
-        if (!line.empty() && line.back() == '\r') {
-            line.remove_suffix(1);
-        }
+        const std::string_view line = takeLine(text);
         if (line.rfind("id:", 0) == 0) {
             event.id = std::string(fieldValue(line, 2));
         } else if (line.rfind("data:", 0) == 0) {
@@ -69,6 +79,17 @@
     return events;
 }
 
+bool EventSplitter::isInsideEvent() const
+{
+    std::string_view text = m_buffer;
+    while (!text.empty()) {
+        if (!isBlankOrComment(takeLine(text))) {
+            return true;
+        }
+    }
+    return false;
+}
+
 const std::string &EventSplitter::incompleteEvent() const
 {
     return m_buffer;
--- a/src/http/eventsplitter.h
+++ b/src/http/eventsplitter.h
@@ -21,7 +21,10 @@
     /// Takes the next bytes and returns the events that they complete.
     std::vector<StreamEvent> feed(std::string_view bytes);
 
-    /// The bytes received so far of an incomplete event.
+    /// Whether an event has begun and is incomplete. Blank lines and comments belong to no event.
+    bool isInsideEvent() const;
+
+    /// The bytes received so far after the last complete event.
     const std::string &incompleteEvent() const;
 
 private:
--- a/src/instance/proxiedrequest.cpp
+++ b/src/instance/proxiedrequest.cpp
@@ -2,6 +2,7 @@
 
 #include "core/digest.h"
 #include "core/log.h"
+#include "serving/responseverdict.h"
 
 #include <algorithm>
 
@@ -39,11 +40,6 @@
 {
     return routePriority <= 0 ? PriorityClass::Urgent : PriorityClass::Normal;
 }
-
-bool isSuccess(int status)
-{
-    return status >= 200 && status < 300;
-}
 } // namespace
 
 ProxiedRequest::ProxiedRequest(ProxyContext &context, ServerConnectionPtr connection, ServerRequest request)
@@ -269,7 +265,7 @@
     if (!attempt.firstByteAt) {
         attempt.firstByteAt = std::chrono::steady_clock::now();
     }
-    const bool isUsable = isSuccess(attempt.responseHead.status) && attempt.responseMetadata.hasSignature && !attempt.responseMetadata.isContentEncoded;
+    const bool isUsable = isSuccessStatus(attempt.responseHead.status) && attempt.responseMetadata.hasSignature && !attempt.responseMetadata.isContentEncoded;
     if (m_route.kind == CallKind::Stream && isUsable) {
         const int eventsBefore = m_stream.forwardedEvents();
         const bool isForwarded = m_stream.forward(*m_connection, attempt.responseHead, attempt.eventSplitter.feed(bytes));
@@ -304,21 +300,14 @@
 void ProxiedRequest::onResponseComplete()
 {
     const Attempt &attempt = *m_attempt;
-    if (attempt.responseMetadata.isNotExecuted) {
+    const ReceivedResponse response{attempt.responseHead.status, attempt.responseMetadata, attempt.eventSplitter.isInsideEvent()};
+    const ResponseVerdict verdict = judgeResponse(response, {m_route.kind == CallKind::Stream, m_stream.hasStarted()});
+    const bool isLastResort = verdict == ResponseVerdict::ServerError && !mayRetry() && !m_stream.hasStarted();
+    if (verdict == ResponseVerdict::NotExecuted) {
         onRejected();
-        return;
-    }
-    const bool isInvalid = isSuccess(attempt.responseHead.status) && (!attempt.responseMetadata.hasSignature || attempt.responseMetadata.isContentEncoded);
-    const bool isServerError = attempt.responseHead.status >= 500;
-    if (isInvalid || (isServerError && (mayRetry() || m_stream.hasStarted()))) {
-        onAttemptFailed(isInvalid ? "unsigned or encoded response" : "endpoint returned a server error", false);
-        return;
-    }
-    if (!isSuccess(attempt.responseHead.status) && m_stream.hasStarted()) {
-        onAttemptFailed("endpoint did not resume the stream", false);
-        return;
-    }
-    if (isStreaming()) {
+    } else if (verdict != ResponseVerdict::Usable && !isLastResort) {
+        onAttemptFailed(verdictText(verdict), false);
+    } else if (isStreaming()) {
         finishStream();
     } else {
         finishResponse();
@@ -327,7 +316,7 @@
 
 bool ProxiedRequest::isStreaming() const
 {
-    return m_route.kind == CallKind::Stream && isSuccess(m_attempt->responseHead.status);
+    return m_route.kind == CallKind::Stream && isSuccessStatus(m_attempt->responseHead.status);
 }
 
 void ProxiedRequest::finishResponse()
@@ -508,7 +497,7 @@
         m_context.timers.cancel(attempt.overdueTimer);
     }
     const Instant now = std::chrono::steady_clock::now();
-    const bool isComplete = !isEndpointFault && attempt.firstByteAt && isSuccess(attempt.responseHead.status);
+    const bool isComplete = !isEndpointFault && attempt.firstByteAt && isSuccessStatus(attempt.responseHead.status);
     if (!isComplete) {
         m_context.dispatchQueue.onFailed(m_dispatchRequest, attempt.endpoint.id, isEndpointFault);
         return;
--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -19,6 +19,7 @@
 };
 
 const std::string TwoEvents = ScriptedEndpoint::chunk(ScriptedEndpoint::event(1, "one") + ScriptedEndpoint::event(2, "two"));
+const std::string UnframedStream = "Content-Type: text/event-stream\r\nConnection: close\r\n";
 const std::string EventStream = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
 
 /// An instance whose endpoint sends a response that the test sets, and then ends the connection.
@@ -89,6 +90,11 @@
         {"inside a chunk", EventStream, TwoEvents + "20\r\nid: 3\n"},
         {"inside the last chunk's line", EventStream, TwoEvents + "0\r"},
         {"reset", EventStream, TwoEvents, true},
+        {"inside an event, though the chunks end properly", EventStream, TwoEvents + ScriptedEndpoint::chunk("id: 3\nda") + "0\r\n\r\n"},
+        {"inside an event, at the end of the length", "Content-Type: text/event-stream\r\nContent-Length: 5\r\n", "id: 1"},
+        {"inside an event, at the end of the connection", UnframedStream, ScriptedEndpoint::event(1, "one") + "id: 2\nda"},
+        {"before the blank line, at the end of the connection", UnframedStream, ScriptedEndpoint::event(1, "one") + "id: 2\ndata: two\n"},
+        {"inside the first event, at the end of the connection", UnframedStream, "id: 1\nda"},
         {"reset before the end of the connection", "Content-Type: text/event-stream\r\n", ScriptedEndpoint::event(1, "one"), true},
         {"shorter than its length", "Content-Type: text/event-stream\r\nContent-Length: 1000\r\n", ScriptedEndpoint::event(1, "one")},
     };
@@ -99,3 +105,53 @@
     }
     CHECK(endpoint.requests().size() == 2 * responses.size());
 }
+
+// Guards against a turn that is kept without its last events, which later turns would continue from.
+TEST_CASE_METHOD(Fixture, "A turn whose stream ends inside an event is not kept", "[platform][broken]")
+{
+    const CallerResponse torn = sendFor({"", UnframedStream, ScriptedEndpoint::event(1, "one") + "id: 2\nda"}, "/chat/");
+    CHECK_FALSE(torn.isComplete);
+    const CallerResponse next = instance->send(callerRequest("/chat/a", "n1", "X-Previous-Turn: b1\r\n", "sound"));
+    CHECK(next.status == 404);
+}
+
+// Guards against streams that are taken for broken off because their end is that of the connection.
+TEST_CASE_METHOD(Fixture, "A stream that ends with its connection between events is complete", "[platform][broken]")
+{
+    const std::string events = ScriptedEndpoint::event(1, "one") + ScriptedEndpoint::event(2, "two");
+    const std::vector<BrokenResponse> responses = {
+        {"after an event", UnframedStream, events},
+        {"after a comment", UnframedStream, events + ": done\n"},
+        {"after more blank lines", UnframedStream, events + "\r\n\n"},
+    };
+    for (const BrokenResponse &it : responses) {
+        const CallerResponse result = sendFor(it, "/chat/");
+        INFO(it.name);
+        CHECK(result.status == 200);
+        CHECK(result.isComplete);
+        CHECK(result.body == it.body);
+    }
+}
+
+// Guards against a torn event in the middle of a stream that another endpoint goes on with.
+TEST_CASE("A resumable stream that ends inside an event continues after its last whole event", "[platform][broken]")
+{
+    const std::string first = ScriptedEndpoint::event(1, "one");
+    const std::string second = ScriptedEndpoint::event(2, "two");
+    const auto script = [&](Connection &connection, const ReceivedRequest &request) {
+        const bool isResumed = request.head.fields.value("Last-Event-Id") == "1";
+        connection.write(ScriptedEndpoint::responseHead(request, UnframedStream) + (isResumed ? second : first + "id: 2\nda"));
+        connection.close();
+    };
+    ScriptedEndpoint one(script);
+    ScriptedEndpoint other(script);
+    KvStandIn store;
+    store.put("op/config", testConfiguration(1));
+    registerEndpoint(store, "i-1", one);
+    registerEndpoint(store, "i-2", other);
+    TestInstance instance(store, 1);
+    REQUIRE(instance.awaitReady());
+    const CallerResponse result = instance.send(callerRequest("/stream/a", "r1"));
+    CHECK(result.isComplete);
+    CHECK(result.body == first + second);
+}
--- a/tests/unit/servingtest.cpp
+++ b/tests/unit/servingtest.cpp
@@ -4,6 +4,7 @@
 #include "serving/endpointdirectory.h"
 #include "serving/memberdirectory.h"
 #include "serving/provisionalgrantpolicy.h"
+#include "serving/responseverdict.h"
 #include "serving/routetable.h"
 #include "serving/turncache.h"
 
@@ -639,6 +640,52 @@
     CHECK(splitter.incompleteEvent() == "id: 3\nda");
 }
 
+// Guards against taking the end of the connection for the end of a stream whose last event is torn.
+TEST_CASE("Bytes after the last event are told from the beginning of another one", "[serving]")
+{
+    const auto isInside = [](const std::string &text) {
+        EventSplitter splitter;
+        for (const char c : text) {
+            splitter.feed({&c, 1});
+        }
+        return splitter.isInsideEvent();
+    };
+    for (const std::string end : {"", "\n", "\r\n", "\r", ": comment", ": comment\n"}) {
+        INFO(end);
+        CHECK_FALSE(isInside("data: one\n\n" + end));
+        CHECK_FALSE(isInside("data: one\r\n\r\n" + end));
+        CHECK_FALSE(isInside("data: one\r\r" + end));
+        CHECK_FALSE(isInside("data: one\n\r\n" + end));
+    }
+    for (const std::string end : {"i", "id: 2", "id: 2\nda", "id: 2\ndata: two\n", ": comment\ndata: two\n"}) {
+        INFO(end);
+        CHECK(isInside("data: one\n\n" + end));
+        CHECK(isInside(end));
+    }
+}
+
+TEST_CASE("A response is judged by its status, its signature and its end", "[serving]")
+{
+    ReceivedResponse sound;
+    sound.status = 200;
+    sound.metadata.hasSignature = true;
+    sound.metadata.isEventStream = true;
+    const auto verdictOf = [&](const std::function<void(ReceivedResponse &)> &change, bool isStream = true, bool hasStarted = false) {
+        ReceivedResponse response = sound;
+        change(response);
+        return judgeResponse(response, {isStream, hasStarted});
+    };
+    CHECK(verdictOf([](ReceivedResponse &) {}) == ResponseVerdict::Usable);
+    CHECK(verdictOf([](ReceivedResponse &it) { it.metadata.hasSignature = false; }) == ResponseVerdict::Invalid);
+    CHECK(verdictOf([](ReceivedResponse &it) { it.metadata.isContentEncoded = true; }) == ResponseVerdict::Invalid);
+    CHECK(verdictOf([](ReceivedResponse &it) { it.metadata.isNotExecuted = true; }) == ResponseVerdict::NotExecuted);
+    CHECK(verdictOf([](ReceivedResponse &it) { it.status = 500; }) == ResponseVerdict::ServerError);
+    CHECK(verdictOf([](ReceivedResponse &it) { it.endsInsideEvent = true; }) == ResponseVerdict::BrokenOff);
+    CHECK(verdictOf([](ReceivedResponse &it) { it.endsInsideEvent = true; }, false) == ResponseVerdict::Usable);
+    CHECK(verdictOf([](ReceivedResponse &it) { it.status = 404; }) == ResponseVerdict::Usable);
+    CHECK(verdictOf([](ReceivedResponse &it) { it.status = 404; }, true, true) == ResponseVerdict::NotContinued);
+}
+
 TEST_CASE("A history is assembled in order from cache and store, and a failed lookup is never reported as absent", "[serving]")
 {
     InMemoryTurnStore store;
