Split the stores of budgets and turns, and the turn's record, into files of their own

Change: platformbudgetstore, platformturnstore, turnindex, keyremoval and turnrecord; nothing behaves otherwise.

--- a/src/archive/archivedaemon.h
+++ b/src/archive/archivedaemon.h
@@ -5,7 +5,7 @@
 #include "core/metrics.h"
 #include "http/connectionset.h"
 #include "http/internalrequest.h"
-#include "persistence/budgetandturnstores.h"
+#include "persistence/platformturnstore.h"
 #include "persistence/memberregistration.h"
 #include "platform/bootsettingsfile.h"
 #include "platform/platformstore.h"
--- a/src/persistence/garbagecollector.cpp
+++ b/src/persistence/garbagecollector.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "persistence/memberregistration.h"
+#include "persistence/platformbudgetstore.h"
 #include "serving/budgetledger.h"
 #include "serving/cleanshutdownmarker.h"
 
--- a/src/persistence/garbagecollector.h
+++ b/src/persistence/garbagecollector.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "persistence/budgetandturnstores.h"
+#include "persistence/turnindex.h"
 #include "platform/platformstore.h"
 #include "serving/livenesstracker.h"
 
--- a/src/persistence/budgetandturnstores.cpp
+++ b/src/persistence/platformturnstore.cpp
@@ -1,11 +1,10 @@
-#include "persistence/budgetandturnstores.h"
+#include "persistence/platformturnstore.h"
 
-#include "core/codec.h"
 #include "core/log.h"
+#include "persistence/keyremoval.h"
 #include "serving/archivemessages.h"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 
@@ -16,24 +15,9 @@
 {
 /// Attempts at a write whose response is lost, before saving the turn fails.
 constexpr int MaxSaveAttempts = 2;
-constexpr std::size_t MaxRemovalsPerTransaction = 30;
 /// Turns are kept for a multiple of their retention, so that clock differences and outages don't remove them early.
 constexpr int RetentionFactor = 2;
 
-void removeKeys(platform::PlatformStore &store, const std::vector<std::string> &keys)
-{
-    for (std::size_t begin = 0; begin < keys.size(); begin += MaxRemovalsPerTransaction) {
-        platform::StoreTransaction transaction;
-        const std::size_t end = std::min(begin + MaxRemovalsPerTransaction, keys.size());
-        transaction.removals.assign(keys.begin() + static_cast<std::ptrdiff_t>(begin), keys.begin() + static_cast<std::ptrdiff_t>(end));
-        store.commit(transaction, [n = end - begin](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
-            if (!result) {
-                logChange("removal-failed", "keys={} reason=\"{}\"", n, result.error().detail);
-            }
-        });
-    }
-}
-
 std::vector<std::string> writtenKeys(const platform::StoreTransaction &transaction)
 {
     std::vector<std::string> keys;
@@ -43,87 +27,8 @@
     }
     return keys;
 }
-
-SwapResult swapResult(const tl::expected<platform::TransactionResult, platform::StoreFailure> &result)
-{
-    SwapResult swap;
-    if (!result) {
-        const bool isRefused = result.error().kind == platform::StoreFailure::Kind::Refused;
-        swap.status = isRefused ? SwapResult::Status::Refused : SwapResult::Status::Unknown;
-        return swap;
-    }
-    swap.status = result->isCommitted ? SwapResult::Status::Done : SwapResult::Status::Conflict;
-    swap.revision = result->revision;
-    if (!result->isCommitted && !result->currentItems.empty()) {
-        swap.revision = result->currentItems.front().revision;
-        swap.bytes = result->currentItems.front().data;
-    }
-    return swap;
-}
 } // namespace
 
-PlatformBudgetStore::PlatformBudgetStore(platform::PlatformStore &store)
-    : m_store(store)
-{
-}
-
-void PlatformBudgetStore::compareAndSwap(const ProgramId &program,
-                                         std::uint64_t expectedRevision,
-                                         const std::string &bytes,
-                                         std::function<void(SwapResult)> onResult)
-{
-    const std::string key = KeyPrefix + program.value();
-    platform::StoreTransaction transaction;
-    transaction.preconditions.push_back({key, expectedRevision});
-    transaction.writes.push_back({key, bytes});
-    m_store.commit(transaction, [onResult = std::move(onResult)](const auto &result) { onResult(swapResult(result)); });
-}
-
-void PlatformBudgetStore::remove(const std::vector<ProgramId> &programs)
-{
-    std::vector<std::string> keys;
-    keys.reserve(programs.size());
-    for (const ProgramId &program : programs) {
-        keys.push_back(KeyPrefix + program.value());
-    }
-    removeKeys(m_store, keys);
-}
-
-void PlatformBudgetStore::checkEmpty(std::function<void(bool isEmpty)> onChecked)
-{
-    m_store.list(KeyPrefix, {}, [onChecked = std::move(onChecked)](const tl::expected<platform::StorePage, platform::StoreFailure> &page) {
-        if (page) {
-            onChecked(page->items.empty());
-        } else {
-            logChange("budgets-not-checked", "reason=\"{}\"", page.error().detail);
-        }
-    });
-}
-
-std::vector<std::string> TurnIndex::keys() const
-{
-    std::vector<std::string> keys;
-    keys.reserve(turns.size());
-    for (const RequestId &turn : turns) {
-        keys.push_back(TurnKeyPrefix + turn.value());
-    }
-    return keys;
-}
-
-std::string TurnIndex::encode() const
-{
-    return nlohmann::json{{"writer", writer}, {"turns", turns}}.dump();
-}
-
-std::optional<TurnIndex> TurnIndex::decode(const std::string &bytes)
-{
-    const auto json = parseJson(bytes);
-    if (!json || !json->is_object() || !json->contains("writer") || !json->contains("turns")) {
-        return std::nullopt;
-    }
-    return TurnIndex{(*json)["writer"].get<IncarnationId>(), (*json)["turns"].get<std::vector<RequestId>>()};
-}
-
 PlatformTurnStore::PlatformTurnStore(platform::PlatformStore &store, IncarnationId writer)
     : m_store(store)
     , m_writer(std::move(writer))
--- a/src/persistence/budgetandturnstores.h
+++ b/src/persistence/platformturnstore.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "core/timerservice.h"
+#include "persistence/turnindex.h"
 #include "platform/platformstore.h"
-#include "serving/budgetledger.h"
 #include "serving/turncache.h"
 
 #include <deque>
@@ -11,40 +10,6 @@
 namespace flamingo
 {
 
-/// Budget records in the platform's store, one key for each program.
-class PlatformBudgetStore : public BudgetStore
-{
-public:
-    /// Prefix of a budget's key; followed by the program's id.
-    static constexpr const char *KeyPrefix = "budget/";
-
-    explicit PlatformBudgetStore(platform::PlatformStore &store);
-
-    void compareAndSwap(const ProgramId &program, std::uint64_t expectedRevision, const std::string &bytes, std::function<void(SwapResult)> onResult) override;
-    void remove(const std::vector<ProgramId> &programs) override;
-
-    /// Checks whether the store holds no budget at all. The handler is not called when the store doesn't respond.
-    void checkEmpty(std::function<void(bool isEmpty)> onChecked);
-
-private:
-    platform::PlatformStore &m_store;
-};
-
-/// Lists turns that were written together. Stored in the same transaction, so that the turns can be removed by another
-/// process when their writer is gone.
-struct TurnIndex {
-    static constexpr const char *KeyPrefix = "turns-of/";
-
-    IncarnationId writer;
-    std::vector<RequestId> turns;
-
-    /// Store keys of the turns.
-    std::vector<std::string> keys() const;
-
-    std::string encode() const;
-    static std::optional<TurnIndex> decode(const std::string &bytes);
-};
-
 /// Turns in the platform's store, one key for each turn. The process that wrote them removes them after their retention.
 class PlatformTurnStore : public TurnStore
 {
--- a/src/persistence/replicatedturnstore.h
+++ b/src/persistence/replicatedturnstore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "http/internalrequest.h"
-#include "persistence/budgetandturnstores.h"
+#include "persistence/platformturnstore.h"
 #include "serving/memberdirectory.h"
 
 #include <functional>
--- /dev/null
+++ b/src/persistence/turnindex.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "serving/incarnationid.h"
+#include "serving/requestmetadata.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace flamingo
+{
+
+/// Lists turns that were written together. Stored in the same transaction, so that the turns can be removed by another
+/// process when their writer is gone.
+struct TurnIndex {
+    static constexpr const char *KeyPrefix = "turns-of/";
+
+    IncarnationId writer;
+    std::vector<RequestId> turns;
+
+    /// Store keys of the turns.
+    std::vector<std::string> keys() const;
+
+    std::string encode() const;
+    static std::optional<TurnIndex> decode(const std::string &bytes);
+};
+
+} // namespace flamingo
--- a/src/serving/turncache.h
+++ b/src/serving/turncache.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "serving/requestmetadata.h"
+#include "serving/turnrecord.h"
 
 #include <deque>
 #include <functional>
@@ -14,20 +14,6 @@
 namespace flamingo
 {
 
-/// A turn whose response was completed, as it is stored. Turns are immutable.
-struct TurnRecord {
-    RequestId id;
-    std::vector<RequestId> ancestors; ///< The turns that it continues from, the oldest first.
-    std::string input; ///< What the caller sent.
-    std::string output; ///< The data of the response's events, a line feed after each.
-    Milliseconds retention{0};
-
-    std::string encode() const;
-    static std::optional<TurnRecord> decode(const RequestId &id, const std::string &bytes);
-};
-
-using TurnRecordPtr = std::shared_ptr<const TurnRecord>;
-
 /// Result of looking a turn up in the store and the archives.
 struct TurnLookup {
     enum class Status {
--- a/tests/platform/persistencetest.cpp
+++ b/tests/platform/persistencetest.cpp
@@ -3,6 +3,7 @@
 #include "persistence/garbagecollector.h"
 #include "persistence/replicatedturnstore.h"
 #include "platform/testinstance.h"
+#include "serving/budgetledger.h"
 
 #include <catch2/catch.hpp>
 
