Keep the turns of a conversation as long as it goes on

Cause: each turn was removed from the store twice its own retention after it was written, whether or not later turns continue from it; the home's memory hid it until the home restarted. GarbageCollector did the same for turns of writers that are gone. Change: a turn that continues a conversation whose last renewal is half a retention ago, or isn't known, writes renewed/<first turn> in the transaction that stores it. Turns that are due go only if that key wasn't written since the check before, and a second check 30 s later says the same. A batch is filled up to the store's limits of entries and bytes (TurnBatch), and a full one is followed by the next at once.

--- a/src/archive/archivedaemon.cpp
+++ b/src/archive/archivedaemon.cpp
@@ -17,9 +17,6 @@
 constexpr Milliseconds UploadPeriod{1000};
 /// An archive that isn't the turn's primary one waits this long for the primary to upload the turn.
 constexpr Milliseconds BackupUploadDelay{3000};
-/// The store's limits on entries and bytes of a call, less some room for the encoding.
-constexpr std::size_t MaxBatchTurns = 30;
-constexpr std::size_t MaxBatchBytes = 500000;
 constexpr Milliseconds DrainCheckPeriod{100};
 constexpr Milliseconds KillMargin{500};
 constexpr Milliseconds HousekeepingPeriod{5000};
@@ -194,42 +191,37 @@
     if (m_isUploading || !m_turnLog) {
         return;
     }
-    std::vector<std::pair<RequestId, std::string>> batch;
-    std::size_t bytes = 0;
+    TurnBatch batch;
+    bool isFull = false;
     for (const auto &[id, receivedAt] : m_receivedAt) {
         const ArchiveKeepRequest *turn = m_turnLog->find(id);
         const bool isDue = turn && (turn->isPrimary || m_isDraining || now - receivedAt >= BackupUploadDelay);
-        if (!isDue || batch.size() >= MaxBatchTurns || (bytes > 0 && bytes + turn->record.size() > MaxBatchBytes)) {
-            continue;
+        if (isDue && !batch.tryAdd(id, turn->record)) {
+            isFull = true;
+            break;
         }
-        bytes += turn->record.size();
-        batch.emplace_back(id, turn->record);
     }
-    if (batch.empty()) {
+    if (batch.turns().empty()) {
         return;
     }
     m_isUploading = true;
-    m_turnStore.saveBatch(batch, [this, batch](bool isSaved) {
+    m_turnStore.saveBatch(batch, [this, turns = batch.turns(), isFull](bool isSaved) {
         m_isUploading = false;
         if (!isSaved) {
             return;
         }
-        std::vector<RequestId> turns;
-        turns.reserve(batch.size());
-        for (const auto &[id, record] : batch) {
-            turns.push_back(id);
-        }
         onTurnsUploaded(turns);
-        if (batch.size() >= MaxBatchTurns || m_isDraining) {
+        if (isFull || m_isDraining) {
             uploadTurns(std::chrono::steady_clock::now());
         }
     });
 }
 
-void ArchiveDaemon::onTurnsUploaded(const std::vector<RequestId> &turns)
+void ArchiveDaemon::onTurnsUploaded(const std::vector<BatchedTurn> &turns)
 {
     std::map<std::string, ArchiveForgetRequest> forgetMessages;
-    for (const RequestId &id : turns) {
+    for (const BatchedTurn &uploaded : turns) {
+        const RequestId &id = uploaded.id;
         const ArchiveKeepRequest *turn = m_turnLog->find(id);
         for (const std::string &other : turn ? turn->otherReplicas : std::vector<std::string>()) {
             forgetMessages[other].turns.push_back(id);
--- a/src/archive/archivedaemon.h
+++ b/src/archive/archivedaemon.h
@@ -41,7 +41,7 @@
     void syncAndRespond();
 
     void uploadTurns(Instant now);
-    void onTurnsUploaded(const std::vector<RequestId> &turns);
+    void onTurnsUploaded(const std::vector<BatchedTurn> &turns);
     void removeTurn(const RequestId &id);
 
     void registerMember();
--- a/src/instance/homeservice.cpp
+++ b/src/instance/homeservice.cpp
@@ -101,8 +101,12 @@
                  {"lookup", static_cast<int>(history.status)},
                  {"ids", history.ids},
                  {"text", toBinary(history.text)},
+                 {"kept", history.shortestRetention.count()},
                  {"holder", holder},
                  {"versions", registryVersions}};
+    if (history.sinceRenewal) {
+        json["age"] = history.sinceRenewal->count();
+    }
     writePrefix(json, cachedPrefix);
     return toCbor(json);
 }
@@ -115,6 +119,10 @@
         response.history.status = static_cast<TurnLookup::Status>(json.at("lookup").get<int>());
         response.history.ids = json.at("ids").get<std::vector<RequestId>>();
         response.history.text = fromBinary(json.at("text"));
+        response.history.shortestRetention = Milliseconds(json.value("kept", std::int64_t(0)));
+        if (json.contains("age")) {
+            response.history.sinceRenewal = Milliseconds(json.at("age").get<std::int64_t>());
+        }
         response.cachedPrefix = readPrefix(json);
         response.holder = json.at("holder").get<IncarnationId>();
         response.registryVersions = json.at("versions").get<RegistryVersions>();
@@ -172,7 +180,7 @@
             onResponse(std::move(response));
             return;
         }
-        m_turnCache.loadChain(*request.previousTurn, [response, onResponse](TurnChain chain) mutable {
+        m_turnCache.loadChain(*request.previousTurn, std::chrono::steady_clock::now(), [response, onResponse](TurnChain chain) mutable {
             response.history = std::move(chain);
             onResponse(std::move(response));
         });
@@ -188,7 +196,7 @@
 {
     m_budgets.settle(request.program, request.reservedTokens, request.usedTokens, std::chrono::steady_clock::now());
     if (request.turnRecord) {
-        m_turnCache.add(request.turnRecord);
+        m_turnCache.add(request.turnRecord, std::chrono::steady_clock::now());
     }
     if (request.cachedPrefix) {
         const PrefixCacheEntry entry{*request.cachedPrefix, std::chrono::steady_clock::now()};
--- a/src/instance/proxiedrequest.cpp
+++ b/src/instance/proxiedrequest.cpp
@@ -5,6 +5,7 @@
 #include "serving/responseverdict.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace flamingo
 {
@@ -133,8 +134,9 @@
     } else if (response.history.status == TurnLookup::Status::Unknown) {
         refuse(503, "history-unsure", StoreRetryAfter);
     } else {
-        m_ancestors = std::move(response.history.ids);
-        m_forwardedBody = response.history.text + m_request.body;
+        m_history = std::move(response.history);
+        m_historyLoadedAt = std::chrono::steady_clock::now();
+        m_forwardedBody = std::exchange(m_history.text, {}) + m_request.body;
         enqueue();
     }
 }
@@ -347,10 +349,10 @@
     }
     auto record = std::make_shared<TurnRecord>();
     record->id = m_metadata.id;
-    record->ancestors = m_ancestors;
     record->input = std::move(m_request.body);
     record->output = m_stream.takeOutput();
     record->retention = m_route.retention;
+    record->continueFrom(m_history, std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - m_historyLoadedAt));
     reportTurnEnd(generatedTokens(), record);
     m_context.turnStore.save(record, [self = shared_from_this()](bool isSaved) {
         if (self->m_isFinished) {
--- a/src/instance/proxiedrequest.h
+++ b/src/instance/proxiedrequest.h
@@ -87,7 +87,8 @@
     Instant m_deadline;
     TimerService::TimerId m_deadlineTimer = 0;
     std::string m_forwardedBody;
-    std::vector<RequestId> m_ancestors;
+    TurnChain m_history; ///< Of a stateful turn that continues another one. Its text is in m_forwardedBody.
+    Instant m_historyLoadedAt;
     CallerStream m_stream;
     DispatchRequest m_dispatchRequest;
     std::optional<CallId> m_queuedCallId;
--- a/src/persistence/garbagecollector.cpp
+++ b/src/persistence/garbagecollector.cpp
@@ -7,6 +7,7 @@
 #include "serving/cleanshutdownmarker.h"
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 #include <set>
 #include <string_view>
@@ -19,12 +20,16 @@
 {
 /// Each key takes two entries of a transaction, the condition and the removal.
 constexpr std::size_t MaxConditionalRemovalsPerTransaction = 15;
+constexpr std::size_t MaxRemovalsPerTransaction = 30;
+/// A conversation has ended when it wasn't renewed for this many times its retention.
+constexpr int RetentionFactor = 2;
 } // namespace
 
 struct GarbageCollector::Pass {
     Instant now;
     std::vector<MemberRecord> members;
     std::map<std::string, platform::Revision> heartbeats; ///< Revision of the heartbeat key, by member.
+    ConversationRenewals renewals;
 };
 
 GarbageCollector::GarbageCollector(platform::PlatformStore &store, LivenessTracker::Settings settings)
@@ -36,6 +41,7 @@
 void GarbageCollector::collect(Instant now, Milliseconds retention)
 {
     m_liveness.raiseRetention(retention);
+    m_retention = std::max(m_retention, retention);
     if (std::exchange(m_isCollecting, true)) {
         return;
     }
@@ -44,7 +50,7 @@
             m_isCollecting = false;
             return;
         }
-        readHeartbeats(std::make_shared<Pass>(Pass{now, std::move(*members), {}}));
+        readHeartbeats(std::make_shared<Pass>(Pass{now, std::move(*members), {}, {}}));
     });
 }
 
@@ -116,16 +122,55 @@
 }
 
 void GarbageCollector::collectTurns(const PassPtr &pass)
+{
+    readRenewals(m_store, [this, pass](std::optional<ConversationRenewals> renewals) {
+        m_isCollecting = renewals.has_value();
+        if (renewals) {
+            pass->renewals = std::move(*renewals);
+            collectTurnsOfDeadWriters(pass);
+        }
+    });
+}
+
+void GarbageCollector::collectTurnsOfDeadWriters(const PassPtr &pass)
 {
     const auto onPage = [this, pass](const platform::StorePage &page) {
         for (const platform::StoreItem &item : page.items) {
             const auto index = TurnIndex::decode(item.data);
-            if (index && m_liveness.isIncarnationDead(index->writer, pass->now)) {
-                removeTurns({item.key, item.revision}, *index);
+            if (!index || !m_liveness.isIncarnationDead(index->writer, pass->now)) {
+                continue;
+            }
+            // Each conversation is looked at, so that the time without renewals counts from the first pass.
+            const auto n = std::count_if(index->conversations.begin(), index->conversations.end(), [&](const RequestId &it) { return hasEnded(it, *pass); });
+            if (static_cast<std::size_t>(n) == index->conversations.size()) {
+                removeTurns({item.key, item.revision}, *index, pass->renewals);
             }
         }
     };
-    m_store.listAll(TurnIndex::KeyPrefix, onPage, [this](bool) { m_isCollecting = false; });
+    m_store.listAll(TurnIndex::KeyPrefix, onPage, [this, pass](bool) { finishPass(pass); });
+}
+
+bool GarbageCollector::hasEnded(const RequestId &conversation, const Pass &pass)
+{
+    const auto it = pass.renewals.find(conversation);
+    if (it == pass.renewals.end()) {
+        return true;
+    }
+    ObservedRenewal &observed = m_observedRenewals[conversation];
+    if (observed.revision != it->second.revision) {
+        observed.revision = it->second.revision;
+        observed.since = pass.now;
+    }
+    observed.seenAt = pass.now;
+    return pass.now - observed.since >= std::max(m_retention, it->second.retention) * RetentionFactor;
+}
+
+void GarbageCollector::finishPass(const PassPtr &pass)
+{
+    for (auto it = m_observedRenewals.begin(); it != m_observedRenewals.end();) {
+        it = it->second.seenAt == pass->now ? std::next(it) : m_observedRenewals.erase(it);
+    }
+    m_isCollecting = false;
 }
 
 void GarbageCollector::removeIfUnchanged(const std::vector<platform::RevisionPrecondition> &keys)
@@ -140,14 +185,23 @@
     }
 }
 
-// Turns are immutable, so a condition on the index alone is enough.
-void GarbageCollector::removeTurns(const platform::RevisionPrecondition &key, const TurnIndex &index)
+// Turns are immutable, so a condition on the index alone is enough. The index goes last, so that a failure in between leaves it.
+void GarbageCollector::removeTurns(const platform::RevisionPrecondition &key, const TurnIndex &index, const ConversationRenewals &renewals)
 {
-    platform::StoreTransaction transaction;
-    transaction.preconditions.push_back(key);
-    transaction.removals = index.keys();
-    transaction.removals.push_back(key.key);
-    commit(transaction, "turns");
+    std::vector<std::string> keys = index.keys();
+    for (const RequestId &turn : index.turns) {
+        if (renewals.count(turn) != 0) {
+            keys.push_back(RenewalKeyPrefix + turn.value());
+        }
+    }
+    keys.push_back(key.key);
+    for (std::size_t begin = 0; begin < keys.size(); begin += MaxRemovalsPerTransaction) {
+        const std::size_t end = std::min(begin + MaxRemovalsPerTransaction, keys.size());
+        platform::StoreTransaction transaction;
+        transaction.preconditions.push_back(key);
+        transaction.removals.assign(keys.begin() + static_cast<std::ptrdiff_t>(begin), keys.begin() + static_cast<std::ptrdiff_t>(end));
+        commit(transaction, "turns");
+    }
 }
 
 void GarbageCollector::commit(const platform::StoreTransaction &transaction, const char *kind)
--- a/src/persistence/platformturnstore.cpp
+++ b/src/persistence/platformturnstore.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace flamingo
 {
@@ -17,36 +18,35 @@
 constexpr int MaxSaveAttempts = 2;
 /// Turns are kept for a multiple of their retention, so that clock differences and outages don't remove them early.
 constexpr int RetentionFactor = 2;
-
-std::vector<std::string> writtenKeys(const platform::StoreTransaction &transaction)
-{
-    std::vector<std::string> keys;
-    keys.reserve(transaction.writes.size());
-    for (const platform::KeyWrite &write : transaction.writes) {
-        keys.push_back(write.key);
-    }
-    return keys;
-}
 } // namespace
 
-PlatformTurnStore::PlatformTurnStore(platform::PlatformStore &store, IncarnationId writer)
+PlatformTurnStore::PlatformTurnStore(platform::PlatformStore &store, IncarnationId writer, Milliseconds confirmationDelay)
     : m_store(store)
     , m_writer(std::move(writer))
+    , m_confirmationDelay(confirmationDelay)
 {
 }
 
-platform::KeyWrite PlatformTurnStore::indexWrite(std::vector<RequestId> turns)
+// The index is the last of the writes.
+platform::StoreTransaction PlatformTurnStore::transactionFor(const TurnBatch &batch)
 {
-    return {fmt::format("{}{}/{}", TurnIndex::KeyPrefix, m_writer.value(), ++m_lastIndexNumber), TurnIndex{m_writer, std::move(turns)}.encode()};
+    platform::StoreTransaction transaction;
+    transaction.writes = batch.writes();
+    TurnIndex index{m_writer, {}, {}};
+    for (const BatchedTurn &turn : batch.turns()) {
+        index.turns.push_back(turn.id);
+        index.conversations.push_back(turn.conversation);
+    }
+    transaction.writes.push_back({fmt::format("{}{}/{}", TurnIndex::KeyPrefix, m_writer.value(), ++m_lastIndexNumber), index.encode()});
+    return transaction;
 }
 
 void PlatformTurnStore::save(const TurnRecordPtr &turn, std::function<void(bool)> onSaved)
 {
     auto saving = std::make_shared<PendingSave>();
-    saving->turn = turn;
-    const std::string key = TurnKeyPrefix + turn->id.value();
-    saving->transaction.preconditions.push_back({key, 0});
-    saving->transaction.writes = {{key, turn->encode()}, indexWrite({turn->id})};
+    saving->batch.tryAdd(turn->id, turn->encode());
+    saving->transaction = transactionFor(saving->batch);
+    saving->transaction.preconditions.push_back({TurnKeyPrefix + turn->id.value(), 0});
     saving->onSaved = std::move(onSaved);
     trySave(saving);
 }
@@ -58,7 +58,7 @@
         const bool isAnswered = result.has_value();
         // A conflict means that an earlier attempt, whose response was lost, has written the same turn.
         if (isAnswered) {
-            scheduleRemoval(writtenKeys(saving->transaction), saving->turn->retention);
+            scheduleExpiry(saving->batch, saving->transaction.writes.back().key);
             saving->onSaved(true);
             return;
         }
@@ -67,38 +67,23 @@
             trySave(saving);
             return;
         }
-        logChange("turn-not-kept", "turn={} attempts={} reason=\"{}\"", saving->turn->id.value(), saving->attempts, result.error().detail);
+        logChange("turn-not-kept", "turn={} attempts={} reason=\"{}\"", saving->batch.turns().front().id.value(), saving->attempts, result.error().detail);
         saving->onSaved(false);
     });
 }
 
-void PlatformTurnStore::scheduleRemoval(std::vector<std::string> keys, Milliseconds retention)
-{
-    m_expiries.push_back({std::chrono::steady_clock::now() + retention * RetentionFactor, std::move(keys)});
-}
-
 // Turns are immutable, so writing one again does no harm and needs no condition.
-void PlatformTurnStore::saveBatch(const std::vector<std::pair<RequestId, std::string>> &records, std::function<void(bool)> onSaved)
+void PlatformTurnStore::saveBatch(const TurnBatch &batch, std::function<void(bool)> onSaved)
 {
-    platform::StoreTransaction transaction;
-    std::vector<RequestId> turns;
-    Milliseconds retention{0};
-    for (const auto &[id, record] : records) {
-        const auto turn = TurnRecord::decode(id, record);
-        retention = std::max(retention, turn ? turn->retention : Milliseconds(0));
-        transaction.writes.push_back({TurnKeyPrefix + id.value(), record});
-        turns.push_back(id);
-    }
-    transaction.writes.push_back(indexWrite(std::move(turns)));
-    auto keys = writtenKeys(transaction);
+    const platform::StoreTransaction transaction = transactionFor(batch);
     m_store.commit(transaction,
-                   [this, keys = std::move(keys), retention, onSaved = std::move(onSaved)](
+                   [this, batch, indexKey = transaction.writes.back().key, onSaved = std::move(onSaved)](
                        const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
                        const bool isDurable = result && result->isCommitted;
                        if (isDurable) {
-                           scheduleRemoval(keys, retention);
+                           scheduleExpiry(batch, indexKey);
                        } else {
-                           logChange("turns-not-kept", "keys={} reason=\"{}\"", keys.size(), result ? "conflict" : result.error().detail);
+                           logChange("turns-not-kept", "turns={} reason=\"{}\"", batch.turns().size(), result ? "conflict" : result.error().detail);
                        }
                        onSaved(isDurable);
                    });
@@ -123,12 +108,80 @@
     });
 }
 
+void PlatformTurnStore::scheduleExpiry(const TurnBatch &batch, const std::string &indexKey)
+{
+    Expiry expiry;
+    expiry.indexKey = indexKey;
+    expiry.retention = batch.retention();
+    for (const BatchedTurn &turn : batch.turns()) {
+        expiry.turns.push_back({turn.id, turn.conversation});
+    }
+    m_expiries.emplace(std::chrono::steady_clock::now() + expiry.retention * RetentionFactor, std::move(expiry));
+}
+
 void PlatformTurnStore::removeExpired(Instant now)
 {
+    const bool isAnyDue = !m_expiries.empty() && m_expiries.begin()->first < now;
+    if (!isAnyDue || m_isReadingRenewals || m_store.hasRecentFailure()) {
+        return;
+    }
+    m_isReadingRenewals = true;
+    readRenewals(m_store, [this, now](const std::optional<ConversationRenewals> &renewals) {
+        m_isReadingRenewals = false;
+        if (renewals) {
+            removeEnded(*renewals, now);
+        }
+    });
+}
+
+void PlatformTurnStore::removeEnded(const ConversationRenewals &renewals, Instant now)
+{
+    const auto firstLater = m_expiries.lower_bound(now);
+    std::vector<Expiry> due;
+    for (auto it = m_expiries.begin(); it != firstLater; ++it) {
+        due.push_back(std::move(it->second));
+    }
+    m_expiries.erase(m_expiries.begin(), firstLater);
+    for (Expiry &expiry : due) {
+        checkExpiry(std::move(expiry), renewals, now);
+    }
+}
+
+// A conversation that was renewed since the last check is checked again after another period. Turns whose conversation has no
+// renewal at all are those of a short one, which its last turn has outlived by now.
+void PlatformTurnStore::checkExpiry(Expiry expiry, const ConversationRenewals &renewals, Instant now)
+{
+    Expiry renewed{expiry.indexKey, {}, expiry.retention, false};
     std::vector<std::string> keys;
-    while (!m_expiries.empty() && m_expiries.front().at < now) {
-        keys.insert(keys.end(), m_expiries.front().keys.begin(), m_expiries.front().keys.end());
-        m_expiries.pop_front();
+    std::vector<KeptTurn> ended;
+    for (KeptTurn &turn : expiry.turns) {
+        const auto it = renewals.find(turn.conversation);
+        if (it != renewals.end() && it->second.revision != turn.lastSeenRenewal) {
+            turn.lastSeenRenewal = it->second.revision;
+            renewed.retention = std::max(renewed.retention, it->second.retention);
+            renewed.turns.push_back(turn);
+            continue;
+        }
+        keys.push_back(TurnKeyPrefix + turn.id.value());
+        if (it != renewals.end() && turn.id == turn.conversation) {
+            keys.push_back(RenewalKeyPrefix + turn.conversation.value());
+        }
+        ended.push_back(turn);
+    }
+    const std::string endedIndexKey = renewed.turns.empty() ? expiry.indexKey : std::string();
+    if (!renewed.turns.empty()) {
+        const Instant at = now + renewed.retention * RetentionFactor;
+        m_expiries.emplace(at, std::move(renewed));
+    }
+    if (ended.empty()) {
+        return;
+    }
+    if (!expiry.isConfirmation) {
+        m_expiries.emplace(now + m_confirmationDelay, Expiry{endedIndexKey, std::move(ended), expiry.retention, true});
+        return;
+    }
+    if (!endedIndexKey.empty()) {
+        keys.push_back(endedIndexKey);
     }
     removeKeys(m_store, keys);
 }
--- a/src/persistence/turnindex.cpp
+++ b/src/persistence/turnindex.cpp
@@ -18,7 +18,7 @@
 
 std::string TurnIndex::encode() const
 {
-    return nlohmann::json{{"writer", writer}, {"turns", turns}}.dump();
+    return nlohmann::json{{"writer", writer}, {"turns", turns}, {"conversations", conversations}}.dump();
 }
 
 std::optional<TurnIndex> TurnIndex::decode(const std::string &bytes)
@@ -27,7 +27,10 @@
     if (!json || !json->is_object() || !json->contains("writer") || !json->contains("turns")) {
         return std::nullopt;
     }
-    return TurnIndex{(*json)["writer"].get<IncarnationId>(), (*json)["turns"].get<std::vector<RequestId>>()};
+    TurnIndex index{(*json)["writer"].get<IncarnationId>(), (*json)["turns"].get<std::vector<RequestId>>(), {}};
+    // An index of an earlier version lists no conversations. Then only those that a turn has begun are known.
+    index.conversations = json->value("conversations", index.turns);
+    return index;
 }
 
 } // namespace flamingo
--- a/src/persistence/turnindex.h
+++ b/src/persistence/turnindex.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "serving/incarnationid.h"
-#include "serving/requestmetadata.h"
+#include "serving/turnrecord.h"
 
 #include <optional>
 #include <string>
@@ -17,6 +17,7 @@
 
     IncarnationId writer;
     std::vector<RequestId> turns;
+    std::vector<RequestId> conversations; ///< Of each turn.
 
     /// Store keys of the turns.
     std::vector<std::string> keys() const;
--- a/src/serving/turncache.cpp
+++ b/src/serving/turncache.cpp
@@ -1,5 +1,7 @@
 #include "serving/turncache.h"
 
+#include <algorithm>
+
 namespace flamingo
 {
 
@@ -17,6 +19,7 @@
 /// A chain that is being assembled from cached turns and store lookups.
 struct TurnCache::ChainLoad {
     RequestId lastTurn;
+    Instant startedAt;
     std::map<RequestId, TurnRecordPtr> turns;
     std::size_t pending = 0;
     TurnLookup::Status status = TurnLookup::Status::Found;
@@ -30,10 +33,11 @@
 {
 }
 
-void TurnCache::loadChain(const RequestId &previous, std::function<void(TurnChain)> onChain)
+void TurnCache::loadChain(const RequestId &previous, Instant now, std::function<void(TurnChain)> onChain)
 {
     auto load = std::make_shared<ChainLoad>();
     load->lastTurn = previous;
+    load->startedAt = now;
     load->onChain = std::move(onChain);
     if (const TurnRecordPtr turn = find(previous)) {
         load->turns.emplace(previous, turn);
@@ -46,7 +50,7 @@
             finish(*load);
             return;
         }
-        add(lookup.turn);
+        insert({lookup.turn, std::nullopt});
         load->turns.emplace(load->lastTurn, lookup.turn);
         loadAncestors(load);
     });
@@ -71,7 +75,7 @@
     for (const RequestId &id : missing) {
         m_store.load(id, [this, load, id](const TurnLookup &lookup) {
             if (lookup.status == TurnLookup::Status::Found) {
-                add(lookup.turn);
+                insert({lookup.turn, std::nullopt});
                 load->turns.emplace(id, lookup.turn);
             } else {
                 // The last turn exists, so a missing ancestor means a replica that lags or fails, not a wrong id.
@@ -84,15 +88,18 @@
     }
 }
 
-void TurnCache::finish(ChainLoad &load)
+void TurnCache::finish(ChainLoad &load) const
 {
     TurnChain chain;
     chain.status = load.status;
     if (chain.status == TurnLookup::Status::Found) {
         chain.ids = load.turns.at(load.lastTurn)->ancestors;
         chain.ids.push_back(load.lastTurn);
+        chain.sinceRenewal = timeSinceRenewal(load.lastTurn, load.startedAt);
+        chain.shortestRetention = load.turns.at(load.lastTurn)->retention;
         for (const RequestId &id : chain.ids) {
             const TurnRecord &turn = *load.turns.at(id);
+            chain.shortestRetention = std::min(chain.shortestRetention, turn.retention);
             chain.text += turn.input;
             chain.text += turn.output;
         }
@@ -103,19 +110,35 @@
 TurnRecordPtr TurnCache::find(const RequestId &id) const
 {
     const auto it = m_turns.find(id);
-    return it == m_turns.end() ? nullptr : it->second;
+    return it == m_turns.end() ? nullptr : it->second.record;
+}
+
+std::optional<Milliseconds> TurnCache::timeSinceRenewal(const RequestId &turn, Instant now) const
+{
+    const auto it = m_turns.find(turn);
+    if (it == m_turns.end() || !it->second.endedAt) {
+        return std::nullopt;
+    }
+    const auto sinceEnd = std::chrono::duration_cast<Milliseconds>(now - *it->second.endedAt);
+    return it->second.record->sinceRenewal + sinceEnd;
+}
+
+void TurnCache::add(const TurnRecordPtr &turn, Instant now)
+{
+    insert({turn, now});
 }
 
-void TurnCache::add(const TurnRecordPtr &turn)
+void TurnCache::insert(CachedTurn turn)
 {
-    if (!m_turns.emplace(turn->id, turn).second) {
+    const TurnRecordPtr record = turn.record;
+    if (!m_turns.emplace(record->id, std::move(turn)).second) {
         return;
     }
-    m_evictionOrder.push_back(turn->id);
-    m_sizeBytes += memoryCost(*turn);
+    m_evictionOrder.push_back(record->id);
+    m_sizeBytes += memoryCost(*record);
     while (m_sizeBytes > m_maxBytes && !m_evictionOrder.empty()) {
         const auto it = m_turns.find(m_evictionOrder.front());
-        m_sizeBytes -= memoryCost(*it->second);
+        m_sizeBytes -= memoryCost(*it->second.record);
         m_turns.erase(it);
         m_evictionOrder.pop_front();
     }
--- a/src/serving/turncache.h
+++ b/src/serving/turncache.h
@@ -42,6 +42,8 @@
     TurnLookup::Status status = TurnLookup::Status::Unknown;
     std::vector<RequestId> ids; ///< The oldest first.
     std::string text; ///< Inputs and outputs, in order.
+    std::optional<Milliseconds> sinceRenewal; ///< Time since the conversation's last renewal; not set when it isn't known here.
+    Milliseconds shortestRetention{0}; ///< Of the turns.
 };
 
 /// Assembles histories of stateful turns. Recent turns are cached up to a memory limit; others are loaded from the
@@ -53,10 +55,11 @@
 
     /// Loads the given turn and its ancestors. The status is Absent only when the given turn is absent; a missing ancestor
     /// gives Unknown.
-    void loadChain(const RequestId &previous, std::function<void(TurnChain)> onChain);
+    void loadChain(const RequestId &previous, Instant now, std::function<void(TurnChain)> onChain);
 
-    /// Caches a turn that is stored already or is being stored. The oldest turns are evicted beyond the memory limit.
-    void add(const TurnRecordPtr &turn);
+    /// Caches a turn that has just ended, and is stored already or is being stored. The oldest turns are evicted beyond the memory
+    /// limit.
+    void add(const TurnRecordPtr &turn, Instant now);
 
     /// The cached turn, or nullptr.
     TurnRecordPtr find(const RequestId &id) const;
@@ -66,13 +69,20 @@
 private:
     struct ChainLoad;
 
+    struct CachedTurn {
+        TurnRecordPtr record;
+        std::optional<Instant> endedAt; ///< Not set for a turn that was loaded, since it may have ended at any time.
+    };
+
+    void insert(CachedTurn turn);
     void loadAncestors(const std::shared_ptr<ChainLoad> &load);
-    static void finish(ChainLoad &load);
+    void finish(ChainLoad &load) const;
+    std::optional<Milliseconds> timeSinceRenewal(const RequestId &turn, Instant now) const;
 
     TurnStore &m_store;
     const std::size_t m_maxBytes;
     std::size_t m_sizeBytes = 0;
-    std::unordered_map<RequestId, TurnRecordPtr> m_turns;
+    std::unordered_map<RequestId, CachedTurn> m_turns;
     std::deque<RequestId> m_evictionOrder; ///< The oldest first.
 };
 
--- a/src/serving/turnrecord.cpp
+++ b/src/serving/turnrecord.cpp
@@ -1,6 +1,7 @@
 #include "serving/turnrecord.h"
 
 #include "core/codec.h"
+#include "serving/turncache.h"
 
 namespace flamingo
 {
@@ -12,10 +13,34 @@
 
 std::string TurnRecord::encode() const
 {
-    const Json json = {{"before", ancestors}, {"in", toBinary(input)}, {"out", toBinary(output)}, {"keep", retention.count()}};
+    const Json json = {{"before", ancestors},
+                       {"in", toBinary(input)},
+                       {"out", toBinary(output)},
+                       {"keep", retention.count()},
+                       {"age", sinceRenewal.count()},
+                       {"renews", renewsConversation}};
     return toCbor(json);
 }
 
+RequestId TurnRecord::conversation() const
+{
+    return ancestors.empty() ? id : ancestors.front();
+}
+
+// A conversation is renewed well before its earlier turns would be removed, but not with each turn.
+void TurnRecord::continueFrom(const TurnChain &history, Milliseconds sinceLoaded)
+{
+    constexpr int RenewalsPerRetention = 2;
+    ancestors = history.ids;
+    if (ancestors.empty()) {
+        return;
+    }
+    const bool isAgeKnown = history.sinceRenewal.has_value();
+    const Milliseconds age = isAgeKnown ? *history.sinceRenewal + sinceLoaded : Milliseconds(0);
+    renewsConversation = !isAgeKnown || age >= history.shortestRetention / RenewalsPerRetention || retention > history.shortestRetention;
+    sinceRenewal = renewsConversation ? Milliseconds(0) : age;
+}
+
 std::optional<TurnRecord> TurnRecord::decode(const RequestId &id, const std::string &bytes)
 {
     try {
@@ -26,6 +51,9 @@
         turn.input = fromBinary(json.at("in"));
         turn.output = fromBinary(json.at("out"));
         turn.retention = Milliseconds(json.at("keep").get<std::int64_t>());
+        // Records of earlier versions lack these; their conversations are renewed by the next turn.
+        turn.sinceRenewal = Milliseconds(json.value("age", turn.retention.count()));
+        turn.renewsConversation = json.value("renews", false);
         return turn;
     } catch (const Json::exception &) {
         return std::nullopt;
--- a/tests/platform/archivetest.cpp
+++ b/tests/platform/archivetest.cpp
@@ -103,6 +103,40 @@
     CHECK(eventually([&] { return store.keys(TurnKeyPrefix).size() == Turns; }));
 }
 
+// Guards against a program that lasts longer than twice its route's retention and gets 503 for ever once its home has restarted.
+TEST_CASE("A program that lasts longer than twice the retention goes on after its instance restarts", "[platform]")
+{
+    constexpr Milliseconds ProgramTime{16000};
+    constexpr Milliseconds TurnPeriod{400};
+    ScriptedEndpoint endpoint([](ScriptedEndpoint::Connection &connection, const ReceivedRequest &request) {
+        connection.write(ScriptedEndpoint::responseHead(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
+                         + ScriptedEndpoint::chunk(ScriptedEndpoint::event(1, "out")) + "0\r\n\r\n");
+    });
+    KvStandIn store;
+    store.put(
+        "op/config",
+        testConfiguration(
+            1,
+            R"(,{"name":"r-brief","host":"h.example","prefix":"/brief/","type":"streaming","timeout-ms":3000,"slo-ms":250,"priority":0,"service":"app","max-attempts":1,"stateful":true,"retention-s":4.0})"));
+    registerEndpoint(store, "i-1", endpoint);
+    TestInstance instance(store, 1);
+    REQUIRE(instance.awaitReady());
+    std::string lines;
+    std::string history;
+    const Instant end = std::chrono::steady_clock::now() + ProgramTime;
+    for (int n = 1; std::chrono::steady_clock::now() < end; ++n) {
+        const std::string id = "t" + std::to_string(n);
+        REQUIRE(instance.send(callerRequest("/brief/a", id, lines, id + "?")).isComplete);
+        lines = "X-Previous-Turn: " + id + "\r\n";
+        history += id + "?out\n";
+        std::this_thread::sleep_for(TurnPeriod);
+    }
+    instance.killAndRestart();
+    REQUIRE(instance.awaitReady());
+    CHECK(instance.send(callerRequest("/brief/a", "last", lines, "!")).status == 200);
+    CHECK(endpoint.requests().back().body == history + "!");
+}
+
 TEST_CASE("Archives upload turns to the store in batches", "[platform]")
 {
     Fixture it;
--- a/tests/platform/persistencetest.cpp
+++ b/tests/platform/persistencetest.cpp
@@ -110,8 +110,8 @@
     store.put("budget/left", record.encode());
     store.put("turn/t1", "x");
     store.put("turn/t2", "x");
-    store.put(std::string(TurnIndex::KeyPrefix) + "dead/1", TurnIndex{IncarnationId("dead"), {RequestId("t1")}}.encode());
-    store.put(std::string(TurnIndex::KeyPrefix) + "start-2/1", TurnIndex{IncarnationId("start-2"), {RequestId("t2")}}.encode());
+    store.put(std::string(TurnIndex::KeyPrefix) + "dead/1", TurnIndex{IncarnationId("dead"), {RequestId("t1")}, {RequestId("t1")}}.encode());
+    store.put(std::string(TurnIndex::KeyPrefix) + "start-2/1", TurnIndex{IncarnationId("start-2"), {RequestId("t2")}, {RequestId("t2")}}.encode());
     collect();
     CHECK(store.keys("budget/").size() == 2);
     CHECK(collectUntil("budget/", 1));
@@ -124,7 +124,7 @@
 TEST_CASE_METHOD(Fixture, "Turns within their retention are not collected, however long the retention is", "[platform]")
 {
     store.put("turn/t1", "x");
-    store.put(std::string(TurnIndex::KeyPrefix) + "dead/1", TurnIndex{IncarnationId("dead"), {RequestId("t1")}}.encode());
+    store.put(std::string(TurnIndex::KeyPrefix) + "dead/1", TurnIndex{IncarnationId("dead"), {RequestId("t1")}, {RequestId("t1")}}.encode());
     const Instant end = std::chrono::steady_clock::now() + DeadAfter * 5;
     while (std::chrono::steady_clock::now() < end) {
         collect(DeadAfter * 10);
@@ -133,6 +133,69 @@
     CHECK(store.get("turn/t1") == "x");
 }
 
+// Guards against a conversation that loses its first turns while it goes on: each was removed after twice its own retention.
+TEST_CASE_METHOD(Fixture, "The turns of a conversation are kept as long as it goes on, and removed afterwards", "[platform]")
+{
+    constexpr Milliseconds Retention{400};
+    constexpr Milliseconds TurnPeriod{100};
+    constexpr Milliseconds ConfirmationDelay{100};
+    constexpr std::size_t Turns = 30;
+    PlatformTurnStore keeper{client, IncarnationId("start-2"), ConfirmationDelay};
+    TurnCache cache(keeper, 100000);
+    std::vector<RequestId> ids;
+    const auto takeTurn = [&](const std::string &id, bool continues) {
+        auto record = std::make_shared<TurnRecord>();
+        record->id = RequestId(id);
+        record->retention = Retention;
+        std::promise<bool> isSaved;
+        const auto save = [&](const TurnChain &history) {
+            record->continueFrom(history, Milliseconds(0));
+            keeper.save(record, [&](bool it) { isSaved.set_value(it); });
+            cache.add(record, std::chrono::steady_clock::now());
+        };
+        asio::post(loop.loop.context(), [&] {
+            keeper.removeExpired(std::chrono::steady_clock::now());
+            continues ? cache.loadChain(ids.back(), std::chrono::steady_clock::now(), save) : save({});
+        });
+        return isSaved.get_future().get();
+    };
+    REQUIRE(takeTurn("short", false));
+    for (std::size_t n = 0; n < Turns; ++n) {
+        REQUIRE(takeTurn("t" + std::to_string(n), n > 0));
+        ids.emplace_back("t" + std::to_string(n));
+        std::this_thread::sleep_for(TurnPeriod);
+    }
+    const std::vector<std::string> kept = store.keys("turn/");
+    CHECK(kept.size() == Turns);
+    CHECK(store.get("turn/short").empty());
+    CHECK(store.keys(RenewalKeyPrefix).size() == 1);
+    CHECK(eventually([&] {
+        loop.call([&] {
+            keeper.removeExpired(std::chrono::steady_clock::now());
+            return true;
+        });
+        return store.keys("turn/").empty() && store.keys(RenewalKeyPrefix).empty() && store.keys(TurnIndex::KeyPrefix).empty();
+    }));
+    loop.stop();
+}
+
+// Guards against the same loss where the writer of the first turns is gone.
+TEST_CASE_METHOD(Fixture, "Turns of a dead writer are kept as long as their conversation goes on", "[platform]")
+{
+    store.put("turn/t1", "x");
+    store.put(std::string(TurnIndex::KeyPrefix) + "dead/1", TurnIndex{IncarnationId("dead"), {RequestId("t1")}, {RequestId("t1")}}.encode());
+    const std::string renewal = std::string(RenewalKeyPrefix) + "t1";
+    const Instant end = std::chrono::steady_clock::now() + DeadAfter * 5;
+    while (std::chrono::steady_clock::now() < end) {
+        store.put(renewal, "100");
+        collect();
+        std::this_thread::sleep_for(Milliseconds(20));
+    }
+    CHECK(store.get("turn/t1") == "x");
+    CHECK(collectUntil("turn/", 0));
+    CHECK(collectUntil(RenewalKeyPrefix, 0));
+}
+
 // Handling a change takes time proportional to the number of endpoints, so handling each of many simultaneous changes alone
 // would take quadratic time.
 TEST_CASE_METHOD(Fixture, "Endpoints that register together are handled together", "[platform]")
--- a/tests/unit/servingtest.cpp
+++ b/tests/unit/servingtest.cpp
@@ -142,7 +142,7 @@
 TurnChain loadedChain(TurnCache &cache, const std::string &id)
 {
     TurnChain chain;
-    cache.loadChain(RequestId(id), [&](TurnChain it) { chain = std::move(it); });
+    cache.loadChain(RequestId(id), Start, [&](TurnChain it) { chain = std::move(it); });
     return chain;
 }
 } // namespace
@@ -703,12 +703,56 @@
     CHECK(loadedChain(fresh, "b").status == TurnLookup::Status::Unknown);
 }
 
+// Guards against conversations whose earlier turns are removed while they go on, and against renewals with each turn.
+TEST_CASE("A conversation is renewed twice in its retention, and when its age is not known", "[serving]")
+{
+    constexpr Milliseconds Retention{60000};
+    const auto continued = [&](std::optional<Milliseconds> age, Milliseconds sinceLoaded, int retentionFactor = 1) {
+        TurnRecord record;
+        record.id = RequestId("c");
+        record.retention = Retention * retentionFactor;
+        record.continueFrom({TurnLookup::Status::Found, {RequestId("a"), RequestId("b")}, {}, age, Retention}, sinceLoaded);
+        return record;
+    };
+    CHECK(continued(Milliseconds(1000), Milliseconds(500)).conversation() == RequestId("a"));
+    CHECK_FALSE(continued(Milliseconds(1000), Milliseconds(500)).renewsConversation);
+    CHECK(continued(Milliseconds(1000), Milliseconds(500)).sinceRenewal == Milliseconds(1500));
+    CHECK(continued(Milliseconds(29000), Milliseconds(1000)).renewsConversation);
+    CHECK(continued(Milliseconds(29000), Milliseconds(1000)).sinceRenewal == Milliseconds(0));
+    CHECK(continued(std::nullopt, Milliseconds(1)).renewsConversation);
+    CHECK(continued(Milliseconds(1000), Milliseconds(1), 2).renewsConversation);
+    TurnRecord first;
+    first.id = RequestId("a");
+    first.continueFrom({}, Milliseconds(100000));
+    CHECK(first.conversation() == RequestId("a"));
+    CHECK_FALSE(first.renewsConversation);
+}
+
+TEST_CASE("The age of a conversation is known only where its last turn has ended", "[serving]")
+{
+    InMemoryTurnStore store;
+    TurnCache cache(store, 100000);
+    const auto chainAt = [&](const std::string &id, Instant now) {
+        TurnChain chain;
+        cache.loadChain(RequestId(id), now, [&](TurnChain it) { chain = std::move(it); });
+        return chain;
+    };
+    store.save(turn("a", {}, "one"), [](bool) {});
+    CHECK_FALSE(chainAt("a", Start).sinceRenewal);
+    TurnRecord second = *turn("b", {RequestId("a")}, "two");
+    second.sinceRenewal = Milliseconds(2000);
+    second.retention = Milliseconds(90000);
+    cache.add(std::make_shared<const TurnRecord>(second), Start);
+    CHECK(chainAt("b", Start + Milliseconds(500)).sinceRenewal == Milliseconds(2500));
+    CHECK(chainAt("b", Start).shortestRetention == Milliseconds(60000));
+}
+
 TEST_CASE("Cached turns stay within the memory limit", "[serving]")
 {
     InMemoryTurnStore store;
     TurnCache cache(store, 5000);
     for (int n = 0; n < 100; ++n) {
-        cache.add(turn("t" + std::to_string(n), {}, std::string(200, 'x')));
+        cache.add(turn("t" + std::to_string(n), {}, std::string(200, 'x')), Start);
     }
     CHECK(cache.sizeBytes() <= 5000);
     CHECK(cache.find(RequestId("t99")) != nullptr);
