--- a/src/archive/archivedaemon.h
+++ b/src/archive/archivedaemon.h
@@ -5,8 +5,8 @@
 #include "core/metrics.h"
 #include "http/connectionset.h"
 #include "http/internalrequest.h"
-#include "persistence/platformturnstore.h"
 #include "persistence/memberregistration.h"
+#include "persistence/platformturnstore.h"
 #include "platform/bootsettingsfile.h"
 #include "platform/platformstore.h"
 
