Accept no request late in a planned stop that can't be answered in time

Cause: idle channels stayed open until 5 s after SIGTERM while any request was in progress, and what came on them was accepted though it could last longer than the process. Ruled out: new channels (refused from 2.6 s on); requests sent before, which the rule allows to be cut in the last sixth of the grace period. Change: idle connections are closed once the balancer sends callers elsewhere (2.6 s); a request that had begun to arrive is accepted only if its deadline lies before the process's end, else it gets 503 at once, not run, with Retry-After 0. The times stand in DrainSchedule, without I/O.

--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -17,13 +17,6 @@
 namespace
 {
 constexpr Milliseconds DrainCheckPeriod{50};
-/// The load balancer routes callers to this instance until two readiness checks have failed.
-constexpr Milliseconds BalancerRemovalTime{2600};
-/// Idle connections are closed once no request is in progress, at the latest this long before the end of the stop grace
-/// period.
-constexpr Milliseconds IdleCloseMargin{3000};
-/// The process exits this long before the end of the stop grace period, when the platform would kill it.
-constexpr Milliseconds KillMargin{400};
 constexpr Milliseconds HousekeepingPeriod{5000};
 constexpr Milliseconds DispatchPeriod{40};
 /// A prompt that has not been continued for this long is assumed to be evicted from the endpoint's cache.
@@ -120,6 +113,7 @@
                      m_replicatedTurnStore,
                      m_responseBuffers,
                      m_isolationDetector,
+                     m_drainSchedule,
                      m_metrics}
     , m_signals(m_loop.context(), SIGTERM, SIGINT, SIGHUP)
     , m_garbageCollector(m_store, {})
@@ -336,13 +330,13 @@
 
 bool InstanceDaemon::isReady() const
 {
-    return !m_drainingSince && m_registryWatcher.isLoaded() && !m_isolationDetector.isIsolated();
+    return !m_drainSchedule.hasBegun() && m_registryWatcher.isLoaded() && !m_isolationDetector.isIsolated();
 }
 
 // Persistent connections would keep callers at an isolated instance, so each is closed after its next response.
 void InstanceDaemon::onIsolationChanged(bool isIsolated)
 {
-    if (m_callerServer && !m_drainingSince) {
+    if (m_callerServer && !m_drainSchedule.hasBegun()) {
         m_callerServer->setClosing(isIsolated);
     }
 }
@@ -389,10 +383,11 @@
 
 void InstanceDaemon::beginDrain()
 {
-    if (m_drainingSince) {
+    if (m_drainSchedule.hasBegun()) {
         return;
     }
-    m_drainingSince = std::chrono::steady_clock::now();
+    const Instant now = std::chrono::steady_clock::now();
+    m_drainSchedule.begin(now, m_settings.stopGracePeriod);
     logChange("draining", "busy={} grace_ms={}", m_callerServer ? m_callerServer->busyCount() : 0, m_settings.stopGracePeriod.count());
     if (!m_callerServer) {
         m_loop.stop();
@@ -400,28 +395,24 @@
     }
     m_members.setDraining();
     m_peerApi.setDraining();
-    m_budgets.beginRelease(*m_drainingSince);
+    m_budgets.beginRelease(now);
     tryDeregister();
     m_callerServer->setClosing(true);
-    m_loop.timers().every(*m_drainingSince, DrainCheckPeriod, [this](Instant now) { checkDrain(now); });
+    m_loop.timers().every(now, DrainCheckPeriod, [this](Instant at) { checkDrain(at); });
 }
 
 void InstanceDaemon::checkDrain(Instant now)
 {
     tryDeregister();
-    const auto elapsed = now - *m_drainingSince;
-    if (elapsed >= m_settings.stopGracePeriod - KillMargin) {
+    if (m_drainSchedule.isOver(now)) {
         logChange("drain-timed-out", "busy={}", m_callerServer->busyCount());
         m_loop.stop();
         return;
     }
-    if (elapsed < BalancerRemovalTime) {
+    if (!m_drainSchedule.isClosingConnections(now)) {
         return;
     }
     m_callerServer->stopAccepting();
-    if (m_callerServer->busyCount() > 0 && elapsed < m_settings.stopGracePeriod - IdleCloseMargin) {
-        return;
-    }
     m_callerServer->closeIdle();
     if (m_callerServer->size() == 0) {
         m_loop.stop();
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -15,6 +15,7 @@
 #include "persistence/platformturnstore.h"
 #include "persistence/replicatedturnstore.h"
 #include "platform/bootsettingsfile.h"
+#include "serving/drainschedule.h"
 #include "serving/provisionalgrantpolicy.h"
 
 #include <memory>
@@ -82,6 +83,7 @@
     PeerApi m_peerApi;
     IsolationDetector m_isolationDetector;
     BufferQuota m_responseBuffers;
+    DrainSchedule m_drainSchedule;
     ProxyContext m_proxyContext;
     asio::signal_set m_signals;
     std::unique_ptr<ConnectionSet> m_callerServer;
@@ -89,7 +91,6 @@
     std::unique_ptr<ConnectionSet> m_peerServer;
     std::unique_ptr<ConnectionSet> m_metricsServer;
     GarbageCollector m_garbageCollector;
-    std::optional<Instant> m_drainingSince;
     bool m_isRegistering = true; ///< Until the store has accepted this instance's entry in the member list.
     bool m_isDeregistrationRequested = false; ///< The store has been asked to remove the entry.
 };
--- a/src/instance/proxiedrequest.cpp
+++ b/src/instance/proxiedrequest.cpp
@@ -26,6 +26,8 @@
 constexpr Milliseconds ResponseMargin{15};
 constexpr Milliseconds DefaultRetryAfter{300};
 constexpr Milliseconds StoreRetryAfter{500};
+/// The load balancer routes new connections to other instances by then.
+constexpr Milliseconds StoppingRetryAfter{0};
 /// The load balancer routes callers to other instances after two failed readiness checks, one second apart.
 constexpr Milliseconds IsolatedRetryAfter{2000};
 /// A repeatable request is sent to another endpoint after this many latency objectives without a byte of the response.
@@ -79,6 +81,10 @@
     Milliseconds timeout = m_route.timeout.count() > 0 ? m_route.timeout : Milliseconds(60000);
     timeout = std::min(timeout, m_metadata.timeLeft.value_or(timeout));
     m_deadline = m_request.arrivedAt + timeout;
+    if (!m_context.drainSchedule.mayAccept(std::chrono::steady_clock::now(), m_deadline)) {
+        refuse(503, "stopping", StoppingRetryAfter);
+        return;
+    }
     m_deadlineTimer = m_context.timers.at(m_deadline - ResponseMargin, [self = weak_from_this()](Instant) {
         if (const auto it = self.lock()) {
             it->m_deadlineTimer = 0;
--- a/src/instance/proxiedrequest.h
+++ b/src/instance/proxiedrequest.h
@@ -11,6 +11,7 @@
 #include "instance/homeservice.h"
 #include "instance/isolationdetector.h"
 #include "platform/headercodec.h"
+#include "serving/drainschedule.h"
 #include "serving/routetable.h"
 #include "serving/turncache.h"
 
@@ -33,6 +34,7 @@
     TurnStore &turnStore;
     BufferQuota &responseBuffers;
     const IsolationDetector &isolationDetector;
+    const DrainSchedule &drainSchedule;
     Metrics &metrics;
 };
 
--- a/tests/platform/stopunderloadtest.cpp
+++ b/tests/platform/stopunderloadtest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <thread>
@@ -60,3 +61,89 @@
     CHECK(counts.answered > CallerCount);
     CHECK(counts.cutOff == 0);
 }
+
+namespace
+{
+constexpr int LongTimeoutMs = 5000;
+
+/// An instance with an endpoint that takes as long as the request's body says, in milliseconds.
+struct StoppedInstance {
+    StoppedInstance()
+        : endpoint([](ScriptedEndpoint::Connection &connection, const ReceivedRequest &request) {
+            connection.writeLater(Milliseconds(std::stoi(request.body)), ScriptedEndpoint::response(request, "ok"));
+        })
+    {
+        store.put(
+            "op/config",
+            testConfiguration(
+                1,
+                R"(,{"name":"r-long","host":"h.example","prefix":"/long/","type":"non_idempotent","timeout-ms":5000,"slo-ms":250,"priority":0,"service":"app","max-attempts":1})"));
+        registerEndpoint(store, "i-1", endpoint);
+        instance = std::make_unique<TestInstance>(store, 1);
+        REQUIRE(instance->awaitReady());
+    }
+
+    /// A request that takes this long, and that its caller waits for at most the given time for.
+    static std::string request(const std::string &id, int workMs, int timeoutMs = LongTimeoutMs)
+    {
+        const std::string body = std::to_string(workMs);
+        return fmt::format("POST /long/a HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {}\r\nX-Deadline-Ms: {}\r\nContent-Length: {}\r\n\r\n{}",
+                           id,
+                           timeoutMs,
+                           body.size(),
+                           body);
+    }
+
+    bool hasRun(const std::string &id) const
+    {
+        const auto requests = endpoint.requests();
+        return std::any_of(requests.begin(), requests.end(), [&](const auto &it) { return it.head.fields.value("X-Attempt-Id") == id; });
+    }
+
+    ScriptedEndpoint endpoint;
+    KvStandIn store;
+    std::unique_ptr<TestInstance> instance;
+};
+} // namespace
+
+// Guards against a request that is accepted on a kept connection late in a planned stop, and cut off at its end.
+TEST_CASE_METHOD(StoppedInstance, "Late in a planned stop no request is accepted on a kept connection that can't be answered in time", "[platform][stop]")
+{
+    CallerConnection kept = instance->connect();
+    kept.send(request("early", 1));
+    REQUIRE(kept.read().status == 200);
+    CallerConnection busy = instance->connect();
+    busy.send(request("busy", 4500));
+    REQUIRE(eventually([&] { return hasRun("busy"); }));
+    instance->process().sendSignal(SIGTERM);
+    std::this_thread::sleep_for(Milliseconds(3700));
+    kept.send(request("late", 4600));
+    const CallerResponse late = kept.read(Milliseconds(LongTimeoutMs));
+    CHECK((late.isComplete || !hasRun("late")));
+    CHECK(busy.read().status == 200);
+    CHECK(instance->process().terminate(GraceSeconds) == 0);
+}
+
+TEST_CASE_METHOD(StoppedInstance,
+                 "A request that has begun to arrive before connections close is served if there is time, and refused at once otherwise",
+                 "[platform][stop]")
+{
+    CallerConnection brief = instance->connect();
+    CallerConnection tooLong = instance->connect();
+    const std::string briefRequest = request("brief", 300, 2000);
+    const std::string longRequest = request("long", 4600);
+    instance->process().sendSignal(SIGTERM);
+    std::this_thread::sleep_for(Milliseconds(1500));
+    brief.send(briefRequest.substr(0, 40));
+    tooLong.send(longRequest.substr(0, 40));
+    std::this_thread::sleep_for(Milliseconds(2000));
+    brief.send(briefRequest.substr(40));
+    tooLong.send(longRequest.substr(40));
+    const CallerResponse refused = tooLong.read(Milliseconds(500));
+    CHECK(refused.status == 503);
+    CHECK(refused.fields.find("Retry-After") != nullptr);
+    CHECK(refused.fields.value("Connection") == "close");
+    CHECK(brief.read().status == 200);
+    CHECK_FALSE(hasRun("long"));
+    CHECK(instance->process().terminate(GraceSeconds) == 0);
+}
--- a/tests/platform/testinstance.cpp
+++ b/tests/platform/testinstance.cpp
@@ -61,6 +61,72 @@
 }
 } // namespace
 
+struct CallerConnection::Private {
+    asio::io_context context;
+    asio::ip::tcp::socket socket{context};
+    MessageParser parser{MessageParser::Kind::Responses};
+    std::array<char, 8192> buf{};
+    bool wasConnected = false;
+
+    void read(CallerResponse &response)
+    {
+        socket.async_read_some(asio::buffer(buf), [this, &response](const asio::error_code &ec, std::size_t n) {
+            if (!ec && onBytes(response, {buf.data(), n})) {
+                read(response);
+            }
+        });
+    }
+
+    /// Returns whether more bytes are expected.
+    bool onBytes(CallerResponse &response, std::string_view rest)
+    {
+        while (!rest.empty()) {
+            const auto event = parser.feed(rest);
+            if (event == MessageParser::Event::Head) {
+                response.status = parser.head().status;
+                response.fields = parser.head().fields;
+            } else if (event == MessageParser::Event::Body) {
+                response.body += parser.body();
+            } else if (event != MessageParser::Event::NeedsMore) {
+                response.isComplete = event == MessageParser::Event::Complete;
+                return false;
+            }
+        }
+        return true;
+    }
+};
+
+CallerConnection::CallerConnection(const std::string &ip)
+    : m_private(std::make_unique<Private>())
+{
+    m_private->socket = connectTo(m_private->context, ip, CallersPort);
+    asio::error_code ec;
+    m_private->socket.remote_endpoint(ec);
+    m_private->wasConnected = !ec;
+}
+
+CallerConnection::~CallerConnection() = default;
+
+bool CallerConnection::send(const std::string &bytes)
+{
+    asio::error_code ec;
+    asio::write(m_private->socket, asio::buffer(bytes), ec);
+    return !ec;
+}
+
+CallerResponse CallerConnection::read(Milliseconds limit)
+{
+    CallerResponse response;
+    response.wasConnected = m_private->wasConnected;
+    m_private->read(response);
+    m_private->context.restart();
+    m_private->context.run_for(limit);
+    m_private->socket.cancel();
+    m_private->context.restart();
+    m_private->context.poll();
+    return response;
+}
+
 TestInstance::TestInstance(const KvStandIn &store, int number, int toleratedMachines)
     : TestInstance(store.address(), number, toleratedMachines)
 {
@@ -145,41 +211,14 @@
 
 CallerResponse TestInstance::send(const std::string &bytes, Milliseconds limit) const
 {
-    asio::io_context context;
-    auto socket = connectTo(context, m_ip, CallersPort);
-    asio::error_code ignored;
-    CallerResponse response;
-    socket.remote_endpoint(ignored);
-    response.wasConnected = !ignored;
-    asio::write(socket, asio::buffer(bytes), ignored);
-    MessageParser parser(MessageParser::Kind::Responses);
-    std::array<char, 8192> buf{};
-    bool isOver = false;
-    std::function<void()> read = [&] {
-        socket.async_read_some(asio::buffer(buf), [&](const asio::error_code &ec, std::size_t n) {
-            std::string_view rest(buf.data(), n);
-            while (!ec && !rest.empty() && !isOver) {
-                const auto event = parser.feed(rest);
-                if (event == MessageParser::Event::Head) {
-                    response.status = parser.head().status;
-                    response.fields = parser.head().fields;
-                } else if (event == MessageParser::Event::Body) {
-                    response.body += parser.body();
-                } else if (event == MessageParser::Event::Complete) {
-                    response.isComplete = true;
-                    isOver = true;
-                } else if (event == MessageParser::Event::Error) {
-                    isOver = true;
-                }
-            }
-            if (!ec && !isOver) {
-                read();
-            }
-        });
-    };
-    read();
-    context.run_for(limit);
-    return response;
+    CallerConnection connection = connect();
+    connection.send(bytes);
+    return connection.read(limit);
+}
+
+CallerConnection TestInstance::connect() const
+{
+    return CallerConnection(m_ip);
 }
 
 void TestInstance::sendAndDisconnect(const std::string &bytes, Milliseconds after) const
--- a/tests/platform/testinstance.h
+++ b/tests/platform/testinstance.h
@@ -20,6 +20,24 @@
     bool isComplete = false; ///< The body ended as its framing announced.
 };
 
+/// A caller's connection to an instance, on which it sends one request after the other.
+class CallerConnection
+{
+public:
+    explicit CallerConnection(const std::string &ip);
+    ~CallerConnection();
+
+    /// Sends raw bytes. Returns false if the connection is closed.
+    bool send(const std::string &bytes);
+
+    /// Reads one response, for at most the given time.
+    CallerResponse read(Milliseconds limit = Milliseconds(5000));
+
+private:
+    struct Private;
+    std::unique_ptr<Private> m_private;
+};
+
 /// A running flamingo-instance with settings as the platform provides them, on its own loopback address.
 class TestInstance
 {
@@ -40,6 +58,9 @@
     /// Sends raw bytes and reads one response, for at most the given time.
     CallerResponse send(const std::string &bytes, Milliseconds limit = Milliseconds(5000)) const;
 
+    /// Opens a connection that is kept.
+    CallerConnection connect() const;
+
     /// Sends raw bytes, waits and disconnects without reading.
     void sendAndDisconnect(const std::string &bytes, Milliseconds after) const;
 
--- a/tests/unit/servingtest.cpp
+++ b/tests/unit/servingtest.cpp
@@ -1,6 +1,7 @@
 #include "http/eventsplitter.h"
 #include "serving/budgetledger.h"
 #include "serving/cleanshutdownmarker.h"
+#include "serving/drainschedule.h"
 #include "serving/endpointdirectory.h"
 #include "serving/memberdirectory.h"
 #include "serving/provisionalgrantpolicy.h"
@@ -747,6 +748,23 @@
     CHECK(chainAt("b", Start).shortestRetention == Milliseconds(60000));
 }
 
+TEST_CASE("A planned stop closes connections once callers go elsewhere, and then accepts only what ends in time", "[serving]")
+{
+    constexpr Milliseconds Grace{8000};
+    const auto after = [](int ms) { return Start + Milliseconds(ms); };
+    DrainSchedule schedule;
+    CHECK(schedule.mayAccept(Start, after(100000)));
+    CHECK_FALSE(schedule.isOver(after(100000)));
+    schedule.begin(Start, Grace);
+    CHECK_FALSE(schedule.isClosingConnections(after(2000)));
+    CHECK(schedule.mayAccept(after(2000), after(20000)));
+    CHECK(schedule.isClosingConnections(after(2600)));
+    CHECK(schedule.mayAccept(after(3700), after(7500)));
+    CHECK_FALSE(schedule.mayAccept(after(3700), after(8700)));
+    CHECK_FALSE(schedule.isOver(after(7500)));
+    CHECK(schedule.isOver(after(7600)));
+}
+
 TEST_CASE("Cached turns stay within the memory limit", "[serving]")
 {
     InMemoryTurnStore store;
