Wait for a slow caller to read a large response before closing its connection

Cause: the linger time of a closing connection began with the last byte queued, not sent. Change: it begins when all is sent; before, the connection lives as long as the caller reads something every 5 s. Bytes are written as the socket takes them, so that progress is seen. Evidence: the new [slow] case fails with the code before (6,168,468 of 7,340,032 bytes), passes now; [slow], [stop], [endless] and [broken] pass.

--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -13,9 +13,11 @@
 {
 /// Maximum number of pipelined bytes buffered while a request is being answered. Reading pauses at this limit.
 constexpr std::size_t MaxUnparsedBytes = 65536;
-/// How long a closing connection waits for the caller to close it, since closing a socket with unread bytes resets the
-/// connection.
+/// How long a closing connection waits for the caller to close it once everything is sent, since closing a socket with unread
+/// bytes resets the connection.
 constexpr Milliseconds LingerTimeout{1000};
+/// How long a closing connection waits for a caller that reads nothing of what is left to send.
+constexpr Milliseconds UnreadTimeout{5000};
 /// A caller that acknowledges no bytes for this long has disconnected or is unreachable.
 constexpr unsigned UserTimeoutMs = 10000;
 /// Delay after a failed accept, for instance when no file descriptors are left.
@@ -274,8 +276,8 @@
         return;
     }
     m_isWriting = true;
-    asio::async_write(
-        m_socket, asio::buffer(m_writes.front()), [self = shared_from_this()](const asio::error_code &ec, std::size_t n) { self->onWritten(ec, n); });
+    m_socket.async_write_some(asio::buffer(m_writes.front()) + m_writtenBytes,
+                              [self = shared_from_this()](const asio::error_code &ec, std::size_t n) { self->onWritten(ec, n); });
 }
 
 void ServerConnection::onWritten(const asio::error_code &ec, std::size_t n)
@@ -286,10 +288,13 @@
         handleDisconnect();
         return;
     }
-    m_writes.pop_front();
-    if (m_writes.empty() && m_stage == Stage::Closing) {
-        asio::error_code ignored;
-        m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    m_writtenBytes += n;
+    if (m_writtenBytes == m_writes.front().size()) {
+        m_writes.pop_front();
+        m_writtenBytes = 0;
+    }
+    if (m_stage == Stage::Closing) {
+        awaitCallersClose();
     }
     flush();
 }
@@ -298,14 +303,22 @@
 {
     m_stage = Stage::Closing;
     m_unparsed.clear();
-    armTimer(LingerTimeout);
-    if (m_writes.empty() && !m_isWriting) {
-        asio::error_code ignored;
-        m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    }
+    awaitCallersClose();
     read();
 }
 
+// A slow caller may take long to read a large response, so the time counts from its last progress.
+void ServerConnection::awaitCallersClose()
+{
+    if (!m_writes.empty()) {
+        armTimer(UnreadTimeout);
+        return;
+    }
+    asio::error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    armTimer(LingerTimeout);
+}
+
 void ServerConnection::close()
 {
     if (m_stage == Stage::Closed) {
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -97,6 +97,7 @@
     void flush();
     void onWritten(const asio::error_code &ec, std::size_t n);
     void beginLingeringClose();
+    void awaitCallersClose();
     void close();
     void handleDisconnect();
     void armTimer(Milliseconds after);
@@ -112,6 +113,7 @@
     std::string m_unparsed;
     std::array<char, 8192> m_readBuffer;
     std::deque<std::string> m_writes;
+    std::size_t m_writtenBytes = 0; ///< Of the first of m_writes.
     std::size_t m_unsentBytes = 0;
     std::function<void()> m_onDisconnect;
     Stage m_stage = Stage::Reading;
--- a/tests/platform/slowstreamtest.cpp
+++ b/tests/platform/slowstreamtest.cpp
@@ -71,3 +71,24 @@
         CHECK(eventually([&] { return it.endpoint.connectionsClosedByCaller() > closedBefore; }, Milliseconds(500)));
     }
 }
+
+// Guards against a large response that is cut a second after its last byte was queued, when its connection closes after it.
+TEST_CASE("A caller that reads a large response slowly gets all of it before its connection is closed", "[platform][slow]")
+{
+    constexpr std::size_t ResponseBytes = std::size_t(7) * 1024 * 1024;
+    constexpr Milliseconds ReadPause{3};
+    ScriptedEndpoint endpoint([](ScriptedEndpoint::Connection &connection, const ReceivedRequest &request) {
+        connection.write(ScriptedEndpoint::response(request, std::string(ResponseBytes, 'x')));
+    });
+    KvStandIn store;
+    store.put("op/config", testConfiguration(1));
+    registerEndpoint(store, "i-1", endpoint);
+    TestInstance instance(store, 1);
+    REQUIRE(instance.awaitReady());
+    CallerConnection slow = instance.connect(ReadPause);
+    slow.send(callerRequest("/book/a", "s1", "Connection: close\r\n"));
+    const CallerResponse response = slow.read(Milliseconds(20000));
+    CHECK(response.status == 200);
+    CHECK(response.isComplete);
+    CHECK(response.body.size() == ResponseBytes);
+}
--- a/tests/platform/testinstance.cpp
+++ b/tests/platform/testinstance.cpp
@@ -18,6 +18,7 @@
 constexpr int CallersPort = 18149;
 constexpr int ReadyPort = 18141;
 constexpr int MetricsPort = 9464;
+constexpr int SlowReceiveBuffer = 16384;
 
 std::string settingsText(const std::string &ip, int number, const SocketAddress &store, int toleratedMachines, const std::string &domain)
 {
@@ -52,10 +53,14 @@
                        domain);
 }
 
-asio::ip::tcp::socket connectTo(asio::io_context &context, const std::string &ip, int port)
+/// A receive buffer of 0 bytes stands for the system's default.
+asio::ip::tcp::socket connectTo(asio::io_context &context, const std::string &ip, int port, int receiveBuffer = 0)
 {
-    asio::ip::tcp::socket socket(context);
+    asio::ip::tcp::socket socket(context, asio::ip::tcp::v4());
     asio::error_code ec;
+    if (receiveBuffer > 0) {
+        socket.set_option(asio::socket_base::receive_buffer_size(receiveBuffer), ec);
+    }
     socket.connect({asio::ip::make_address(ip), static_cast<std::uint16_t>(port)}, ec);
     return socket;
 }
@@ -67,10 +72,12 @@
     MessageParser parser{MessageParser::Kind::Responses};
     std::array<char, 8192> buf{};
     bool wasConnected = false;
+    Milliseconds readPause{0};
 
     void read(CallerResponse &response)
     {
         socket.async_read_some(asio::buffer(buf), [this, &response](const asio::error_code &ec, std::size_t n) {
+            std::this_thread::sleep_for(readPause);
             if (!ec && onBytes(response, {buf.data(), n})) {
                 read(response);
             }
@@ -96,10 +103,11 @@
     }
 };
 
-CallerConnection::CallerConnection(const std::string &ip)
+CallerConnection::CallerConnection(const std::string &ip, Milliseconds readPause)
     : m_private(std::make_unique<Private>())
 {
-    m_private->socket = connectTo(m_private->context, ip, CallersPort);
+    m_private->readPause = readPause;
+    m_private->socket = connectTo(m_private->context, ip, CallersPort, readPause.count() > 0 ? SlowReceiveBuffer : 0);
     asio::error_code ec;
     m_private->socket.remote_endpoint(ec);
     m_private->wasConnected = !ec;
@@ -216,9 +224,9 @@
     return connection.read(limit);
 }
 
-CallerConnection TestInstance::connect() const
+CallerConnection TestInstance::connect(Milliseconds readPause) const
 {
-    return CallerConnection(m_ip);
+    return CallerConnection(m_ip, readPause);
 }
 
 void TestInstance::sendAndDisconnect(const std::string &bytes, Milliseconds after) const
--- a/tests/platform/testinstance.h
+++ b/tests/platform/testinstance.h
@@ -24,7 +24,8 @@
 class CallerConnection
 {
 public:
-    explicit CallerConnection(const std::string &ip);
+    /// With a pause the caller reads slowly: a few kilobytes at a time, from a small receive buffer.
+    explicit CallerConnection(const std::string &ip, Milliseconds readPause = Milliseconds(0));
     ~CallerConnection();
 
     /// Sends raw bytes. Returns false if the connection is closed.
@@ -59,7 +60,7 @@
     CallerResponse send(const std::string &bytes, Milliseconds limit = Milliseconds(5000)) const;
 
     /// Opens a connection that is kept.
-    CallerConnection connect() const;
+    CallerConnection connect(Milliseconds readPause = Milliseconds(0)) const;
 
     /// Sends raw bytes, waits and disconnects without reading.
     void sendAndDisconnect(const std::string &bytes, Milliseconds after) const;
