Write turns that are longer than a value of the store in parts

Cause: archives keep turns of up to 4 MB but wrote each as one value; the store takes value-bytes (1 MiB), which wasn't read. The refusal came again each second, and the turn stayed on the first two disks. Ruled out: the forgetting of replicas (the second disk kept its copy until it was lost). Change: longer records are written in parts and then the turn's own key, within the store's limits; a part that can't be read gives "unknown", never "absent". 400, 403, 413 and 431 are answers of a working store: they neither pause calls nor count as failures. Turns that are rejected together are tried singly, and one that is rejected alone is set aside for a minute; the oldest turns are uploaded first (UploadQueue). Evidence: "A turn longer than a value ..." fails with the code before (3 of 12 assertions); it, "A turn in parts ...", and the unit cases of [archive] (11 assertions) pass now. Related paths: an instance without two archives cut such a caller's stream off; it writes the parts as well.

--- a/src/archive/archivedaemon.cpp
+++ b/src/archive/archivedaemon.cpp
@@ -5,7 +5,9 @@
 #include "platform/recordcodec.h"
 #include "serving/livenesstracker.h"
 
+#include <algorithm>
 #include <csignal>
+#include <iterator>
 
 namespace flamingo
 {
@@ -35,7 +37,7 @@
     , m_store(m_loop.context(), m_settings.storeAddress, m_metrics)
     , m_registration(m_store, m_settings.instance)
     , m_incarnation(newIncarnationId(m_settings.instance))
-    , m_turnStore(m_store, m_incarnation)
+    , m_turnStore(m_store, m_incarnation, m_settings.storeValueBytes)
     , m_peerConnections(m_loop.context(), {MaxIdleConnectionsPerPeer, PeerAckTimeout})
     , m_signals(m_loop.context(), SIGTERM, SIGINT, SIGHUP)
 {
@@ -49,7 +51,7 @@
     if (!m_settings.dataFolder.empty()) {
         m_turnLog = std::make_unique<TurnLog>(m_settings.dataFolder);
         for (const RequestId &id : m_turnLog->turnIds()) {
-            m_receivedAt[id] = now - BackupUploadDelay;
+            m_uploads.add(id, now, now);
         }
         listen();
         registerMember();
@@ -140,7 +142,8 @@
         connection->respond(StatusUnavailable, {}, {});
         return;
     }
-    m_receivedAt.emplace(turn->id, std::chrono::steady_clock::now());
+    const Instant now = std::chrono::steady_clock::now();
+    m_uploads.add(turn->id, now, turn->isPrimary ? now : now + BackupUploadDelay);
     m_metrics.add("flamingo_archive_turns_total");
     // Turns that arrive together share one sync.
     if (m_awaitingSync.empty()) {
@@ -176,6 +179,7 @@
 
 void ArchiveDaemon::onMetricsRequest(const ServerConnectionPtr &connection)
 {
+    m_metrics.setGauge("flamingo_archive_turns_set_aside", {}, static_cast<double>(m_uploads.setAsideCount()));
     m_metrics.setGauge("flamingo_archive_turns", {}, static_cast<double>(m_turnLog->size()));
     connection->respond(StatusOk, {}, m_metrics.render());
 }
@@ -183,7 +187,7 @@
 void ArchiveDaemon::removeTurn(const RequestId &id)
 {
     m_turnLog->remove(id);
-    m_receivedAt.erase(id);
+    m_uploads.remove(id);
 }
 
 void ArchiveDaemon::uploadTurns(Instant now)
@@ -191,13 +195,11 @@
     if (m_isUploading || !m_turnLog) {
         return;
     }
-    TurnBatch batch;
-    bool isFull = false;
-    for (const auto &[id, receivedAt] : m_receivedAt) {
+    TurnBatch batch = m_turnStore.emptyBatch();
+    const std::vector<RequestId> waiting = m_uploads.nextTurns(now, m_isDraining);
+    for (const RequestId &id : waiting) {
         const ArchiveKeepRequest *turn = m_turnLog->find(id);
-        const bool isDue = turn && (turn->isPrimary || m_isDraining || now - receivedAt >= BackupUploadDelay);
-        if (isDue && !batch.tryAdd(id, turn->record)) {
-            isFull = true;
+        if (turn && !batch.tryAdd(id, turn->record)) {
             break;
         }
     }
@@ -205,18 +207,33 @@
         return;
     }
     m_isUploading = true;
-    m_turnStore.saveBatch(batch, [this, turns = batch.turns(), isFull](bool isSaved) {
+    // Turns that don't wait for the next period: there are more than fit into a batch, or the archive has to get empty.
+    const bool hasMore = m_isDraining || batch.turns().size() < waiting.size();
+    m_turnStore.saveBatch(batch, [this, turns = batch.turns(), hasMore](PlatformTurnStore::SaveResult result) {
         m_isUploading = false;
-        if (!isSaved) {
-            return;
-        }
-        onTurnsUploaded(turns);
-        if (isFull || m_isDraining) {
+        onUploadEnded(turns, result);
+        if (hasMore && result != PlatformTurnStore::SaveResult::Failed) {
             uploadTurns(std::chrono::steady_clock::now());
         }
     });
 }
 
+void ArchiveDaemon::onUploadEnded(const std::vector<BatchedTurn> &turns, PlatformTurnStore::SaveResult result)
+{
+    if (result == PlatformTurnStore::SaveResult::Failed) {
+        return;
+    }
+    if (result == PlatformTurnStore::SaveResult::Saved) {
+        onTurnsUploaded(turns);
+    } else {
+        std::vector<RequestId> ids;
+        std::transform(turns.begin(), turns.end(), std::back_inserter(ids), [](const BatchedTurn &it) { return it.id; });
+        m_uploads.onRejected(ids, std::chrono::steady_clock::now());
+        logChange(ids.size() == 1 ? "turn-set-aside" : "turns-rejected-together", "turn={} turns={}", ids.front().value(), ids.size());
+        m_metrics.add("flamingo_archive_rejections_total");
+    }
+}
+
 void ArchiveDaemon::onTurnsUploaded(const std::vector<BatchedTurn> &turns)
 {
     std::map<std::string, ArchiveForgetRequest> forgetMessages;
--- a/src/archive/archivedaemon.h
+++ b/src/archive/archivedaemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "archive/turnlog.h"
+#include "archive/uploadqueue.h"
 #include "core/eventloop.h"
 #include "core/metrics.h"
 #include "http/connectionset.h"
@@ -41,6 +42,7 @@
     void syncAndRespond();
 
     void uploadTurns(Instant now);
+    void onUploadEnded(const std::vector<BatchedTurn> &turns, PlatformTurnStore::SaveResult result);
     void onTurnsUploaded(const std::vector<BatchedTurn> &turns);
     void removeTurn(const RequestId &id);
 
@@ -66,7 +68,7 @@
     std::unique_ptr<TurnLog> m_turnLog;
     std::unique_ptr<ConnectionSet> m_turnServer;
     std::unique_ptr<ConnectionSet> m_metricsServer;
-    std::unordered_map<RequestId, Instant> m_receivedAt;
+    UploadQueue m_uploads;
     std::vector<ServerConnectionPtr> m_awaitingSync; ///< Get their response after the next sync.
     bool m_isUploading = false;
     bool m_isDraining = false;
--- a/src/persistence/platformbudgetstore.cpp
+++ b/src/persistence/platformbudgetstore.cpp
@@ -12,7 +12,7 @@
 {
     SwapResult swap;
     if (!result) {
-        const bool isRefused = result.error().kind == platform::StoreFailure::Kind::Refused;
+        const bool isRefused = result.error().kind != platform::StoreFailure::Kind::Unknown;
         swap.status = isRefused ? SwapResult::Status::Refused : SwapResult::Status::Unknown;
         return swap;
     }
--- a/src/persistence/platformturnstore.cpp
+++ b/src/persistence/platformturnstore.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "persistence/keyremoval.h"
+#include "persistence/splitrecord.h"
 #include "serving/archivemessages.h"
 
 #include <fmt/format.h>
@@ -20,84 +21,97 @@
 constexpr int RetentionFactor = 2;
 } // namespace
 
-PlatformTurnStore::PlatformTurnStore(platform::PlatformStore &store, IncarnationId writer, Milliseconds confirmationDelay)
+PlatformTurnStore::PlatformTurnStore(platform::PlatformStore &store, IncarnationId writer, std::size_t maxValueBytes, Milliseconds confirmationDelay)
     : m_store(store)
     , m_writer(std::move(writer))
+    , m_maxValueBytes(maxValueBytes)
     , m_confirmationDelay(confirmationDelay)
 {
 }
 
-// The index is the last of the writes.
-platform::StoreTransaction PlatformTurnStore::transactionFor(const TurnBatch &batch)
+TurnBatch PlatformTurnStore::emptyBatch() const
 {
-    platform::StoreTransaction transaction;
-    transaction.writes = batch.writes();
-    TurnIndex index{m_writer, {}, {}};
+    return TurnBatch(m_maxValueBytes);
+}
+
+std::shared_ptr<PlatformTurnStore::PendingSave> PlatformTurnStore::makeSave(const TurnBatch &batch, std::function<void(SaveResult)> onSaved)
+{
+    TurnIndex index;
+    index.writer = m_writer;
     for (const BatchedTurn &turn : batch.turns()) {
         index.turns.push_back(turn.id);
         index.conversations.push_back(turn.conversation);
+        index.parts.push_back(turn.parts);
     }
-    transaction.writes.push_back({fmt::format("{}{}/{}", TurnIndex::KeyPrefix, m_writer.value(), ++m_lastIndexNumber), index.encode()});
-    return transaction;
+    const std::string key = fmt::format("{}{}/{}", TurnIndex::KeyPrefix, m_writer.value(), ++m_lastIndexNumber);
+    return std::make_shared<PendingSave>(PendingSave{batch, batch.transactions({key, index.encode()}), 0, std::move(onSaved)});
 }
 
 void PlatformTurnStore::save(const TurnRecordPtr &turn, std::function<void(bool)> onSaved)
 {
-    auto saving = std::make_shared<PendingSave>();
-    saving->batch.tryAdd(turn->id, turn->encode());
-    saving->transaction = transactionFor(saving->batch);
-    saving->transaction.preconditions.push_back({TurnKeyPrefix + turn->id.value(), 0});
-    saving->onSaved = std::move(onSaved);
-    trySave(saving);
+    TurnBatch batch = emptyBatch();
+    batch.tryAdd(turn->id, turn->encode());
+    const auto saving = makeSave(batch, [onSaved = std::move(onSaved)](SaveResult result) { onSaved(result == SaveResult::Saved); });
+    // The turn's own key is in the last transaction. A conflict means that an earlier attempt, whose response was lost, has written it.
+    saving->transactions.back().preconditions.push_back({TurnKeyPrefix + turn->id.value(), 0});
+    saving->maxAttempts = MaxSaveAttempts;
+    commitNext(saving);
+}
+
+// Turns are immutable, so writing one again does no harm and needs no condition.
+void PlatformTurnStore::saveBatch(const TurnBatch &batch, std::function<void(SaveResult)> onSaved)
+{
+    commitNext(makeSave(batch, std::move(onSaved)));
 }
 
-void PlatformTurnStore::trySave(const std::shared_ptr<PendingSave> &saving)
+void PlatformTurnStore::commitNext(const std::shared_ptr<PendingSave> &saving)
 {
     ++saving->attempts;
-    m_store.commit(saving->transaction, [this, saving](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
-        const bool isAnswered = result.has_value();
-        // A conflict means that an earlier attempt, whose response was lost, has written the same turn.
-        if (isAnswered) {
-            scheduleExpiry(saving->batch, saving->transaction.writes.back().key);
-            saving->onSaved(true);
+    const platform::StoreTransaction &transaction = saving->transactions[saving->committed];
+    m_store.commit(transaction, [this, saving](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
+        if (!result) {
+            onCommitFailed(saving, result.error());
             return;
         }
-        const bool mayRetry = result.error().kind == platform::StoreFailure::Kind::Unknown && saving->attempts < MaxSaveAttempts;
-        if (mayRetry) {
-            trySave(saving);
+        saving->attempts = 0;
+        if (++saving->committed < saving->transactions.size()) {
+            commitNext(saving);
             return;
         }
-        logChange("turn-not-kept", "turn={} attempts={} reason=\"{}\"", saving->batch.turns().front().id.value(), saving->attempts, result.error().detail);
-        saving->onSaved(false);
+        scheduleExpiry(saving->batch, saving->transactions.front().writes.front().key);
+        saving->onSaved(SaveResult::Saved);
     });
 }
 
-// Turns are immutable, so writing one again does no harm and needs no condition.
-void PlatformTurnStore::saveBatch(const TurnBatch &batch, std::function<void(bool)> onSaved)
+void PlatformTurnStore::onCommitFailed(const std::shared_ptr<PendingSave> &saving, const platform::StoreFailure &failure)
 {
-    const platform::StoreTransaction transaction = transactionFor(batch);
-    m_store.commit(transaction,
-                   [this, batch, indexKey = transaction.writes.back().key, onSaved = std::move(onSaved)](
-                       const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
-                       const bool isDurable = result && result->isCommitted;
-                       if (isDurable) {
-                           scheduleExpiry(batch, indexKey);
-                       } else {
-                           logChange("turns-not-kept", "turns={} reason=\"{}\"", batch.turns().size(), result ? "conflict" : result.error().detail);
-                       }
-                       onSaved(isDurable);
-                   });
+    const bool mayRetry = failure.kind == platform::StoreFailure::Kind::Unknown && saving->attempts < saving->maxAttempts;
+    if (mayRetry) {
+        commitNext(saving);
+        return;
+    }
+    logChange("turns-not-kept",
+              "turn={} turns={} attempts={} reason=\"{}\"",
+              saving->batch.turns().front().id.value(),
+              saving->batch.turns().size(),
+              saving->attempts,
+              failure.detail);
+    saving->onSaved(failure.kind == platform::StoreFailure::Kind::Rejected ? SaveResult::Rejected : SaveResult::Failed);
 }
 
 void PlatformTurnStore::load(const RequestId &id, std::function<void(TurnLookup)> onLoaded)
 {
-    m_store.read(TurnKeyPrefix + id.value(), [id, onLoaded = std::move(onLoaded)](const tl::expected<platform::StoreItem, platform::StoreFailure> &item) {
+    m_store.read(TurnKeyPrefix + id.value(), [this, id, onLoaded = std::move(onLoaded)](const tl::expected<platform::StoreItem, platform::StoreFailure> &item) {
         TurnLookup lookup;
         if (!item) {
             logChange("turn-lookup-failed", "turn={} reason=\"{}\"", id.value(), item.error().detail);
             onLoaded(lookup);
             return;
         }
+        if (const auto head = SplitRecordHead::decode(item->data)) {
+            loadNextPart(std::make_shared<PendingLoad>(PendingLoad{id, onLoaded, {}, head->parts}));
+            return;
+        }
         if (item->revision == 0) {
             lookup.status = TurnLookup::Status::Absent;
         } else if (auto turn = TurnRecord::decode(id, item->data)) {
@@ -108,13 +122,41 @@
     });
 }
 
+// The parts are written before the turn's own key and removed with it, so a missing one doesn't mean that there is no such turn.
+void PlatformTurnStore::loadNextPart(const std::shared_ptr<PendingLoad> &loading)
+{
+    m_store.read(turnPartKey(loading->id, loading->loadedParts), [this, loading](const tl::expected<platform::StoreItem, platform::StoreFailure> &item) {
+        TurnLookup lookup;
+        if (!item || item->revision == 0) {
+            logChange("turn-part-not-read",
+                      "turn={} part={} parts={} reason=\"{}\"",
+                      loading->id.value(),
+                      loading->loadedParts,
+                      loading->parts,
+                      item ? "absent" : item.error().detail);
+            loading->onLoaded(lookup);
+            return;
+        }
+        loading->record += item->data;
+        if (++loading->loadedParts < loading->parts) {
+            loadNextPart(loading);
+            return;
+        }
+        if (auto turn = TurnRecord::decode(loading->id, loading->record)) {
+            lookup.status = TurnLookup::Status::Found;
+            lookup.turn = std::make_shared<const TurnRecord>(std::move(*turn));
+        }
+        loading->onLoaded(lookup);
+    });
+}
+
 void PlatformTurnStore::scheduleExpiry(const TurnBatch &batch, const std::string &indexKey)
 {
     Expiry expiry;
     expiry.indexKey = indexKey;
     expiry.retention = batch.retention();
     for (const BatchedTurn &turn : batch.turns()) {
-        expiry.turns.push_back({turn.id, turn.conversation});
+        expiry.turns.push_back({turn.id, turn.conversation, turn.parts});
     }
     m_expiries.emplace(std::chrono::steady_clock::now() + expiry.retention * RetentionFactor, std::move(expiry));
 }
@@ -163,6 +205,9 @@
             continue;
         }
         keys.push_back(TurnKeyPrefix + turn.id.value());
+        for (std::size_t part = 0; part < turn.parts; ++part) {
+            keys.push_back(turnPartKey(turn.id, part));
+        }
         if (it != renewals.end() && turn.id == turn.conversation) {
             keys.push_back(RenewalKeyPrefix + turn.conversation.value());
         }
--- /dev/null
+++ b/src/persistence/splitrecord.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "serving/requestmetadata.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace flamingo
+{
+
+/// Prefix of the keys that hold the parts of a turn that is longer than a value of the store; followed by the part's number, a
+/// slash and the turn's id.
+constexpr const char *TurnPartKeyPrefix = "turn-part/";
+
+/// The key of a part; the first one has number 0.
+std::string turnPartKey(const RequestId &turn, std::size_t part);
+
+/// Divides a record into parts of at most the given size.
+std::vector<std::string> splitRecord(const std::string &record, std::size_t maxPartBytes);
+
+/// What stands under the turn's own key instead of a record that is stored in parts.
+struct SplitRecordHead {
+    std::size_t parts = 0;
+
+    std::string encode() const;
+
+    /// Returns nothing if the bytes are something else, for example a whole record.
+    static std::optional<SplitRecordHead> decode(const std::string &bytes);
+};
+
+} // namespace flamingo
--- a/src/persistence/turnindex.h
+++ b/src/persistence/turnindex.h
@@ -18,6 +18,7 @@
     IncarnationId writer;
     std::vector<RequestId> turns;
     std::vector<RequestId> conversations; ///< Of each turn.
+    std::vector<std::size_t> parts; ///< Number of keys of each turn beside its own one.
 
     /// Store keys of the turns.
     std::vector<std::string> keys() const;
--- a/tests/platform/archivetest.cpp
+++ b/tests/platform/archivetest.cpp
@@ -137,6 +137,44 @@
     CHECK(endpoint.requests().back().body == history + "!");
 }
 
+// Guards against a turn that stays on two disks for ever, and that is lost with them, because it is longer than a value of the store.
+TEST_CASE("A turn longer than a value of the store is uploaded, and doesn't hold up the others", "[platform]")
+{
+    const std::string longText(700000, 'o');
+    ScriptedEndpoint endpoint([&](Connection &connection, const ReceivedRequest &request) {
+        const std::string text = request.body == "long" ? longText : "said";
+        connection.write(ScriptedEndpoint::responseHead(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+        for (int n = 1; n <= 2; ++n) {
+            connection.write(ScriptedEndpoint::chunk(ScriptedEndpoint::event(n, text)));
+        }
+        connection.write("0\r\n\r\n");
+    });
+    Fixture it;
+    registerEndpoint(it.store, "i-1", endpoint);
+    std::this_thread::sleep_for(Milliseconds(500));
+    constexpr std::size_t Turns = 6;
+    REQUIRE(it.instance->send(turnRequest("t0", {}, "long")).isComplete);
+    for (std::size_t n = 1; n < Turns; ++n) {
+        REQUIRE(it.instance->send(turnRequest("t" + std::to_string(n), {}, "short")).isComplete);
+    }
+    CHECK(eventually([&] { return it.store.keys(TurnKeyPrefix).size() == Turns; }));
+    it.first.process().kill();
+    it.second.process().kill();
+    it.first.wipeDisk();
+    it.second.wipeDisk();
+    it.first.start();
+    it.second.start();
+    it.instance->killAndRestart();
+    REQUIRE(it.instance->awaitReady());
+    REQUIRE(eventually([&] {
+        static int n = 0;
+        const CallerResponse response = it.instance->send(turnRequest("n" + std::to_string(++n), "t0", "again"));
+        REQUIRE(response.status != 404);
+        return response.isComplete && response.status == 200;
+    }));
+    CHECK(endpoint.requests().back().body == "long" + longText + "\n" + longText + "\nagain");
+}
+
 TEST_CASE("Archives upload turns to the store in batches", "[platform]")
 {
     Fixture it;
--- a/tests/platform/persistencetest.cpp
+++ b/tests/platform/persistencetest.cpp
@@ -2,6 +2,7 @@
 #include "instance/registrywatcher.h"
 #include "persistence/garbagecollector.h"
 #include "persistence/replicatedturnstore.h"
+#include "persistence/splitrecord.h"
 #include "platform/testinstance.h"
 #include "serving/budgetledger.h"
 
@@ -18,6 +19,7 @@
 namespace
 {
 constexpr Milliseconds DeadAfter{200};
+constexpr std::size_t MaxValueBytes = 1048576;
 constexpr Milliseconds RemoveAfter{600};
 
 MemberRecord archiveRecord(const std::string &name, const std::string &incarnation)
@@ -62,7 +64,7 @@
     platform::PlatformStore client{loop.loop.context(), store.address(), metrics};
     MemberDirectory members{InstanceId("edge-1"), DomainId("zone-1")};
     ConnectionPool links{loop.loop.context(), {}};
-    PlatformTurnStore turns{client, IncarnationId("start-1")};
+    PlatformTurnStore turns{client, IncarnationId("start-1"), MaxValueBytes};
     ReplicatedTurnStore replicated{loop.loop.context(), members, links, client, turns, 1};
     GarbageCollector collector{client, {DeadAfter, RemoveAfter, RemoveAfter * 2, Milliseconds(5000)}};
 };
@@ -110,8 +112,8 @@
     store.put("budget/left", record.encode());
     store.put("turn/t1", "x");
     store.put("turn/t2", "x");
-    store.put(std::string(TurnIndex::KeyPrefix) + "dead/1", TurnIndex{IncarnationId("dead"), {RequestId("t1")}, {RequestId("t1")}}.encode());
-    store.put(std::string(TurnIndex::KeyPrefix) + "start-2/1", TurnIndex{IncarnationId("start-2"), {RequestId("t2")}, {RequestId("t2")}}.encode());
+    store.put(std::string(TurnIndex::KeyPrefix) + "dead/1", TurnIndex{IncarnationId("dead"), {RequestId("t1")}, {RequestId("t1")}, {0}}.encode());
+    store.put(std::string(TurnIndex::KeyPrefix) + "start-2/1", TurnIndex{IncarnationId("start-2"), {RequestId("t2")}, {RequestId("t2")}, {0}}.encode());
     collect();
     CHECK(store.keys("budget/").size() == 2);
     CHECK(collectUntil("budget/", 1));
@@ -124,7 +126,7 @@
 TEST_CASE_METHOD(Fixture, "Turns within their retention are not collected, however long the retention is", "[platform]")
 {
     store.put("turn/t1", "x");
-    store.put(std::string(TurnIndex::KeyPrefix) + "dead/1", TurnIndex{IncarnationId("dead"), {RequestId("t1")}, {RequestId("t1")}}.encode());
+    store.put(std::string(TurnIndex::KeyPrefix) + "dead/1", TurnIndex{IncarnationId("dead"), {RequestId("t1")}, {RequestId("t1")}, {0}}.encode());
     const Instant end = std::chrono::steady_clock::now() + DeadAfter * 5;
     while (std::chrono::steady_clock::now() < end) {
         collect(DeadAfter * 10);
@@ -133,6 +135,39 @@
     CHECK(store.get("turn/t1") == "x");
 }
 
+// Guards against a long turn of which only some parts can be read being taken for a turn that doesn't exist.
+TEST_CASE_METHOD(Fixture, "A turn in parts is read as a whole or not at all, and removed with all its parts", "[platform]")
+{
+    constexpr std::size_t SmallValue = 1000;
+    constexpr Milliseconds Retention{100};
+    constexpr Milliseconds ConfirmationDelay{50};
+    PlatformTurnStore keeper{client, IncarnationId("start-2"), SmallValue, ConfirmationDelay};
+    const auto record = std::make_shared<TurnRecord>();
+    record->id = RequestId("t/1");
+    record->input = std::string(30000, 'i');
+    record->output = std::string(20000, 'o');
+    record->retention = Retention;
+    std::promise<bool> isSaved;
+    asio::post(loop.loop.context(), [&] { keeper.save(record, [&](bool it) { isSaved.set_value(it); }); });
+    REQUIRE(isSaved.get_future().get());
+    const TurnLookup whole = load("t/1");
+    REQUIRE(whole.status == TurnLookup::Status::Found);
+    CHECK(whole.turn->input == record->input);
+    CHECK(whole.turn->output == record->output);
+    const std::string part = store.get(turnPartKey(RequestId("t/1"), 3));
+    CHECK(part.size() <= SmallValue);
+    store.remove(turnPartKey(RequestId("t/1"), 3));
+    CHECK(load("t/1").status == TurnLookup::Status::Unknown);
+    CHECK(eventually([&] {
+        loop.call([&] {
+            keeper.removeExpired(std::chrono::steady_clock::now());
+            return true;
+        });
+        return store.keys("turn").empty();
+    }));
+    loop.stop();
+}
+
 // Guards against a conversation that loses its first turns while it goes on: each was removed after twice its own retention.
 TEST_CASE_METHOD(Fixture, "The turns of a conversation are kept as long as it goes on, and removed afterwards", "[platform]")
 {
@@ -140,7 +175,7 @@
     constexpr Milliseconds TurnPeriod{100};
     constexpr Milliseconds ConfirmationDelay{100};
     constexpr std::size_t Turns = 30;
-    PlatformTurnStore keeper{client, IncarnationId("start-2"), ConfirmationDelay};
+    PlatformTurnStore keeper{client, IncarnationId("start-2"), MaxValueBytes, ConfirmationDelay};
     TurnCache cache(keeper, 100000);
     std::vector<RequestId> ids;
     const auto takeTurn = [&](const std::string &id, bool continues) {
@@ -183,7 +218,7 @@
 TEST_CASE_METHOD(Fixture, "Turns of a dead writer are kept as long as their conversation goes on", "[platform]")
 {
     store.put("turn/t1", "x");
-    store.put(std::string(TurnIndex::KeyPrefix) + "dead/1", TurnIndex{IncarnationId("dead"), {RequestId("t1")}, {RequestId("t1")}}.encode());
+    store.put(std::string(TurnIndex::KeyPrefix) + "dead/1", TurnIndex{IncarnationId("dead"), {RequestId("t1")}, {RequestId("t1")}, {0}}.encode());
     const std::string renewal = std::string(RenewalKeyPrefix) + "t1";
     const Instant end = std::chrono::steady_clock::now() + DeadAfter * 5;
     while (std::chrono::steady_clock::now() < end) {
