Continue a stream only with an answer that continues it

Cause: a resumed attempt's body went through the splitter whatever its content type; runs that began anew or left an event out were joined, and a stream whose last event has no id was sent again from its beginning. Ruled out: errors (500, 502, 404) were not joined before either. Change: judgeResponse() and CallerStream accept a resumed attempt only as a stream of events that goes on after the last id and has an event.

--- a/src/instance/attempt.h
+++ b/src/instance/attempt.h
@@ -31,6 +31,7 @@
     BufferedBytes bufferedBytes; ///< Those of responseBody.
     EventSplitter eventSplitter;
     int eventCount = 0;
+    bool isResumption = false; ///< The caller has got events of an earlier attempt, which this one has to continue.
     std::uint64_t number = 0; ///< Counts the attempts of a request, from 1.
     TimerService::TimerId overdueTimer = 0; ///< 0 if no timer is running.
 };
--- a/src/instance/callerstream.cpp
+++ b/src/instance/callerstream.cpp
@@ -2,8 +2,9 @@
 
 #include "platform/headercodec.h"
 
-#include <algorithm>
-#include <cctype>
+#include <charconv>
+#include <cstdint>
+#include <optional>
 #include <utility>
 
 namespace flamingo
@@ -14,16 +15,32 @@
 /// A caller that leaves more bytes of its stream unread is disconnected.
 constexpr std::size_t MaxUnsentBytes = std::size_t(4) * 1024 * 1024;
 
+std::optional<std::uint64_t> eventNumber(const std::string &id)
+{
+    std::uint64_t number = 0;
+    const auto [end, ec] = std::from_chars(id.data(), id.data() + id.size(), number);
+    return !id.empty() && ec == std::errc() && end == id.data() + id.size() ? std::optional<std::uint64_t>(number) : std::nullopt;
+}
+
 /// Whether an event comes after the last one; ids that aren't numbers can't be compared, so their order of arrival counts.
 bool isLaterEvent(const std::string &eventId, const std::string &lastEventId)
 {
-    const auto isNumber = [](const std::string &text) {
-        return !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char c) { return std::isdigit(c) != 0; });
-    };
-    if (!isNumber(eventId) || !isNumber(lastEventId)) {
-        return true;
-    }
-    return eventId.size() != lastEventId.size() ? eventId.size() > lastEventId.size() : eventId > lastEventId;
+    const auto number = eventNumber(eventId);
+    const auto lastNumber = eventNumber(lastEventId);
+    return !number || !lastNumber || *number > *lastNumber;
+}
+
+bool isNextEvent(const std::string &eventId, const std::string &lastEventId)
+{
+    const auto number = eventNumber(eventId);
+    const auto lastNumber = eventNumber(lastEventId);
+    return number && lastNumber && *number == *lastNumber + 1;
+}
+
+/// Whether it is an event at all, and not only a comment.
+bool hasContent(const StreamEvent &event)
+{
+    return !event.id.empty() || !event.data.empty();
 }
 } // namespace
 
@@ -44,9 +61,21 @@
     connection.startStream(head.status, platform::encodeResponseFields(head), UnknownLength);
 }
 
-bool CallerStream::forward(ServerConnection &connection, const MessageHead &head, const std::vector<StreamEvent> &events)
+void CallerStream::beginAttempt()
+{
+    m_isResuming = m_hasStarted;
+}
+
+CallerStream::ForwardResult CallerStream::forward(ServerConnection &connection, const MessageHead &head, const std::vector<StreamEvent> &events)
 {
     for (const StreamEvent &event : events) {
+        if (m_isResuming && !hasContent(event)) {
+            continue;
+        }
+        if (m_isResuming && !continuesStream(event)) {
+            return ForwardResult::NotContinued;
+        }
+        m_isResuming = false;
         if (!m_lastEventId.empty() && !isLaterEvent(event.id, m_lastEventId)) {
             continue;
         }
@@ -54,10 +83,25 @@
             start(connection, head);
         }
         if (!forwardEvent(connection, event)) {
-            return false;
+            return ForwardResult::OverLimit;
         }
     }
-    return true;
+    return ForwardResult::Forwarded;
+}
+
+bool CallerStream::canResume() const
+{
+    return !m_hasStarted || m_hasLastEventId;
+}
+
+// An endpoint that begins anew, or later than it was asked to, has run the request as another one.
+bool CallerStream::continuesStream(const StreamEvent &event) const
+{
+    if (event.id.empty() || event.id == m_lastEventId || !isLaterEvent(event.id, m_lastEventId)) {
+        return false;
+    }
+    const bool areIdsConsecutive = m_forwardedIds > 1 && !m_hasIdGap;
+    return !areIdsConsecutive || isNextEvent(event.id, m_lastEventId);
 }
 
 bool CallerStream::forwardEvent(ServerConnection &connection, const StreamEvent &event)
@@ -67,8 +111,13 @@
         return false;
     }
     ++m_forwardedEvents;
+    if (hasContent(event)) {
+        m_hasLastEventId = !event.id.empty();
+    }
     if (!event.id.empty()) {
+        m_hasIdGap = m_hasIdGap || (m_forwardedIds > 0 && !isNextEvent(event.id, m_lastEventId));
         m_lastEventId = event.id;
+        ++m_forwardedIds;
     }
     if (m_keepsOutput) {
         m_output += event.data;
--- a/src/instance/proxiedrequest.cpp
+++ b/src/instance/proxiedrequest.cpp
@@ -2,7 +2,6 @@
 
 #include "core/digest.h"
 #include "core/log.h"
-#include "serving/responseverdict.h"
 
 #include <algorithm>
 #include <utility>
@@ -210,8 +209,8 @@
     request.connectTimeout = EndpointConnectTimeout;
     request.sendBy = now + EndpointConnectTimeout;
     request.responseId = m_metadata.id.value();
-    request.usedConnections = m_usedConnections;
     request.responseIdField = platform::attemptIdField();
+    request.usedConnections = m_usedConnections;
     request.maxBodyBytes = m_route.kind == CallKind::Stream ? UnlimitedBodyBytes : BufferQuota::MaxResponseBytes;
     return request;
 }
@@ -233,6 +232,8 @@
     m_attempt->endpoint = endpoint;
     m_attempt->sentAt = now;
     m_attempt->number = ++m_attemptCount;
+    m_attempt->isResumption = m_stream.hasStarted();
+    m_stream.beginAttempt();
     m_possibleExecutors.insert(endpoint.id);
     logChange("request-sent",
               "id={} endpoint={} attempt={} waited_ms={} reason=\"{}\"",
@@ -248,8 +249,8 @@
     handlers.onComplete = [self] { self->onResponseComplete(); };
     handlers.onFailure = [self](const RequestFailure &failure) { self->onCallFailure(failure); };
     m_attempt->call = m_context.endpointConnections.send(buildRequest(endpoint, now), std::move(handlers));
-    const bool mayRetryElsewhere = m_route.mayRepeat() && (static_cast<int>(m_possibleExecutors.size()) < m_route.maxAttempts);
     m_usedConnections.push_back(m_attempt->call.connection());
+    const bool mayRetryElsewhere = m_route.mayRepeat() && (static_cast<int>(m_possibleExecutors.size()) < m_route.maxAttempts);
     if (mayRetryElsewhere) {
         const Milliseconds overdue = std::max(MinOverdueTime, m_route.latencyObjective * OverdueObjectiveFactor);
         m_attempt->overdueTimer = m_context.timers.at(now + overdue, [weak = weak_from_this(), number = m_attemptCount](Instant) {
@@ -275,13 +276,15 @@
     if (!attempt.firstByteAt) {
         attempt.firstByteAt = std::chrono::steady_clock::now();
     }
-    const bool isUsable = isSuccessStatus(attempt.responseHead.status) && attempt.responseMetadata.hasSignature && !attempt.responseMetadata.isContentEncoded;
-    if (m_route.kind == CallKind::Stream && isUsable) {
+    if (mayForwardEvents(attempt.responseHead.status, attempt.responseMetadata, expectation())) {
         const int eventsBefore = m_stream.forwardedEvents();
-        const bool isForwarded = m_stream.forward(*m_connection, attempt.responseHead, attempt.eventSplitter.feed(bytes));
+        const auto result = m_stream.forward(*m_connection, attempt.responseHead, attempt.eventSplitter.feed(bytes));
         attempt.eventCount += m_stream.forwardedEvents() - eventsBefore;
-        if (!isForwarded) {
+        if (result == CallerStream::ForwardResult::OverLimit) {
             breakOffStream();
+        } else if (result == CallerStream::ForwardResult::NotContinued) {
+            attempt.call.cancel();
+            onAttemptFailed(verdictText(ResponseVerdict::NotContinued), false);
         } else if (attempt.eventSplitter.incompleteEvent().size() > MaxEventBytes) {
             onResponseTooLong();
         }
@@ -310,8 +313,8 @@
 void ProxiedRequest::onResponseComplete()
 {
     const Attempt &attempt = *m_attempt;
-    const ReceivedResponse response{attempt.responseHead.status, attempt.responseMetadata, attempt.eventSplitter.isInsideEvent()};
-    const ResponseVerdict verdict = judgeResponse(response, {m_route.kind == CallKind::Stream, m_stream.hasStarted()});
+    const ReceivedResponse response{attempt.responseHead.status, attempt.responseMetadata, attempt.eventCount, attempt.eventSplitter.isInsideEvent()};
+    const ResponseVerdict verdict = judgeResponse(response, expectation());
     const bool isLastResort = verdict == ResponseVerdict::ServerError && !mayRetry() && !m_stream.hasStarted();
     if (verdict == ResponseVerdict::NotExecuted) {
         onRejected();
@@ -324,6 +327,11 @@
     }
 }
 
+ResponseExpectation ProxiedRequest::expectation() const
+{
+    return {m_route.kind == CallKind::Stream, m_attempt->isResumption};
+}
+
 bool ProxiedRequest::isStreaming() const
 {
     return m_route.kind == CallKind::Stream && isSuccessStatus(m_attempt->responseHead.status);
@@ -421,7 +429,7 @@
 
 bool ProxiedRequest::mayRetry() const
 {
-    return m_route.mayRepeat() && static_cast<int>(m_possibleExecutors.size()) < m_route.maxAttempts;
+    return m_route.mayRepeat() && m_stream.canResume() && static_cast<int>(m_possibleExecutors.size()) < m_route.maxAttempts;
 }
 
 // The request may have run. It is retried only if it may run more than once; otherwise the caller learns that it failed.
@@ -436,7 +444,7 @@
         endAttempt(!mayUseSameEndpoint);
     }
     const EndpointEntry *sameEndpoint = lastEndpoint && mayUseSameEndpoint ? m_context.endpointDirectory.find(lastEndpoint->id) : nullptr;
-    if (lastEndpoint && m_route.mayRepeat() && sameEndpoint && m_sameEndpointRetries < MaxSameEndpointRetries) {
+    if (lastEndpoint && m_route.mayRepeat() && m_stream.canResume() && sameEndpoint && m_sameEndpointRetries < MaxSameEndpointRetries) {
         ++m_sameEndpointRetries;
         m_dispatchRequest.failedEndpoints.erase(lastEndpoint->id);
         enqueue();
--- a/src/instance/proxiedrequest.h
+++ b/src/instance/proxiedrequest.h
@@ -12,6 +12,7 @@
 #include "instance/isolationdetector.h"
 #include "platform/headercodec.h"
 #include "serving/drainschedule.h"
+#include "serving/responseverdict.h"
 #include "serving/routetable.h"
 #include "serving/turncache.h"
 
@@ -19,8 +20,8 @@
 #include <optional>
 #include <set>
 #include <string>
-
 #include <vector>
+
 namespace flamingo
 {
 
@@ -74,6 +75,7 @@
     void endAttempt(bool isEndpointFault);
     void refuse(int status, const char *reason, std::optional<Milliseconds> retryAfter = std::nullopt);
     void finish(const char *outcome, int status);
+    ResponseExpectation expectation() const;
     bool isStreaming() const;
     bool mayRetry() const;
     Milliseconds timeLeft(Instant now) const;
@@ -96,9 +98,9 @@
     DispatchRequest m_dispatchRequest;
     std::optional<CallId> m_queuedCallId;
     std::optional<Attempt> m_attempt;
+    std::vector<ConnectionRef> m_usedConnections; ///< Connections that have carried the request.
     std::set<EndpointId> m_possibleExecutors; ///< Endpoints that may have run the request.
     std::optional<InstanceId> m_home; ///< The program's home, until the end of the turn has been reported to it.
-    std::vector<ConnectionRef> m_usedConnections; ///< Connections that have carried the request.
     Tokens m_reservedTokens;
     std::optional<CachedPrefix> m_cachedPrefix; ///< Where the session's prompt is cached, before and after this turn.
     int m_rejections = 0;
--- a/src/serving/responseverdict.cpp
+++ b/src/serving/responseverdict.cpp
@@ -3,6 +3,12 @@
 namespace flamingo
 {
 
+bool mayForwardEvents(int status, const ResponseMetadata &metadata, const ResponseExpectation &expectation)
+{
+    const bool isSound = isSuccessStatus(status) && metadata.hasSignature && !metadata.isContentEncoded;
+    return isSound && expectation.isStream && (metadata.isEventStream || !expectation.isResumption);
+}
+
 ResponseVerdict judgeResponse(const ReceivedResponse &response, const ResponseExpectation &expectation)
 {
     constexpr int FirstServerError = 500;
@@ -14,7 +20,7 @@
         return ResponseVerdict::ServerError;
     }
     if (!isSuccessStatus(response.status)) {
-        return expectation.hasStreamStarted ? ResponseVerdict::NotContinued : ResponseVerdict::Usable;
+        return expectation.isResumption ? ResponseVerdict::NotContinued : ResponseVerdict::Usable;
     }
     if (!metadata.hasSignature || metadata.isContentEncoded) {
         return ResponseVerdict::Invalid;
@@ -23,6 +29,9 @@
     if (expectation.isStream && metadata.isEventStream && response.endsInsideEvent) {
         return ResponseVerdict::BrokenOff;
     }
+    if (expectation.isResumption && (!metadata.isEventStream || response.eventCount == 0)) {
+        return ResponseVerdict::NotContinued;
+    }
     return ResponseVerdict::Usable;
 }
 
--- a/src/serving/responseverdict.h
+++ b/src/serving/responseverdict.h
@@ -9,13 +9,14 @@
 struct ReceivedResponse {
     int status = 0;
     ResponseMetadata metadata;
+    int eventCount = 0; ///< Events that were passed on.
     bool endsInsideEvent = false; ///< The last bytes are the beginning of an event.
 };
 
 /// What a response has to fit.
 struct ResponseExpectation {
     bool isStream = false; ///< The route's responses are streams of events.
-    bool hasStreamStarted = false; ///< The caller has got the head of a stream, so the response has to continue it.
+    bool isResumption = false; ///< The caller has got the beginning of a stream, which the response has to continue.
 };
 
 /// What a response says about its request.
@@ -28,6 +29,9 @@
     NotContinued, ///< It doesn't continue the caller's stream.
 };
 
+/// Whether the events of a response may be passed on as they arrive, as far as its head tells.
+bool mayForwardEvents(int status, const ResponseMetadata &metadata, const ResponseExpectation &expectation);
+
 /// Judges a response that has arrived.
 ResponseVerdict judgeResponse(const ReceivedResponse &response, const ResponseExpectation &expectation);
 
--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -155,3 +155,79 @@
     CHECK(result.isComplete);
     CHECK(result.body == first + second);
 }
+
+// Guards against foreign bytes in the middle of a stream, and against a stream that such an answer ends as if it were complete.
+TEST_CASE("A stream is not continued by an answer that is no continuation", "[platform][broken]")
+{
+    const auto chunked = [](const std::string &bytes) { return bytes.empty() ? std::string("0\r\n\r\n") : ScriptedEndpoint::chunk(bytes) + "0\r\n\r\n"; };
+    const std::string framed = "Transfer-Encoding: chunked\r\n";
+    struct Answer {
+        std::string name;
+        int status;
+        std::string lines;
+        std::string body;
+    };
+    const std::string third = ScriptedEndpoint::event(3, "three");
+    const std::vector<Answer> answers = {
+        {"a text", 200, "Content-Type: text/plain\r\n" + framed, chunked("Please log in.\n\nThank you.")},
+        {"a text until the connection's end", 200, "Content-Type: text/plain\r\nConnection: close\r\n", "Please log in."},
+        {"a text with events in it", 200, "Content-Type: text/html\r\n" + framed, chunked(third)},
+        {"a stream that begins anew", 200, EventStream, chunked(ScriptedEndpoint::event(1, "other") + ScriptedEndpoint::event(2, "run") + third)},
+        {"a stream that leaves out an event", 200, EventStream, chunked(ScriptedEndpoint::event(4, "four"))},
+        {"a stream without ids", 200, EventStream, chunked("data: three\n\n")},
+        {"a stream without events", 200, EventStream, chunked({})},
+        {"comments only", 200, EventStream, chunked(": wait\n\n")},
+        {"an error", 500, framed, chunked("it failed\n\n")},
+        {"an error until the connection's end", 502, "Connection: close\r\n", "it failed\n\n"},
+        {"not found", 404, "Content-Length: 4\r\n", "gone"},
+    };
+    Answer answer;
+    const std::string begin = ScriptedEndpoint::event(1, "one") + ScriptedEndpoint::event(2, "two");
+    const auto script = [&](Connection &connection, const ReceivedRequest &request) {
+        if (request.head.fields.value("Last-Event-Id").empty()) {
+            connection.write(ScriptedEndpoint::responseHead(request, EventStream) + ScriptedEndpoint::chunk(begin));
+        } else {
+            connection.write(ScriptedEndpoint::responseHead(request, answer.lines, answer.status) + answer.body);
+        }
+        connection.close();
+    };
+    for (const Answer &it : answers) {
+        answer = it;
+        ScriptedEndpoint one(script);
+        ScriptedEndpoint other(script);
+        KvStandIn store;
+        store.put("op/config", testConfiguration(1));
+        registerEndpoint(store, "i-1", one);
+        registerEndpoint(store, "i-2", other);
+        TestInstance instance(store, 1);
+        REQUIRE(instance.awaitReady());
+        const CallerResponse result = instance.send(callerRequest("/stream/a", "c1"));
+        INFO(it.name);
+        CHECK(one.requests().size() + other.requests().size() == 2);
+        CHECK_FALSE(result.isComplete);
+        CHECK(result.body == begin);
+    }
+}
+
+// Guards against a second run of a stream whose beginning can't be told apart from what the caller has.
+TEST_CASE("A stream whose last event has no id is not resumed", "[platform][broken]")
+{
+    const std::string begin = ScriptedEndpoint::event(1, "one") + "data: two\n\n";
+    const auto script = [&](Connection &connection, const ReceivedRequest &request) {
+        connection.write(ScriptedEndpoint::responseHead(request, EventStream) + ScriptedEndpoint::chunk(begin));
+        connection.close();
+    };
+    ScriptedEndpoint one(script);
+    ScriptedEndpoint other(script);
+    KvStandIn store;
+    store.put("op/config", testConfiguration(1));
+    registerEndpoint(store, "i-1", one);
+    registerEndpoint(store, "i-2", other);
+    TestInstance instance(store, 1);
+    REQUIRE(instance.awaitReady());
+    const CallerResponse result = instance.send(callerRequest("/stream/a", "d1"));
+    CHECK(one.requests().size() + other.requests().size() == 1);
+    CHECK_FALSE(result.isComplete);
+    // What isn't sent yet is dropped with the connection.
+    CHECK(begin.rfind(result.body, 0) == 0);
+}
--- a/tests/unit/servingtest.cpp
+++ b/tests/unit/servingtest.cpp
@@ -671,10 +671,11 @@
     sound.status = 200;
     sound.metadata.hasSignature = true;
     sound.metadata.isEventStream = true;
-    const auto verdictOf = [&](const std::function<void(ReceivedResponse &)> &change, bool isStream = true, bool hasStarted = false) {
+    sound.eventCount = 1;
+    const auto verdictOf = [&](const std::function<void(ReceivedResponse &)> &change, bool isStream = true, bool isResumption = false) {
         ReceivedResponse response = sound;
         change(response);
-        return judgeResponse(response, {isStream, hasStarted});
+        return judgeResponse(response, {isStream, isResumption});
     };
     CHECK(verdictOf([](ReceivedResponse &) {}) == ResponseVerdict::Usable);
     CHECK(verdictOf([](ReceivedResponse &it) { it.metadata.hasSignature = false; }) == ResponseVerdict::Invalid);
@@ -685,6 +686,10 @@
     CHECK(verdictOf([](ReceivedResponse &it) { it.endsInsideEvent = true; }, false) == ResponseVerdict::Usable);
     CHECK(verdictOf([](ReceivedResponse &it) { it.status = 404; }) == ResponseVerdict::Usable);
     CHECK(verdictOf([](ReceivedResponse &it) { it.status = 404; }, true, true) == ResponseVerdict::NotContinued);
+    CHECK(verdictOf([](ReceivedResponse &) {}, true, true) == ResponseVerdict::Usable);
+    CHECK(verdictOf([](ReceivedResponse &it) { it.eventCount = 0; }, true, true) == ResponseVerdict::NotContinued);
+    CHECK(verdictOf([](ReceivedResponse &it) { it.metadata.isEventStream = false; }, true, true) == ResponseVerdict::NotContinued);
+    CHECK(verdictOf([](ReceivedResponse &it) { it.metadata.isEventStream = false; }) == ResponseVerdict::Usable);
 }
 
 TEST_CASE("A history is assembled in order from cache and store, and a failed lookup is never reported as absent", "[serving]")
