--- a/src/instance/proxiedrequest.cpp
+++ b/src/instance/proxiedrequest.cpp
@@ -69,6 +69,11 @@
         refuse(400, "no-attempt-id");
         return;
     }
+    // Such a budget couldn't be enforced.
+    if (m_metadata.hasUnreadableBudget) {
+        refuse(400, "unreadable-budget");
+        return;
+    }
     m_route = *route;
     if (m_route.isStateful) {
         m_stream.setKeepsOutput();
--- a/src/serving/requestmetadata.h
+++ b/src/serving/requestmetadata.h
@@ -35,6 +35,7 @@
     std::optional<Milliseconds> programTimeLeft; ///< Until the program's deadline.
     std::optional<Tokens> tokenBudget; ///< Total that all turns of the program may generate.
     std::optional<Tokens> promptTokens;
+    bool hasUnreadableBudget = false; ///< The request has a budget, and one of the numbers that it depends on can't be read.
     std::optional<Tokens> maxOutputTokens; ///< The most that this turn can generate.
     std::vector<PromptPart> promptParts; ///< In the prompt's order; the last one belongs to this request or session alone.
     std::optional<std::string> lastEventId; ///< The last event that the caller received, when it resumes a stream.
--- a/tests/platform/registrytest.cpp
+++ b/tests/platform/registrytest.cpp
@@ -177,6 +177,24 @@
     CHECK(endpoint.requests().size() == static_cast<std::size_t>(served));
 }
 
+// Guards against a budget that isn't enforced because its numbers are written in another way.
+TEST_CASE_METHOD(TwoInstances, "A program's budget is enforced however its numbers are written", "[platform]")
+{
+    constexpr int Budget = 200;
+    constexpr int MaxTokens = 58;
+    for (const std::string usage : {"0000000000000110,58", "110,58             ", "110,00000000000000058"}) {
+        const std::string lines = fmt::format("X-Program-Id: p{}\r\nX-Token-Budget: {}\r\nX-Token-Usage: {}\r\n", usage.size(), Budget, usage);
+        int served = 0;
+        for (int n = 0; n < 12; ++n) {
+            served += first.send(callerRequest("/stream/a", fmt::format("u{}-{}", usage.size(), n), lines)).status == 200 ? 1 : 0;
+        }
+        INFO(usage);
+        CHECK(served >= 3);
+        CHECK(served * 29 <= Budget + MaxTokens);
+    }
+    CHECK(first.send(callerRequest("/stream/a", "v", "X-Program-Id: v\r\nX-Token-Budget: 200\r\nX-Token-Usage: 110,many\r\n")).status == 400);
+}
+
 // The load balancer routes callers elsewhere only after two failed readiness checks, so the detection itself must be quick.
 TEST_CASE("An instance that reaches neither the store nor its peers is not ready after a second", "[platform]")
 {
