Let no bytes from outside end a process

Cause: JSON and CBOR encoders and decoders threw through the event loop: ids in keys, entries of members, budgets, indexes and markers with fields of other types, containers that announce too much or are nested too deeply, engines' events. Ruled out: endpoint entries and the configuration (decoded within a boundary before). Change: ids in keys are percent-encoded, and hashed when long (storedId); decodeJson and decodeCbor are the boundaries, one record is dropped with a log line; CBOR is read to a depth of 32; an archive sets a record aside that it can't read; log lines escape what isn't printable.

--- a/src/archive/archivedaemon.cpp
+++ b/src/archive/archivedaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "core/commandline.h"
 #include "core/log.h"
+#include "core/percentcoding.h"
 #include "platform/recordcodec.h"
 #include "serving/livenesstracker.h"
 
@@ -125,7 +126,7 @@
     } else if (target == ArchiveForgetPath) {
         onForgetTurns(connection, request.body);
     } else if (target.compare(0, lookup.size(), lookup) == 0) {
-        onLookUpTurn(connection, RequestId(target.substr(lookup.size())));
+        onLookUpTurn(connection, RequestId(percentDecode(target.substr(lookup.size())).value_or(std::string())));
     } else {
         connection->respond(StatusNotFound, {}, {});
     }
@@ -180,6 +181,7 @@
 void ArchiveDaemon::onMetricsRequest(const ServerConnectionPtr &connection)
 {
     m_metrics.setGauge("flamingo_archive_turns_set_aside", {}, static_cast<double>(m_uploads.setAsideCount()));
+    m_metrics.setGauge("flamingo_archive_records_unreadable", {}, static_cast<double>(m_turnLog->unreadableRecords()));
     m_metrics.setGauge("flamingo_archive_turns", {}, static_cast<double>(m_turnLog->size()));
     connection->respond(StatusOk, {}, m_metrics.render());
 }
--- a/src/archive/turnlog.cpp
+++ b/src/archive/turnlog.cpp
@@ -17,6 +17,8 @@
 {
 constexpr std::size_t MaxSegmentBytes = std::size_t(1) * 1024 * 1024;
 constexpr const char *SegmentPrefix = "turns-";
+/// Prefix of segments with records that can't be read, once all others have been removed.
+constexpr const char *SetAsidePrefix = "unreadable-";
 
 /// Precedes each turn in a segment.
 struct FrameHeader {
@@ -78,15 +80,18 @@
         FrameHeader header;
         std::memcpy(&header, bytes.data() + offset, sizeof header);
         offset += sizeof header;
-        if (header.bytes > bytes.size() - offset) {
+        if (header.bytes == 0 || header.bytes > bytes.size() - offset) {
             break;
         }
         const std::string body = bytes.substr(offset, header.bytes);
+        offset += header.bytes;
         auto turn = stableHash(body) == header.checksum ? ArchiveKeepRequest::decode(body) : std::nullopt;
         if (!turn) {
-            break;
+            // The others are served and uploaded all the same.
+            ++segment.unreadableRecords;
+            logChange("record-set-aside", "segment={} bytes={}", number, header.bytes);
+            continue;
         }
-        offset += header.bytes;
         segment.turnIds.insert(turn->id);
         m_segmentByTurn[turn->id] = number;
         m_turns[turn->id] = std::move(*turn);
@@ -97,7 +102,9 @@
               segment.turnIds.size(),
               offset,
               bytes.size() - std::min(offset, bytes.size()));
+    m_unreadableRecords += segment.unreadableRecords;
     m_segments[number] = std::move(segment);
+    removeIfEmpty(number);
 }
 
 bool TurnLog::openSegment()
@@ -194,9 +201,14 @@
     if (it == m_segments.end() || !it->second.turnIds.empty()) {
         return;
     }
+    const bool isKept = it->second.unreadableRecords > 0;
     m_segments.erase(it);
     std::error_code ec;
-    std::filesystem::remove(segmentPath(number), ec);
+    if (isKept) {
+        std::filesystem::rename(segmentPath(number), m_folder / (SetAsidePrefix + std::to_string(number)), ec);
+    } else {
+        std::filesystem::remove(segmentPath(number), ec);
+    }
     if (ec) {
         logChange("segment-remove-failed", "segment={} reason=\"{}\"", number, ec.message());
     }
@@ -217,6 +229,11 @@
     return ids;
 }
 
+std::size_t TurnLog::unreadableRecords() const
+{
+    return m_unreadableRecords;
+}
+
 std::size_t TurnLog::size() const
 {
     return m_turns.size();
--- a/src/archive/turnlog.h
+++ b/src/archive/turnlog.h
@@ -13,7 +13,7 @@
 
 /// A log on disk that keeps turns until they are in the store. It consists of segments that are appended to, synced, and
 /// removed once all their turns have been removed. A turn at a segment's end that a power loss has truncated was never
-/// acknowledged and is skipped.
+/// acknowledged and is skipped. Other records that can't be read are set aside.
 class TurnLog
 {
 public:
@@ -36,9 +36,13 @@
     std::vector<RequestId> turnIds() const;
     std::size_t size() const;
 
+    /// The number of records on the disk that can't be read. Their segments are kept under another name.
+    std::size_t unreadableRecords() const;
+
 private:
     struct Segment {
         std::set<RequestId> turnIds;
+        std::size_t unreadableRecords = 0;
     };
 
     std::filesystem::path segmentPath(std::uint64_t number) const;
@@ -54,6 +58,7 @@
     std::map<std::uint64_t, Segment> m_segments;
     std::uint64_t m_currentSegment = 0; ///< The segment being written; 0 for none.
     std::size_t m_currentBytes = 0;
+    std::size_t m_unreadableRecords = 0;
     int m_fd = -1;
 };
 
--- a/src/core/codec.cpp
+++ b/src/core/codec.cpp
@@ -3,6 +3,47 @@
 namespace flamingo
 {
 
+namespace
+{
+/// Deeper than any message. The library reads nested containers by recursion, so without a limit they use up the stack.
+constexpr int MaxDepth = 32;
+
+/// Builds a value and stops at containers that are nested too deeply.
+class ShallowParser : public nlohmann::detail::json_sax_dom_parser<nlohmann::json>
+{
+    using Base = nlohmann::detail::json_sax_dom_parser<nlohmann::json>;
+
+public:
+    using Base::Base;
+
+    // The names are the library's.
+    bool start_object(std::size_t n) // NOLINT(readability-identifier-naming)
+    {
+        return ++m_depth <= MaxDepth && Base::start_object(n);
+    }
+
+    bool end_object() // NOLINT(readability-identifier-naming)
+    {
+        --m_depth;
+        return Base::end_object();
+    }
+
+    bool start_array(std::size_t n) // NOLINT(readability-identifier-naming)
+    {
+        return ++m_depth <= MaxDepth && Base::start_array(n);
+    }
+
+    bool end_array() // NOLINT(readability-identifier-naming)
+    {
+        --m_depth;
+        return Base::end_array();
+    }
+
+private:
+    int m_depth = 0;
+};
+} // namespace
+
 std::string toCbor(const nlohmann::json &json)
 {
     std::string bytes;
@@ -12,11 +53,15 @@
 
 std::optional<nlohmann::json> fromCbor(std::string_view bytes)
 {
-    nlohmann::json json = nlohmann::json::from_cbor(bytes.begin(), bytes.end(), true, false);
-    if (json.is_discarded()) {
+    nlohmann::json json;
+    ShallowParser parser(json, false);
+    // Even when it is told not to throw, the parser does so for containers that announce too many elements.
+    try {
+        const bool isValid = nlohmann::json::sax_parse(bytes.begin(), bytes.end(), &parser, nlohmann::json::input_format_t::cbor);
+        return isValid ? std::optional<nlohmann::json>(std::move(json)) : std::nullopt;
+    } catch (const nlohmann::json::exception &) {
         return std::nullopt;
     }
-    return json;
 }
 
 nlohmann::json toBinary(std::string_view bytes)
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/chrono.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 #include <cstdio>
@@ -95,6 +96,25 @@
     standardOutput().open();
 }
 
+namespace
+{
+/// Values may come from outside, so what isn't printable is escaped and a line stays one line.
+std::string escaped(const std::string &text)
+{
+    constexpr unsigned char FirstPrintable = 0x20;
+    constexpr unsigned char LastPrintable = 0x7e;
+    const auto isPrintable = [](unsigned char c) { return c >= FirstPrintable && c <= LastPrintable; };
+    if (std::all_of(text.begin(), text.end(), isPrintable)) {
+        return text;
+    }
+    std::string out;
+    for (const char c : text) {
+        out += isPrintable(static_cast<unsigned char>(c)) ? std::string(1, c) : fmt::format("\\x{:02x}", static_cast<unsigned char>(c));
+    }
+    return out;
+}
+} // namespace
+
 namespace detail
 {
 void writeLogLine(const std::string &event, const std::string &fields)
@@ -102,7 +122,7 @@
     const auto now = std::chrono::system_clock::now();
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
     const auto seconds = fmt::gmtime(std::chrono::system_clock::to_time_t(now));
-    const std::string line = fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z process={} event={} {}\n", seconds, ms, logName(), event, fields);
+    const std::string line = fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z process={} event={} {}\n", seconds, ms, logName(), event, escaped(fields));
     if (standardOutput().isOpen()) {
         standardOutput().write(line);
     } else {
--- a/src/endpoints/endpointclient.cpp
+++ b/src/endpoints/endpointclient.cpp
@@ -1,6 +1,7 @@
 #include "endpoints/endpointclient.h"
 
 #include "core/codec.h"
+#include "core/decoding.h"
 #include "http/eventsplitter.h"
 
 #include <fmt/format.h>
@@ -29,6 +30,13 @@
     bool isComplete = false;
 };
 
+/// A field that is missing or isn't a whole number counts as 0.
+Tokens tokenCount(const nlohmann::json &usage, const char *name)
+{
+    const auto it = usage.find(name);
+    return Tokens(it != usage.end() && it->is_number_integer() ? it->get<std::int64_t>() : 0);
+}
+
 void applyStreamEvent(ModelAnswer &answer, const std::string &payload, const EndpointClient::DeltaHandler &onDelta)
 {
     if (payload == "[DONE]") {
@@ -41,17 +49,22 @@
     }
     if (json->contains("usage") && (*json)["usage"].is_object()) {
         const auto &usage = (*json)["usage"];
-        answer.result.promptTokens = Tokens(usage.value("prompt_tokens", std::int64_t(0)));
-        answer.result.completionTokens = Tokens(usage.value("completion_tokens", std::int64_t(0)));
-        answer.result.cachedTokens = Tokens(usage.value("cached_tokens", std::int64_t(0)));
+        answer.result.promptTokens = tokenCount(usage, "prompt_tokens");
+        answer.result.completionTokens = tokenCount(usage, "completion_tokens");
+        answer.result.cachedTokens = tokenCount(usage, "cached_tokens");
     }
     const auto choices = json->find("choices");
-    if (choices == json->end() || !choices->is_array() || choices->empty()) {
+    if (choices == json->end() || !choices->is_array() || choices->empty() || !choices->front().is_object()) {
         return;
     }
-    const auto delta = (*choices)[0].find("delta");
-    if (delta != (*choices)[0].end() && delta->is_object() && delta->contains("content")) {
-        const auto text = (*delta)["content"].get<std::string>();
+    const auto delta = choices->front().find("delta");
+    if (delta == choices->front().end() || !delta->is_object()) {
+        return;
+    }
+    // The content is null in events that only carry a role or the reason for the end.
+    const auto content = delta->find("content");
+    if (content != delta->end() && content->is_string()) {
+        const auto text = content->get<std::string>();
         answer.result.text += text;
         onDelta(answer.result.attempt, text);
     }
@@ -229,9 +242,13 @@
     query.url = fmt::format("http://{}/v1/memory", address);
     query.totalTimeout = CommandTimeout;
     m_client.send(std::move(query), [this, endpoint](const HttpResult &outcome) {
-        const auto json = outcome && outcome->status == StatusOk ? parseJson(outcome->body) : std::nullopt;
-        if (json && json->is_object() && json->contains("programs")) {
-            m_onMemory(endpoint, (*json)["programs"].get<std::vector<ProgramId>>());
+        if (!outcome || outcome->status != StatusOk) {
+            return;
+        }
+        const auto programs = decodeJson<std::vector<ProgramId>>(
+            "engine-memory", outcome->body, [](const nlohmann::json &json) { return json.at("programs").get<std::vector<ProgramId>>(); });
+        if (programs) {
+            m_onMemory(endpoint, *programs);
         }
     });
 }
--- a/src/instance/homeservice.cpp
+++ b/src/instance/homeservice.cpp
@@ -1,6 +1,7 @@
 #include "instance/homeservice.h"
 
 #include "core/codec.h"
+#include "core/decoding.h"
 #include "core/log.h"
 
 #include <nlohmann/json.hpp>
@@ -49,18 +50,6 @@
 {
     return json.contains("session") ? std::optional<SessionId>(json.at("session").get<SessionId>()) : std::nullopt;
 }
-
-/// Decodes CBOR with a function that may throw on missing fields. A malformed message is logged and dropped.
-template<typename T, typename Decode>
-std::optional<T> decodeMessage(const char *name, const std::string &bytes, Decode decode)
-{
-    try {
-        return decode(Json::from_cbor(bytes));
-    } catch (const Json::exception &error) {
-        logChange("peer-message-malformed", "message={} reason=\"{}\"", name, error.what());
-        return std::nullopt;
-    }
-}
 } // namespace
 
 std::string BeginTurnRequest::encode() const
@@ -78,7 +67,7 @@
 
 std::optional<BeginTurnRequest> BeginTurnRequest::decode(const std::string &bytes)
 {
-    return decodeMessage<BeginTurnRequest>("turn-begin", bytes, [](const Json &json) {
+    return decodeCbor<BeginTurnRequest>("turn-begin", bytes, [](const Json &json) {
         BeginTurnRequest request;
         request.program = json.at("program").get<ProgramId>();
         request.maxTokens = json.at("most").get<Tokens>();
@@ -113,7 +102,7 @@
 
 std::optional<BeginTurnResponse> BeginTurnResponse::decode(const std::string &bytes)
 {
-    return decodeMessage<BeginTurnResponse>("turn-grant", bytes, [](const Json &json) {
+    return decodeCbor<BeginTurnResponse>("turn-grant", bytes, [](const Json &json) {
         BeginTurnResponse response;
         response.verdict = static_cast<BudgetVerdict>(json.at("verdict").get<int>());
         response.history.status = static_cast<TurnLookup::Status>(json.at("lookup").get<int>());
@@ -144,7 +133,7 @@
 
 std::optional<EndTurnRequest> EndTurnRequest::decode(const std::string &bytes)
 {
-    return decodeMessage<EndTurnRequest>("turn-end", bytes, [](const Json &json) {
+    return decodeCbor<EndTurnRequest>("turn-end", bytes, [](const Json &json) {
         EndTurnRequest request;
         request.program = json.at("program").get<ProgramId>();
         request.reservedTokens = json.at("reserved").get<Tokens>();
--- a/src/instance/registrymessages.cpp
+++ b/src/instance/registrymessages.cpp
@@ -1,7 +1,7 @@
 #include "instance/registrymessages.h"
 
 #include "core/codec.h"
-#include "core/log.h"
+#include "core/decoding.h"
 
 #include <nlohmann/json.hpp>
 
@@ -26,11 +26,6 @@
     item.modRevision = json.at("changed").get<platform::Revision>();
     return item;
 }
-
-void logMalformed(const char *message, const Json::exception &error)
-{
-    logChange("peer-message-malformed", "message={} reason=\"{}\"", message, error.what());
-}
 } // namespace
 
 std::string RegistryPoll::encode() const
@@ -40,18 +35,14 @@
 
 std::optional<RegistryPoll> RegistryPoll::decode(const std::string &bytes)
 {
-    try {
-        const Json json = Json::from_cbor(bytes);
+    return decodeCbor<RegistryPoll>("registry-poll", bytes, [](const Json &json) {
         RegistryPoll poll;
         poll.prefix = json.at("prefix").get<std::string>();
         poll.after = json.at("after").get<platform::Revision>();
         poll.wait = Milliseconds(json.at("wait-ms").get<std::int64_t>());
         poll.isStoreUnavailable = json.at("store-unavailable").get<bool>();
         return poll;
-    } catch (const Json::exception &error) {
-        logMalformed("registry-poll", error);
-        return std::nullopt;
-    }
+    });
 }
 
 std::string RegistryUpdate::encode() const
@@ -70,8 +61,7 @@
 
 std::optional<RegistryUpdate> RegistryUpdate::decode(const std::string &bytes)
 {
-    try {
-        const Json json = Json::from_cbor(bytes);
+    return decodeCbor<RegistryUpdate>("registry-update", bytes, [](const Json &json) {
         RegistryUpdate update;
         update.isFromReader = json.at("from-reader").get<bool>();
         update.isListing = json.at("listing").get<bool>();
@@ -82,10 +72,7 @@
             update.items.push_back(decodeItem(item));
         }
         return update;
-    } catch (const Json::exception &error) {
-        logMalformed("registry-update", error);
-        return std::nullopt;
-    }
+    });
 }
 
 } // namespace flamingo
--- a/src/persistence/conversationrenewals.cpp
+++ b/src/persistence/conversationrenewals.cpp
@@ -10,7 +10,7 @@
 
 platform::KeyWrite renewalWrite(const TurnRecord &turn)
 {
-    return {RenewalKeyPrefix + turn.conversation().value(), std::to_string(turn.retention.count())};
+    return {renewalKey(storedId(turn.conversation())), std::to_string(turn.retention.count())};
 }
 
 void readRenewals(platform::PlatformStore &store, std::function<void(std::optional<ConversationRenewals>)> onRead)
@@ -20,7 +20,7 @@
         for (const platform::StoreItem &item : page.items) {
             std::int64_t retentionMs = 0;
             std::from_chars(item.data.data(), item.data.data() + item.data.size(), retentionMs);
-            const RequestId conversation(item.key.substr(std::string_view(RenewalKeyPrefix).size()));
+            const StoredId conversation(item.key.substr(std::string_view(RenewalKeyPrefix).size()));
             (*renewals)[conversation] = {item.revision, Milliseconds(retentionMs)};
         }
     };
--- a/src/persistence/conversationrenewals.h
+++ b/src/persistence/conversationrenewals.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "persistence/storedid.h"
 #include "platform/platformstore.h"
 #include "serving/turnrecord.h"
 
@@ -10,9 +11,6 @@
 namespace flamingo
 {
 
-/// Prefix of the key that is written each time a conversation is renewed; followed by the conversation's id.
-constexpr const char *RenewalKeyPrefix = "renewed/";
-
 /// The last renewal of a conversation, whose earlier turns are needed by those that have continued it since then. Whether there
 /// was another one is told by its revision, since the clocks of the writers may differ.
 struct ConversationRenewal {
@@ -20,7 +18,7 @@
     Milliseconds retention{0}; ///< Of the turn that renewed it.
 };
 
-using ConversationRenewals = std::map<RequestId, ConversationRenewal>;
+using ConversationRenewals = std::map<StoredId, ConversationRenewal>;
 
 /// The write that renews the conversation of a turn.
 platform::KeyWrite renewalWrite(const TurnRecord &turn);
--- a/src/persistence/garbagecollector.cpp
+++ b/src/persistence/garbagecollector.cpp
@@ -141,7 +141,7 @@
                 continue;
             }
             // Each conversation is looked at, so that the time without renewals counts from the first pass.
-            const auto n = std::count_if(index->conversations.begin(), index->conversations.end(), [&](const RequestId &it) { return hasEnded(it, *pass); });
+            const auto n = std::count_if(index->conversations.begin(), index->conversations.end(), [&](const StoredId &it) { return hasEnded(it, *pass); });
             if (static_cast<std::size_t>(n) == index->conversations.size()) {
                 removeTurns({item.key, item.revision}, *index, pass->renewals);
             }
@@ -150,7 +150,7 @@
     m_store.listAll(TurnIndex::KeyPrefix, onPage, [this, pass](bool) { finishPass(pass); });
 }
 
-bool GarbageCollector::hasEnded(const RequestId &conversation, const Pass &pass)
+bool GarbageCollector::hasEnded(const StoredId &conversation, const Pass &pass)
 {
     const auto it = pass.renewals.find(conversation);
     if (it == pass.renewals.end()) {
@@ -189,9 +189,9 @@
 void GarbageCollector::removeTurns(const platform::RevisionPrecondition &key, const TurnIndex &index, const ConversationRenewals &renewals)
 {
     std::vector<std::string> keys = index.keys();
-    for (const RequestId &turn : index.turns) {
+    for (const StoredId &turn : index.turns) {
         if (renewals.count(turn) != 0) {
-            keys.push_back(RenewalKeyPrefix + turn.value());
+            keys.push_back(renewalKey(turn));
         }
     }
     keys.push_back(key.key);
--- a/src/persistence/garbagecollector.h
+++ b/src/persistence/garbagecollector.h
@@ -42,14 +42,14 @@
     void collectTurns(const PassPtr &pass);
     void collectTurnsOfDeadWriters(const PassPtr &pass);
     void finishPass(const PassPtr &pass);
-    bool hasEnded(const RequestId &conversation, const Pass &pass);
+    bool hasEnded(const StoredId &conversation, const Pass &pass);
     void removeIfUnchanged(const std::vector<platform::RevisionPrecondition> &keys);
     void removeTurns(const platform::RevisionPrecondition &key, const TurnIndex &index, const ConversationRenewals &renewals);
     void commit(const platform::StoreTransaction &transaction, const char *kind);
 
     platform::PlatformStore &m_store;
     LivenessTracker m_liveness;
-    std::map<RequestId, ObservedRenewal> m_observedRenewals; ///< Of conversations that dead writers have left.
+    std::map<StoredId, ObservedRenewal> m_observedRenewals; ///< Of conversations that dead writers have left.
     Milliseconds m_retention{0}; ///< The longest retention of any route so far.
     bool m_isCollecting = false;
 };
--- a/src/persistence/platformbudgetstore.cpp
+++ b/src/persistence/platformbudgetstore.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "persistence/keyremoval.h"
+#include "persistence/storedid.h"
 
 namespace flamingo
 {
@@ -36,7 +37,7 @@
                                          const std::string &bytes,
                                          std::function<void(SwapResult)> onResult)
 {
-    const std::string key = KeyPrefix + program.value();
+    const std::string key = KeyPrefix + storedId(program).value();
     platform::StoreTransaction transaction;
     transaction.preconditions.push_back({key, expectedRevision});
     transaction.writes.push_back({key, bytes});
@@ -48,7 +49,7 @@
     std::vector<std::string> keys;
     keys.reserve(programs.size());
     for (const ProgramId &program : programs) {
-        keys.push_back(KeyPrefix + program.value());
+        keys.push_back(KeyPrefix + storedId(program).value());
     }
     removeKeys(m_store, keys);
 }
--- a/src/persistence/platformbudgetstore.h
+++ b/src/persistence/platformbudgetstore.h
@@ -10,7 +10,7 @@
 class PlatformBudgetStore : public BudgetStore
 {
 public:
-    /// Prefix of a budget's key; followed by the program's id.
+    /// Prefix of a budget's key; followed by the program's id as storedId() gives it.
     static constexpr const char *KeyPrefix = "budget/";
 
     explicit PlatformBudgetStore(platform::PlatformStore &store);
--- a/src/persistence/platformturnstore.cpp
+++ b/src/persistence/platformturnstore.cpp
@@ -3,7 +3,6 @@
 #include "core/log.h"
 #include "persistence/keyremoval.h"
 #include "persistence/splitrecord.h"
-#include "serving/archivemessages.h"
 
 #include <fmt/format.h>
 
@@ -39,7 +38,7 @@
     TurnIndex index;
     index.writer = m_writer;
     for (const BatchedTurn &turn : batch.turns()) {
-        index.turns.push_back(turn.id);
+        index.turns.push_back(storedId(turn.id));
         index.conversations.push_back(turn.conversation);
         index.parts.push_back(turn.parts);
     }
@@ -53,7 +52,7 @@
     batch.tryAdd(turn->id, turn->encode());
     const auto saving = makeSave(batch, [onSaved = std::move(onSaved)](SaveResult result) { onSaved(result == SaveResult::Saved); });
     // The turn's own key is in the last transaction. A conflict means that an earlier attempt, whose response was lost, has written it.
-    saving->transactions.back().preconditions.push_back({TurnKeyPrefix + turn->id.value(), 0});
+    saving->transactions.back().preconditions.push_back({turnKey(storedId(turn->id)), 0});
     saving->maxAttempts = MaxSaveAttempts;
     commitNext(saving);
 }
@@ -101,7 +100,7 @@
 
 void PlatformTurnStore::load(const RequestId &id, std::function<void(TurnLookup)> onLoaded)
 {
-    m_store.read(TurnKeyPrefix + id.value(), [this, id, onLoaded = std::move(onLoaded)](const tl::expected<platform::StoreItem, platform::StoreFailure> &item) {
+    m_store.read(turnKey(storedId(id)), [this, id, onLoaded = std::move(onLoaded)](const tl::expected<platform::StoreItem, platform::StoreFailure> &item) {
         TurnLookup lookup;
         if (!item) {
             logChange("turn-lookup-failed", "turn={} reason=\"{}\"", id.value(), item.error().detail);
@@ -125,29 +124,30 @@
 // The parts are written before the turn's own key and removed with it, so a missing one doesn't mean that there is no such turn.
 void PlatformTurnStore::loadNextPart(const std::shared_ptr<PendingLoad> &loading)
 {
-    m_store.read(turnPartKey(loading->id, loading->loadedParts), [this, loading](const tl::expected<platform::StoreItem, platform::StoreFailure> &item) {
-        TurnLookup lookup;
-        if (!item || item->revision == 0) {
-            logChange("turn-part-not-read",
-                      "turn={} part={} parts={} reason=\"{}\"",
-                      loading->id.value(),
-                      loading->loadedParts,
-                      loading->parts,
-                      item ? "absent" : item.error().detail);
-            loading->onLoaded(lookup);
-            return;
-        }
-        loading->record += item->data;
-        if (++loading->loadedParts < loading->parts) {
-            loadNextPart(loading);
-            return;
-        }
-        if (auto turn = TurnRecord::decode(loading->id, loading->record)) {
-            lookup.status = TurnLookup::Status::Found;
-            lookup.turn = std::make_shared<const TurnRecord>(std::move(*turn));
-        }
-        loading->onLoaded(lookup);
-    });
+    m_store.read(turnPartKey(storedId(loading->id), loading->loadedParts),
+                 [this, loading](const tl::expected<platform::StoreItem, platform::StoreFailure> &item) {
+                     TurnLookup lookup;
+                     if (!item || item->revision == 0) {
+                         logChange("turn-part-not-read",
+                                   "turn={} part={} parts={} reason=\"{}\"",
+                                   loading->id.value(),
+                                   loading->loadedParts,
+                                   loading->parts,
+                                   item ? "absent" : item.error().detail);
+                         loading->onLoaded(lookup);
+                         return;
+                     }
+                     loading->record += item->data;
+                     if (++loading->loadedParts < loading->parts) {
+                         loadNextPart(loading);
+                         return;
+                     }
+                     if (auto turn = TurnRecord::decode(loading->id, loading->record)) {
+                         lookup.status = TurnLookup::Status::Found;
+                         lookup.turn = std::make_shared<const TurnRecord>(std::move(*turn));
+                     }
+                     loading->onLoaded(lookup);
+                 });
 }
 
 void PlatformTurnStore::scheduleExpiry(const TurnBatch &batch, const std::string &indexKey)
@@ -156,7 +156,7 @@
     expiry.indexKey = indexKey;
     expiry.retention = batch.retention();
     for (const BatchedTurn &turn : batch.turns()) {
-        expiry.turns.push_back({turn.id, turn.conversation, turn.parts});
+        expiry.turns.push_back({storedId(turn.id), turn.conversation, turn.parts});
     }
     m_expiries.emplace(std::chrono::steady_clock::now() + expiry.retention * RetentionFactor, std::move(expiry));
 }
@@ -204,12 +204,12 @@
             renewed.turns.push_back(turn);
             continue;
         }
-        keys.push_back(TurnKeyPrefix + turn.id.value());
+        keys.push_back(turnKey(turn.id));
         for (std::size_t part = 0; part < turn.parts; ++part) {
             keys.push_back(turnPartKey(turn.id, part));
         }
         if (it != renewals.end() && turn.id == turn.conversation) {
-            keys.push_back(RenewalKeyPrefix + turn.conversation.value());
+            keys.push_back(renewalKey(turn.conversation));
         }
         ended.push_back(turn);
     }
--- a/src/persistence/platformturnstore.h
+++ b/src/persistence/platformturnstore.h
@@ -54,8 +54,8 @@
         int maxAttempts = 1;
     };
     struct KeptTurn {
-        RequestId id;
-        RequestId conversation;
+        StoredId id;
+        StoredId conversation;
         std::size_t parts = 0;
         platform::Revision lastSeenRenewal = 0;
     };
--- a/src/persistence/replicatedturnstore.cpp
+++ b/src/persistence/replicatedturnstore.cpp
@@ -1,6 +1,7 @@
 #include "persistence/replicatedturnstore.h"
 
 #include "core/log.h"
+#include "core/percentcoding.h"
 #include "persistence/memberregistration.h"
 #include "serving/archivemessages.h"
 
@@ -187,7 +188,7 @@
         loading->queried.insert(archive.id);
         InternalRequest call;
         call.address = archive.peerAddress;
-        call.target = ArchiveLookupPath + loading->id.value();
+        call.target = ArchiveLookupPath + percentEncode(loading->id.value());
         call.responseTimeout = LookupTimeout;
         sendInternalRequest(m_context, m_links, std::move(call), [this, loading](const std::optional<InternalResponse> &answer) {
             auto turn = answer && answer->status == StatusOk ? TurnRecord::decode(loading->id, answer->body) : std::nullopt;
--- a/src/persistence/splitrecord.cpp
+++ b/src/persistence/splitrecord.cpp
@@ -2,8 +2,6 @@
 
 #include "core/codec.h"
 
-#include <fmt/format.h>
-
 namespace flamingo
 {
 
@@ -14,11 +12,6 @@
 constexpr std::uint64_t MaxParts = 10000;
 } // namespace
 
-std::string turnPartKey(const RequestId &turn, std::size_t part)
-{
-    return fmt::format("{}{}/{}", TurnPartKeyPrefix, part, turn.value());
-}
-
 std::vector<std::string> splitRecord(const std::string &record, std::size_t maxPartBytes)
 {
     std::vector<std::string> parts;
--- a/src/persistence/splitrecord.h
+++ b/src/persistence/splitrecord.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "serving/requestmetadata.h"
-
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -10,13 +8,6 @@
 namespace flamingo
 {
 
-/// Prefix of the keys that hold the parts of a turn that is longer than a value of the store; followed by the part's number, a
-/// slash and the turn's id.
-constexpr const char *TurnPartKeyPrefix = "turn-part/";
-
-/// The key of a part; the first one has number 0.
-std::string turnPartKey(const RequestId &turn, std::size_t part);
-
 /// Divides a record into parts of at most the given size.
 std::vector<std::string> splitRecord(const std::string &record, std::size_t maxPartBytes);
 
--- a/src/persistence/turnbatch.cpp
+++ b/src/persistence/turnbatch.cpp
@@ -2,7 +2,6 @@
 
 #include "persistence/conversationrenewals.h"
 #include "persistence/splitrecord.h"
-#include "serving/archivemessages.h"
 
 #include <algorithm>
 
@@ -32,15 +31,16 @@
 
 bool TurnBatch::tryAdd(const RequestId &id, const std::string &record)
 {
-    BatchedTurn batched{id, id, Milliseconds(0), 0};
+    const StoredId stored = storedId(id);
+    BatchedTurn batched{id, stored, Milliseconds(0), 0};
     std::vector<platform::KeyWrite> writes;
     if (record.size() > m_maxPartBytes) {
         for (const std::string &part : splitRecord(record, m_maxPartBytes)) {
-            writes.push_back({turnPartKey(id, batched.parts++), part});
+            writes.push_back({turnPartKey(stored, batched.parts++), part});
         }
     }
     if (const auto turn = TurnRecord::decode(id, record)) {
-        batched.conversation = turn->conversation();
+        batched.conversation = storedId(turn->conversation());
         batched.retention = turn->retention;
         // Two turns of one conversation may renew it at once, and a transaction writes each key once.
         const platform::KeyWrite renewal = renewalWrite(*turn);
@@ -48,7 +48,7 @@
             writes.push_back(renewal);
         }
     }
-    writes.push_back({TurnKeyPrefix + id.value(), batched.parts == 0 ? record : SplitRecordHead{batched.parts}.encode()});
+    writes.push_back({turnKey(stored), batched.parts == 0 ? record : SplitRecordHead{batched.parts}.encode()});
     const bool hasRoom = m_writes.size() + writes.size() <= MaxWrites && m_bytes + record.size() <= MaxBytes;
     if (!m_turns.empty() && !hasRoom) {
         return false;
--- a/src/persistence/turnbatch.h
+++ b/src/persistence/turnbatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "persistence/storedid.h"
 #include "platform/platformstore.h"
 #include "serving/turnrecord.h"
 
@@ -13,7 +14,7 @@
 /// A turn in a batch, without its texts.
 struct BatchedTurn {
     RequestId id;
-    RequestId conversation;
+    StoredId conversation;
     Milliseconds retention{0};
     std::size_t parts = 0; ///< Keys beside the turn's own one, for a record that is longer than a value of the store.
 };
--- a/src/persistence/turnindex.cpp
+++ b/src/persistence/turnindex.cpp
@@ -1,8 +1,6 @@
 #include "persistence/turnindex.h"
 
-#include "core/codec.h"
-#include "persistence/splitrecord.h"
-#include "serving/archivemessages.h"
+#include "core/decoding.h"
 
 namespace flamingo
 {
@@ -12,7 +10,7 @@
     std::vector<std::string> keys;
     keys.reserve(turns.size());
     for (std::size_t n = 0; n < turns.size(); ++n) {
-        keys.push_back(TurnKeyPrefix + turns[n].value());
+        keys.push_back(turnKey(turns[n]));
         for (std::size_t part = 0; n < parts.size() && part < parts[n]; ++part) {
             keys.push_back(turnPartKey(turns[n], part));
         }
@@ -27,17 +25,15 @@
 
 std::optional<TurnIndex> TurnIndex::decode(const std::string &bytes)
 {
-    const auto json = parseJson(bytes);
-    if (!json || !json->is_object() || !json->contains("writer") || !json->contains("turns")) {
-        return std::nullopt;
-    }
-    TurnIndex index;
-    index.writer = (*json)["writer"].get<IncarnationId>();
-    index.turns = (*json)["turns"].get<std::vector<RequestId>>();
-    // An index of an earlier version lists no conversations. Then only those that a turn has begun are known.
-    index.conversations = json->value("conversations", index.turns);
-    index.parts = json->value("parts", index.parts);
-    return index;
+    return decodeJson<TurnIndex>("turn-index", bytes, [](const nlohmann::json &json) {
+        TurnIndex index;
+        index.writer = json.at("writer").get<IncarnationId>();
+        index.turns = json.at("turns").get<std::vector<StoredId>>();
+        // An index of an earlier version lists no conversations. Then only those that a turn has begun are known.
+        index.conversations = json.value("conversations", index.turns);
+        index.parts = json.value("parts", index.parts);
+        return index;
+    });
 }
 
 } // namespace flamingo
--- a/src/persistence/turnindex.h
+++ b/src/persistence/turnindex.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "persistence/storedid.h"
 #include "serving/incarnationid.h"
-#include "serving/turnrecord.h"
 
 #include <optional>
 #include <string>
@@ -16,8 +16,8 @@
     static constexpr const char *KeyPrefix = "turns-of/";
 
     IncarnationId writer;
-    std::vector<RequestId> turns;
-    std::vector<RequestId> conversations; ///< Of each turn.
+    std::vector<StoredId> turns;
+    std::vector<StoredId> conversations; ///< Of each turn.
     std::vector<std::size_t> parts; ///< Number of keys of each turn beside its own one.
 
     /// Store keys of the turns.
--- a/src/serving/archivemessages.cpp
+++ b/src/serving/archivemessages.cpp
@@ -1,7 +1,7 @@
 #include "serving/archivemessages.h"
 
 #include "core/codec.h"
-#include "core/log.h"
+#include "core/decoding.h"
 
 #include <nlohmann/json.hpp>
 
@@ -20,14 +20,10 @@
 
 std::optional<ArchiveKeepRequest> ArchiveKeepRequest::decode(const std::string &bytes)
 {
-    try {
-        const Json json = Json::from_cbor(bytes);
+    return decodeCbor<ArchiveKeepRequest>("archive-keep", bytes, [](const Json &json) {
         return ArchiveKeepRequest{
             json.at("id").get<RequestId>(), fromBinary(json.at("record")), json.at("first").get<bool>(), json.at("others").get<std::vector<std::string>>()};
-    } catch (const Json::exception &error) {
-        logChange("archive-message-unreadable", "reason=\"{}\"", error.what());
-        return std::nullopt;
-    }
+    });
 }
 
 std::string ArchiveForgetRequest::encode() const
@@ -37,12 +33,8 @@
 
 std::optional<ArchiveForgetRequest> ArchiveForgetRequest::decode(const std::string &bytes)
 {
-    try {
-        return ArchiveForgetRequest{Json::from_cbor(bytes).at("turns").get<std::vector<RequestId>>()};
-    } catch (const Json::exception &error) {
-        logChange("archive-message-unreadable", "reason=\"{}\"", error.what());
-        return std::nullopt;
-    }
+    return decodeCbor<ArchiveForgetRequest>(
+        "archive-forget", bytes, [](const Json &json) { return ArchiveForgetRequest{json.at("turns").get<std::vector<RequestId>>()}; });
 }
 
 } // namespace flamingo
--- a/src/serving/archivemessages.h
+++ b/src/serving/archivemessages.h
@@ -28,12 +28,9 @@
     static std::optional<ArchiveForgetRequest> decode(const std::string &bytes);
 };
 
-/// Paths that archives serve: keep a turn, forget turns, look a turn up (followed by the turn's id).
+/// Paths that archives serve: keep a turn, forget turns, look a turn up (followed by the turn's id, percent-encoded).
 constexpr const char *ArchiveKeepPath = "/turns/keep";
 constexpr const char *ArchiveForgetPath = "/turns/forget";
 constexpr const char *ArchiveLookupPath = "/turns/of/";
 
-/// Prefix of a turn's key in the store; followed by the turn's id.
-constexpr const char *TurnKeyPrefix = "turn/";
-
 } // namespace flamingo
--- a/src/serving/budgetledger.cpp
+++ b/src/serving/budgetledger.cpp
@@ -1,6 +1,6 @@
 #include "serving/budgetledger.h"
 
-#include "core/log.h"
+#include "core/decoding.h"
 
 #include <nlohmann/json.hpp>
 
@@ -50,17 +50,15 @@
 
 std::optional<BudgetRecord> BudgetRecord::decode(const std::string &bytes)
 {
-    const Json json = Json::parse(bytes, nullptr, false);
-    if (!json.is_object() || !json.contains("budget") || !json.contains("granted")) {
-        return std::nullopt;
-    }
-    BudgetRecord record;
-    record.budget = json["budget"].get<Tokens>();
-    record.provisionalReserve = json.value("reserve", Tokens(0));
-    for (const auto &[holder, tokens] : json["granted"].items()) {
-        record.granted[IncarnationId(holder)] = tokens.get<Tokens>();
-    }
-    return record;
+    return decodeJson<BudgetRecord>("budget", bytes, [](const Json &json) {
+        BudgetRecord record;
+        record.budget = json.at("budget").get<Tokens>();
+        record.provisionalReserve = json.value("reserve", Tokens(0));
+        for (const auto &[holder, tokens] : json.at("granted").get_ref<const Json::object_t &>()) {
+            record.granted[IncarnationId(holder)] = tokens.get<Tokens>();
+        }
+        return record;
+    });
 }
 
 BudgetLedger::BudgetLedger(IncarnationId self, BudgetStore &store, Checks checks)
--- a/src/serving/cleanshutdownmarker.cpp
+++ b/src/serving/cleanshutdownmarker.cpp
@@ -1,6 +1,6 @@
 #include "serving/cleanshutdownmarker.h"
 
-#include "core/log.h"
+#include "core/decoding.h"
 
 #include <nlohmann/json.hpp>
 
@@ -28,12 +28,9 @@
 
 std::optional<CleanShutdownMarker> CleanShutdownMarker::decode(const std::string &bytes)
 {
-    const auto json = nlohmann::json::parse(bytes, nullptr, false);
-    if (!json.is_object() || !json.contains("boot-ms") || !json.contains("wall-ms")) {
-        logChange("shutdown-marker-unreadable", "bytes={}", bytes.size());
-        return std::nullopt;
-    }
-    return CleanShutdownMarker{Milliseconds(json.value("boot-ms", std::int64_t(0))), Milliseconds(json.value("wall-ms", std::int64_t(0)))};
+    return decodeJson<CleanShutdownMarker>("shutdown-marker", bytes, [](const nlohmann::json &json) {
+        return CleanShutdownMarker{Milliseconds(json.at("boot-ms").get<std::int64_t>()), Milliseconds(json.at("wall-ms").get<std::int64_t>())};
+    });
 }
 
 bool CleanShutdownMarker::isRecent(const CleanShutdownMarker &now) const
--- a/src/serving/memberdirectory.cpp
+++ b/src/serving/memberdirectory.cpp
@@ -1,5 +1,6 @@
 #include "serving/memberdirectory.h"
 
+#include "core/decoding.h"
 #include "core/digest.h"
 
 #include <nlohmann/json.hpp>
@@ -33,16 +34,14 @@
 
 std::optional<MemberRecord> MemberRecord::decode(const InstanceId &id, const std::string &bytes)
 {
-    const auto json = nlohmann::json::parse(bytes, nullptr, false);
-    if (!json.is_object()) {
-        return std::nullopt;
-    }
-    const auto address = parseSocketAddress(json.value("peers", ""));
-    if (!address) {
-        return std::nullopt;
-    }
-    const Role role = json.value("archive", false) ? Role::Archive : Role::Instance;
-    return MemberRecord{id, DomainId(json.value("domain", "")), *address, IncarnationId(json.value("holder", "")), role, json.value("gone", false)};
+    return decodeJson<MemberRecord>("member", bytes, [&](const nlohmann::json &json) -> std::optional<MemberRecord> {
+        const auto address = parseSocketAddress(json.value("peers", ""));
+        if (!address) {
+            return std::nullopt;
+        }
+        const Role role = json.value("archive", false) ? Role::Archive : Role::Instance;
+        return MemberRecord{id, DomainId(json.value("domain", "")), *address, IncarnationId(json.value("holder", "")), role, json.value("gone", false)};
+    });
 }
 
 MemberDirectory::MemberDirectory(InstanceId self, DomainId ownDomain)
--- a/src/serving/registryversions.cpp
+++ b/src/serving/registryversions.cpp
@@ -1,7 +1,7 @@
 #include "serving/registryversions.h"
 
 #include "core/codec.h"
-#include "core/log.h"
+#include "core/decoding.h"
 
 namespace flamingo
 {
@@ -13,12 +13,7 @@
 
 std::optional<RegistryVersions> RegistryVersions::decode(const std::string &bytes)
 {
-    try {
-        return nlohmann::json::from_cbor(bytes).get<RegistryVersions>();
-    } catch (const nlohmann::json::exception &error) {
-        logChange("peer-message-malformed", "message=registry-versions reason=\"{}\"", error.what());
-        return std::nullopt;
-    }
+    return decodeCbor<RegistryVersions>("registry-versions", bytes, [](const nlohmann::json &json) { return json.get<RegistryVersions>(); });
 }
 
 void to_json(nlohmann::json &json, const RegistryVersions &versions)
--- a/src/serving/turnrecord.cpp
+++ b/src/serving/turnrecord.cpp
@@ -1,6 +1,7 @@
 #include "serving/turnrecord.h"
 
 #include "core/codec.h"
+#include "core/decoding.h"
 #include "serving/turncache.h"
 
 namespace flamingo
@@ -43,8 +44,7 @@
 
 std::optional<TurnRecord> TurnRecord::decode(const RequestId &id, const std::string &bytes)
 {
-    try {
-        const Json json = Json::from_cbor(bytes);
+    return decodeCbor<TurnRecord>("turn", bytes, [&](const Json &json) {
         TurnRecord turn;
         turn.id = id;
         turn.ancestors = json.at("before").get<std::vector<RequestId>>();
@@ -55,9 +55,7 @@
         turn.sinceRenewal = Milliseconds(json.value("age", turn.retention.count()));
         turn.renewsConversation = json.value("renews", false);
         return turn;
-    } catch (const Json::exception &) {
-        return std::nullopt;
-    }
+    });
 }
 
 } // namespace flamingo
--- a/tests/platform/archivetest.cpp
+++ b/tests/platform/archivetest.cpp
@@ -1,3 +1,4 @@
+#include "persistence/storedid.h"
 #include "platform/testinstance.h"
 #include "serving/archivemessages.h"
 #include "serving/memberdirectory.h"
@@ -175,6 +176,54 @@
     CHECK(endpoint.requests().back().body == "long" + longText + "\n" + longText + "\nagain");
 }
 
+// Guards against a request of any caller that ends all archives, again at each start, or the instance that keeps its budget.
+TEST_CASE("Ids with any bytes and of any length neither end a process nor lose a turn", "[platform]")
+{
+    Fixture it;
+    const std::vector<std::string> ids = {"t\xff"
+                                          "1",
+                                          "a b",
+                                          "100%/x",
+                                          std::string(400, 'y'),
+                                          "\xf0\x28"};
+    for (const std::string &id : ids) {
+        const std::string lines = "X-Program-Id: p" + id + "\r\nX-Token-Budget: 2900\r\nX-Token-Usage: 100,200\r\n";
+        INFO(id);
+        CHECK(it.instance->send(callerRequest("/chat/a", id, lines, "hello ")).status == 200);
+    }
+    CHECK(eventually([&] { return it.store.keys(TurnKeyPrefix).size() == ids.size(); }));
+    it.first.process().kill();
+    it.second.process().kill();
+    it.first.wipeDisk();
+    it.second.wipeDisk();
+    it.instance->killAndRestart();
+    it.first.start();
+    it.second.start();
+    REQUIRE(it.instance->awaitReady());
+    for (const std::string &id : ids) {
+        INFO(id);
+        CHECK(eventually([&] { return it.instance->send(callerRequest("/chat/a", "n" + id, "X-Previous-Turn: " + id + "\r\n", "again")).status == 200; }));
+    }
+}
+
+// Guards against an odd record that holds up the others, or ends the archive at each start.
+TEST_CASE("An archive sets a record aside that it can't read, and uploads the rest", "[platform]")
+{
+    Fixture it;
+    it.store.setFault(KvStandIn::Fault::Unavailable);
+    for (const std::string id : {"u1", "u2", "u3"}) {
+        REQUIRE(it.instance->send(turnRequest(id, {}, "hello ")).isComplete);
+    }
+    it.first.process().kill();
+    it.second.process().kill();
+    it.first.spoilFirstRecord();
+    it.second.wipeDisk();
+    it.store.setFault(KvStandIn::Fault::None);
+    it.first.start();
+    CHECK(eventually([&] { return it.store.keys(TurnKeyPrefix).size() == 2; }));
+    CHECK(it.first.process().isRunning());
+}
+
 TEST_CASE("Archives upload turns to the store in batches", "[platform]")
 {
     Fixture it;
--- a/tests/platform/persistencetest.cpp
+++ b/tests/platform/persistencetest.cpp
@@ -112,8 +112,8 @@
     store.put("budget/left", record.encode());
     store.put("turn/t1", "x");
     store.put("turn/t2", "x");
-    store.put(std::string(TurnIndex::KeyPrefix) + "dead/1", TurnIndex{IncarnationId("dead"), {RequestId("t1")}, {RequestId("t1")}, {0}}.encode());
-    store.put(std::string(TurnIndex::KeyPrefix) + "start-2/1", TurnIndex{IncarnationId("start-2"), {RequestId("t2")}, {RequestId("t2")}, {0}}.encode());
+    store.put(std::string(TurnIndex::KeyPrefix) + "dead/1", TurnIndex{IncarnationId("dead"), {StoredId("t1")}, {StoredId("t1")}, {0}}.encode());
+    store.put(std::string(TurnIndex::KeyPrefix) + "start-2/1", TurnIndex{IncarnationId("start-2"), {StoredId("t2")}, {StoredId("t2")}, {0}}.encode());
     collect();
     CHECK(store.keys("budget/").size() == 2);
     CHECK(collectUntil("budget/", 1));
@@ -126,7 +126,7 @@
 TEST_CASE_METHOD(Fixture, "Turns within their retention are not collected, however long the retention is", "[platform]")
 {
     store.put("turn/t1", "x");
-    store.put(std::string(TurnIndex::KeyPrefix) + "dead/1", TurnIndex{IncarnationId("dead"), {RequestId("t1")}, {RequestId("t1")}, {0}}.encode());
+    store.put(std::string(TurnIndex::KeyPrefix) + "dead/1", TurnIndex{IncarnationId("dead"), {StoredId("t1")}, {StoredId("t1")}, {0}}.encode());
     const Instant end = std::chrono::steady_clock::now() + DeadAfter * 5;
     while (std::chrono::steady_clock::now() < end) {
         collect(DeadAfter * 10);
@@ -154,9 +154,9 @@
     REQUIRE(whole.status == TurnLookup::Status::Found);
     CHECK(whole.turn->input == record->input);
     CHECK(whole.turn->output == record->output);
-    const std::string part = store.get(turnPartKey(RequestId("t/1"), 3));
+    const std::string part = store.get(turnPartKey(storedId("t/1"), 3));
     CHECK(part.size() <= SmallValue);
-    store.remove(turnPartKey(RequestId("t/1"), 3));
+    store.remove(turnPartKey(storedId("t/1"), 3));
     CHECK(load("t/1").status == TurnLookup::Status::Unknown);
     CHECK(eventually([&] {
         loop.call([&] {
@@ -218,7 +218,7 @@
 TEST_CASE_METHOD(Fixture, "Turns of a dead writer are kept as long as their conversation goes on", "[platform]")
 {
     store.put("turn/t1", "x");
-    store.put(std::string(TurnIndex::KeyPrefix) + "dead/1", TurnIndex{IncarnationId("dead"), {RequestId("t1")}, {RequestId("t1")}, {0}}.encode());
+    store.put(std::string(TurnIndex::KeyPrefix) + "dead/1", TurnIndex{IncarnationId("dead"), {StoredId("t1")}, {StoredId("t1")}, {0}}.encode());
     const std::string renewal = std::string(RenewalKeyPrefix) + "t1";
     const Instant end = std::chrono::steady_clock::now() + DeadAfter * 5;
     while (std::chrono::steady_clock::now() < end) {
--- a/tests/platform/testinstance.cpp
+++ b/tests/platform/testinstance.cpp
@@ -278,6 +278,20 @@
     std::filesystem::remove_all(m_folder / "disk");
 }
 
+void TestArchive::spoilFirstRecord() const
+{
+    // Behind the record's length and checksum.
+    constexpr std::streamoff FirstByte = 20;
+    for (const auto &file : std::filesystem::directory_iterator(m_folder / "disk")) {
+        if (file.file_size() > FirstByte) {
+            std::fstream segment(file.path(), std::ios::in | std::ios::out | std::ios::binary);
+            segment.seekp(FirstByte);
+            segment.put('\xff');
+            return;
+        }
+    }
+}
+
 std::string TestArchive::name() const
 {
     return fmt::format("storage-{}", m_number);
--- a/tests/platform/testinstance.h
+++ b/tests/platform/testinstance.h
@@ -99,6 +99,9 @@
     /// Deletes the archive's data; its process must not be running.
     void wipeDisk() const;
 
+    /// Changes a byte of the first record on the disk; the archive's process must not be running.
+    void spoilFirstRecord() const;
+
     std::string name() const;
 
 private:
