Send nothing new to an endpoint that says in an answer that it leaves

Cause: nothing read the field; only the entry in the store counted. Change: the head of each answer counts. Weighed and left: telling other instances; using the last leaving endpoint until drain-ms.

--- a/src/instance/dispatchqueue.cpp
+++ b/src/instance/dispatchqueue.cpp
@@ -31,9 +31,27 @@
     }
     m_dispatcher.setEndpoints(endpoints, AssumedInstancesPerEndpoint);
     dispatchWaiting();
+    refuseUnservable();
 }
 
-Result<CallId> DispatchQueue::enqueue(DispatchRequest &request, DispatchHandler onDispatch)
+void DispatchQueue::markLeaving(const EndpointId &endpoint)
+{
+    m_dispatcher.markLeaving(endpoint);
+}
+
+void DispatchQueue::refuseUnservable()
+{
+    for (const CallId call : m_dispatcher.takeUnservable()) {
+        const auto it = m_handlers.find(call);
+        if (it != m_handlers.end()) {
+            const auto onRefused = std::move(it->second.onRefused);
+            m_handlers.erase(it);
+            onRefused({ErrorKind::NoEndpoint, "all endpoints have left", std::nullopt});
+        }
+    }
+}
+
+Result<CallId> DispatchQueue::enqueue(DispatchRequest &request, Handlers handlers)
 {
     request.id = CallId(++m_lastCallId);
     const CallId id = request.id;
@@ -41,14 +59,14 @@
     if (!accepted) {
         return tl::make_unexpected(accepted.error());
     }
-    m_dispatchHandlers.emplace(id, std::move(onDispatch));
+    m_handlers.emplace(id, std::move(handlers));
     dispatchWaiting();
     return id;
 }
 
 void DispatchQueue::remove(CallId call)
 {
-    if (m_dispatchHandlers.erase(call) != 0) {
+    if (m_handlers.erase(call) != 0) {
         m_dispatcher.remove(call);
     }
 }
@@ -72,8 +90,9 @@
 
 void DispatchQueue::onTimer()
 {
-    if (!m_dispatchHandlers.empty()) {
+    if (!m_handlers.empty()) {
         dispatchWaiting();
+        refuseUnservable();
     }
 }
 
@@ -84,7 +103,7 @@
 
 std::size_t DispatchQueue::waitingCount() const
 {
-    return m_dispatchHandlers.size();
+    return m_handlers.size();
 }
 
 // Handlers may end calls, which calls this function again. Such calls only request another round, to avoid recursion.
@@ -97,9 +116,9 @@
     m_isDispatching = true;
     while (std::exchange(m_isDispatchRequested, false)) {
         for (const DispatchDecision &decision : m_dispatcher.nextDecisions(now())) {
-            const auto it = m_dispatchHandlers.find(decision.call);
-            const DispatchHandler onDispatch = std::move(it->second);
-            m_dispatchHandlers.erase(it);
+            const auto it = m_handlers.find(decision.call);
+            const auto onDispatch = std::move(it->second.onDispatch);
+            m_handlers.erase(it);
             onDispatch(*m_endpointDirectory.find(decision.endpoint), decision.reason);
         }
     }
--- a/src/instance/dispatchqueue.h
+++ b/src/instance/dispatchqueue.h
@@ -16,16 +16,24 @@
 class DispatchQueue
 {
 public:
-    using DispatchHandler = std::function<void(const EndpointEntry &endpoint, const std::string &reason)>;
+    /// One of them is called once for a request that waits, unless it is removed.
+    struct Handlers {
+        std::function<void(const EndpointEntry &endpoint, const std::string &reason)> onDispatch;
+        std::function<void(const Error &error)> onRefused; ///< No endpoint is left that takes new requests.
+    };
 
     DispatchQueue(const PolicyRules &rules, const DomainId &ownDomain, const EndpointDirectory &endpointDirectory);
 
-    /// Passes the current content of the endpoint directory to the dispatcher.
+    /// Passes the current content of the endpoint directory to the dispatcher. Refuses requests that wait for a pool without
+    /// endpoints that take new ones.
     void refreshEndpoints();
 
-    /// Queues a request, or returns the dispatcher's error. The handler is called once an endpoint has been chosen, possibly
+    /// The endpoint takes no new requests from now on. Requests that wait for it alone are refused with the next timer.
+    void markLeaving(const EndpointId &endpoint);
+
+    /// Queues a request, or returns the dispatcher's error. onDispatch is called once an endpoint has been chosen, possibly
     /// before this returns. The request gets its id and its kind, which belong to the same request in later calls.
-    Result<CallId> enqueue(DispatchRequest &request, DispatchHandler onDispatch);
+    Result<CallId> enqueue(DispatchRequest &request, Handlers handlers);
 
     /// Removes a waiting request; its handler is not called.
     void remove(CallId call);
@@ -48,10 +56,11 @@
 
 private:
     void dispatchWaiting();
+    void refuseUnservable();
 
     Dispatcher m_dispatcher;
     const EndpointDirectory &m_endpointDirectory;
-    std::unordered_map<CallId, DispatchHandler> m_dispatchHandlers;
+    std::unordered_map<CallId, Handlers> m_handlers;
     std::uint64_t m_lastCallId = 0;
     bool m_isDispatching = false;
     bool m_isDispatchRequested = false;
--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -245,6 +245,9 @@
     m_loop.timers().every(now, DispatchPeriod, [this](Instant) { m_dispatchQueue.onTimer(); });
     m_loop.timers().every(now, HousekeepingPeriod, [this](Instant at) {
         reloadSettings();
+        if (m_endpointDirectory.removeExpired(at)) {
+            m_dispatchQueue.refreshEndpoints();
+        }
         m_budgets.removeIdle(ProgramIdleTimeout, at);
         m_budgets.recordProvisionalGrants();
         m_turnStore.removeExpired(at);
--- a/src/instance/proxiedrequest.cpp
+++ b/src/instance/proxiedrequest.cpp
@@ -177,17 +177,18 @@
         request.cachedPrefixTokens = m_cachedPrefix->tokens;
     }
     m_dispatchRequest = request;
-    const auto queued =
-        m_context.dispatchQueue.enqueue(m_dispatchRequest, [self = shared_from_this()](const EndpointEntry &endpoint, const std::string &reason) {
-            self->m_queuedCallId.reset();
-            self->sendTo(endpoint, reason);
-        });
+    DispatchQueue::Handlers handlers;
+    handlers.onDispatch = [self = shared_from_this()](const EndpointEntry &endpoint, const std::string &reason) {
+        self->m_queuedCallId.reset();
+        self->sendTo(endpoint, reason);
+    };
+    handlers.onRefused = [self = shared_from_this()](const Error &error) {
+        self->m_queuedCallId.reset();
+        self->onNotQueued(error);
+    };
+    const auto queued = m_context.dispatchQueue.enqueue(m_dispatchRequest, std::move(handlers));
     if (!queued) {
-        if (m_possibleExecutors.empty() && !m_stream.hasStarted()) {
-            refuse(503, errorInfo(queued.error().kind).name, queued.error().retryAfter.value_or(DefaultRetryAfter));
-        } else {
-            onAttemptFailed("no endpoint available", false);
-        }
+        onNotQueued(queued.error());
         return;
     }
     if (!m_attempt && !m_isFinished) {
@@ -195,6 +196,15 @@
     }
 }
 
+void ProxiedRequest::onNotQueued(const Error &error)
+{
+    if (m_possibleExecutors.empty() && !m_stream.hasStarted()) {
+        refuse(503, errorInfo(error.kind).name, error.retryAfter.value_or(DefaultRetryAfter));
+    } else {
+        onAttemptFailed("no endpoint available", false);
+    }
+}
+
 ClientRequest ProxiedRequest::buildRequest(const EndpointEntry &endpoint, Instant now) const
 {
     platform::AttemptMetadata attemptMetadata;
@@ -273,6 +283,20 @@
     if (m_attempt->responseMetadata.load) {
         m_context.dispatchQueue.onLoad(m_attempt->endpoint.id, *m_attempt->responseMetadata.load);
     }
+    if (m_attempt->responseMetadata.isLeaving) {
+        onEndpointLeaving(m_attempt->endpoint);
+    }
+}
+
+// What is in progress there goes on; new and waiting requests, retries and resumed streams go elsewhere.
+void ProxiedRequest::onEndpointLeaving(const EndpointEntry &endpoint)
+{
+    if (!m_context.endpointDirectory.markLeaving(endpoint.id, endpoint.startedAtMs, std::chrono::steady_clock::now())) {
+        return;
+    }
+    logChange("endpoint-leaving", "endpoint={} id={}", endpoint.id.value(), m_metadata.id.value());
+    m_context.metrics.add("flamingo_endpoints_leaving_total");
+    m_context.dispatchQueue.markLeaving(endpoint.id);
 }
 
 void ProxiedRequest::onResponseBody(std::string_view bytes)
--- a/src/instance/proxiedrequest.h
+++ b/src/instance/proxiedrequest.h
@@ -55,10 +55,12 @@
     void onHomeResponse(BeginTurnResponse response);
     void reportTurnEnd(Tokens usedTokens, TurnRecordPtr turnRecord);
     void enqueue();
+    void onNotQueued(const Error &error);
     void sendTo(const EndpointEntry &endpoint, const std::string &reason);
     ClientRequest buildRequest(const EndpointEntry &endpoint, Instant now) const;
 
     void onResponseHead(const MessageHead &head);
+    void onEndpointLeaving(const EndpointEntry &endpoint);
     void onResponseBody(std::string_view bytes);
     void breakOffStream();
     void onResponseTooLong();
--- a/src/policy/dispatcher.cpp
+++ b/src/policy/dispatcher.cpp
@@ -80,9 +80,7 @@
 Result<void> Dispatcher::enqueue(DispatchRequest &call, Instant now)
 {
     Pool &pool = m_pools[call.pool];
-    const bool hasEndpoint =
-        std::any_of(pool.endpoints.begin(), pool.endpoints.end(), [this](const EndpointId &id) { return !m_endpoints.at(id).info.isLeaving; });
-    if (!hasEndpoint) {
+    if (!hasUsableEndpoint(pool)) {
         return failure(ErrorKind::NoEndpoint, fmt::format("no endpoint serves {}", call.pool.value()));
     }
     if (!call.isRetry) {
@@ -101,6 +99,26 @@
     return {};
 }
 
+bool Dispatcher::hasUsableEndpoint(const Pool &pool) const
+{
+    return std::any_of(pool.endpoints.begin(), pool.endpoints.end(), [this](const EndpointId &id) { return !m_endpoints.at(id).info.isLeaving; });
+}
+
+std::vector<CallId> Dispatcher::takeUnservable()
+{
+    std::vector<CallId> calls;
+    for (auto &[id, pool] : m_pools) {
+        if (hasUsableEndpoint(pool)) {
+            continue;
+        }
+        for (const DispatchRequest &call : pool.queue) {
+            calls.push_back(call.id);
+        }
+        pool.queue.clear();
+    }
+    return calls;
+}
+
 bool Dispatcher::remove(CallId call)
 {
     for (auto &[id, pool] : m_pools) {
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -78,6 +78,9 @@
     /// Removes the calls that may be sent now from the queue and takes a slot for each.
     std::vector<DispatchDecision> nextDecisions(Instant now);
 
+    /// Removes and returns the queued calls of pools in which no endpoint takes new calls.
+    std::vector<CallId> takeUnservable();
+
     /// Removes and returns the queued calls whose deadline has passed.
     std::vector<CallId> takeExpiredCalls(Instant now);
 
@@ -157,6 +160,7 @@
     void updatePoolStatistics(Pool &pool, Instant now) const;
     double expectedWaitMs(const DispatchRequest &call, const Pool &pool) const;
     std::size_t queueLimit(PriorityClass priority) const;
+    bool hasUsableEndpoint(const Pool &pool) const;
 
     PolicyRules m_rules;
     DomainId m_ownDomain;
--- a/src/serving/endpointdirectory.cpp
+++ b/src/serving/endpointdirectory.cpp
@@ -16,19 +16,34 @@
 bool EndpointDirectory::put(const EndpointEntry &entry)
 {
     const auto it = m_endpoints.find(entry.id);
-    if (it == m_endpoints.end()) {
-        m_endpoints.emplace(entry.id, KnownEndpoint{entry, false});
-        return true;
-    }
-    if (entry.startedAtMs < it->second.entry.startedAtMs && entry.startedAtMs != 0) {
+    const bool isKnown = it != m_endpoints.end();
+    if (isKnown && entry.startedAtMs < it->second.entry.startedAtMs && entry.startedAtMs != 0) {
         return false;
     }
-    it->second.isMissing = false;
-    const bool isChange = !hasSameRouting(it->second.entry, entry);
-    it->second.entry = entry;
+    EndpointEntry routed = entry;
+    routed.isLeaving = entry.isLeaving || isMarkedLeaving(entry);
+    const bool isChange = !isKnown || !hasSameRouting(it->second.entry, routed);
+    m_endpoints[entry.id] = KnownEndpoint{routed, entry.isLeaving, false};
+    return isChange;
+}
+
+bool EndpointDirectory::markLeaving(const EndpointId &id, std::int64_t startedAtMs, Instant now)
+{
+    m_leavingNotices[id] = {startedAtMs, now};
+    const auto it = m_endpoints.find(id);
+    const bool isChange = it != m_endpoints.end() && !it->second.entry.isLeaving && isMarkedLeaving(it->second.entry);
+    if (isChange) {
+        it->second.entry.isLeaving = true;
+    }
     return isChange;
 }
 
+bool EndpointDirectory::isMarkedLeaving(const EndpointEntry &entry) const
+{
+    const auto it = m_leavingNotices.find(entry.id);
+    return it != m_leavingNotices.end() && it->second.startedAtMs == entry.startedAtMs;
+}
+
 bool EndpointDirectory::mayHaveExpired(Instant now) const
 {
     return m_isStoreUnreachable || (m_storeReachableAt && now < *m_storeReachableAt + ReregistrationTime);
@@ -40,7 +55,7 @@
     if (it == m_endpoints.end()) {
         return false;
     }
-    if (mayHaveExpired(now) && !it->second.entry.isLeaving) {
+    if (mayHaveExpired(now) && !it->second.isRegisteredLeaving) {
         it->second.isMissing = true;
         return false;
     }
@@ -81,12 +96,30 @@
     }
 }
 
+bool EndpointDirectory::removeExpiredNotices(Instant now)
+{
+    bool isChange = false;
+    for (auto it = m_leavingNotices.begin(); it != m_leavingNotices.end();) {
+        if (now - it->second.receivedAt < LeavingNoticeLifetime) {
+            ++it;
+            continue;
+        }
+        const auto known = m_endpoints.find(it->first);
+        if (known != m_endpoints.end() && known->second.entry.isLeaving != known->second.isRegisteredLeaving) {
+            known->second.entry.isLeaving = known->second.isRegisteredLeaving;
+            isChange = true;
+        }
+        it = m_leavingNotices.erase(it);
+    }
+    return isChange;
+}
+
 bool EndpointDirectory::removeExpired(Instant now)
 {
+    bool isChange = removeExpiredNotices(now);
     if (mayHaveExpired(now)) {
-        return false;
+        return isChange;
     }
-    bool isChange = false;
     for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
         if (it->second.isMissing) {
             it = m_endpoints.erase(it);
--- a/src/serving/requestmetadata.h
+++ b/src/serving/requestmetadata.h
@@ -61,6 +61,7 @@
     bool isNotExecuted = false; ///< The endpoint has not executed the request and never will.
     bool isFromOtherEndpoint = false; ///< The address now belongs to another endpoint.
     bool isEventStream = false; ///< The body consists of events, as far as its content type tells.
+    bool isLeaving = false; ///< The endpoint leaves, and gets no new requests.
     bool isContentEncoded = false; ///< The body is not as the endpoint sent it, for example compressed on the way.
     std::optional<EndpointLoad> load;
 };
--- a/tests/platform/dispatchqueuetest.cpp
+++ b/tests/platform/dispatchqueuetest.cpp
@@ -45,7 +45,7 @@
         call.promptTokens = Tokens(500);
         call.expectedAnswerTokens = Tokens(300);
         std::optional<EndpointId> endpoint;
-        const auto queued = queue.enqueue(call, [&](const EndpointEntry &entry, const std::string &) { endpoint = entry.id; });
+        const auto queued = queue.enqueue(call, {[&](const EndpointEntry &entry, const std::string &) { endpoint = entry.id; }, [](const Error &) {}});
         REQUIRE(queued);
         return endpoint;
     }
@@ -106,7 +106,7 @@
             call.promptTokens = Tokens(500);
             call.expectedAnswerTokens = Tokens(40);
             std::optional<EndpointId> endpoint;
-            REQUIRE(queue.enqueue(call, [&](const EndpointEntry &entry, const std::string &) { endpoint = entry.id; }));
+            REQUIRE(queue.enqueue(call, {[&](const EndpointEntry &entry, const std::string &) { endpoint = entry.id; }, [](const Error &) {}}));
             REQUIRE(endpoint);
             ++programs[*endpoint];
             queue.onFinished(call, *endpoint, observation);
--- a/tests/unit/servingtest.cpp
+++ b/tests/unit/servingtest.cpp
@@ -594,6 +594,36 @@
     CHECK_FALSE(directory.find(EndpointId("e"))->isLeaving);
 }
 
+TEST_CASE("An endpoint's own notice that it leaves outlasts its entry, but neither a new start nor its lifetime", "[serving]")
+{
+    const auto entry = [](std::int64_t born, bool isLeaving = false) {
+        return EndpointEntry{EndpointId("i"), PoolId("p"), DomainId("d"), SocketAddress{"127.0.0.1", 1}, 4, isLeaving, born};
+    };
+    EndpointDirectory directory;
+    directory.put(entry(1));
+    CHECK(directory.markLeaving(EndpointId("i"), 1, Start));
+    CHECK(directory.find(EndpointId("i"))->isLeaving);
+    CHECK_FALSE(directory.markLeaving(EndpointId("i"), 1, Start));
+    CHECK_FALSE(directory.put(entry(1)));
+    directory.remove(EndpointId("i"), Start);
+    directory.put(entry(1));
+    CHECK(directory.find(EndpointId("i"))->isLeaving);
+    CHECK(directory.put(entry(2)));
+    CHECK_FALSE(directory.find(EndpointId("i"))->isLeaving);
+    CHECK(directory.markLeaving(EndpointId("i"), 2, Start));
+    CHECK_FALSE(directory.removeExpired(Start + EndpointDirectory::LeavingNoticeLifetime - Milliseconds(1)));
+    CHECK(directory.removeExpired(Start + EndpointDirectory::LeavingNoticeLifetime));
+    CHECK_FALSE(directory.find(EndpointId("i"))->isLeaving);
+    directory.put(entry(2, true));
+    directory.markLeaving(EndpointId("i"), 2, Start);
+    directory.removeExpired(Start + EndpointDirectory::LeavingNoticeLifetime);
+    CHECK(directory.find(EndpointId("i"))->isLeaving);
+    // A late answer of an earlier start changes nothing.
+    directory.put(entry(3));
+    CHECK_FALSE(directory.markLeaving(EndpointId("i"), 2, Start));
+    CHECK_FALSE(directory.find(EndpointId("i"))->isLeaving);
+}
+
 TEST_CASE("The host's route with the longest prefix matches, and an older configuration is not installed", "[serving]")
 {
     const auto configuration = [](std::uint64_t version, const std::string &prefix) {
