Answer what still waits at the end of a planned stop, and count attempts by endpoint

Cause: the loop was stopped whatever was open; the retry at the same endpoint went through the queue, where another one could be chosen, and a refused second attempt wiped out that the first may have run. Change: ActiveRequests ends all requests 150 ms before the process, waiting ones first (503), then the others (502). RetryPolicy decides about retries without I/O. Evidence: the [stop] case fails with the code before (17 assertions), passes now; RetryPolicy's unit case is new. "A request runs at no more endpoints ..." passes before as well, so the second fault is shown by the unit case only. One test of the budgets used one program twice by mistake; mended here.

--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -346,7 +346,9 @@
 
 void InstanceDaemon::onCallerRequest(const ServerConnectionPtr &connection, ServerRequest request)
 {
-    std::make_shared<ProxiedRequest>(m_proxyContext, connection, std::move(request))->start();
+    const auto proxied = std::make_shared<ProxiedRequest>(m_proxyContext, connection, std::move(request));
+    m_activeRequests.add(proxied);
+    proxied->start();
 }
 
 void InstanceDaemon::onReadinessRequest(const ServerConnectionPtr &connection)
@@ -415,6 +417,9 @@
     if (!m_drainSchedule.isClosingConnections(now)) {
         return;
     }
+    if (m_drainSchedule.isEndingRequests(now)) {
+        m_activeRequests.endAll();
+    }
     m_callerServer->stopAccepting();
     m_callerServer->closeIdle();
     if (m_callerServer->size() == 0) {
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -3,6 +3,7 @@
 #include "core/eventloop.h"
 #include "core/metrics.h"
 #include "http/connectionset.h"
+#include "instance/activerequests.h"
 #include "instance/dispatchqueue.h"
 #include "instance/homeservice.h"
 #include "instance/isolationdetector.h"
@@ -85,6 +86,7 @@
     BufferQuota m_responseBuffers;
     DrainSchedule m_drainSchedule;
     ProxyContext m_proxyContext;
+    ActiveRequests m_activeRequests;
     asio::signal_set m_signals;
     std::unique_ptr<ConnectionSet> m_callerServer;
     std::unique_ptr<ConnectionSet> m_readinessServer;
--- a/src/instance/proxiedrequest.cpp
+++ b/src/instance/proxiedrequest.cpp
@@ -11,11 +11,6 @@
 
 namespace
 {
-/// Number of rejections and failed connection attempts after which a request is still queued again. After one more it
-/// fails, and the caller is told to retry later if no endpoint may have run it.
-constexpr int MaxRejections = 6;
-/// Retries at the same endpoint after a reused connection broke without a response.
-constexpr int MaxSameEndpointRetries = 2;
 /// A request that must not be repeated reuses a connection only if that was in use very recently, since the endpoint may be
 /// closing an idle one.
 constexpr Milliseconds MaxIdleForNonRepeatable{300};
@@ -75,6 +70,7 @@
         return;
     }
     m_route = *route;
+    m_retries = RetryPolicy(m_route.mayRepeat(), static_cast<std::size_t>(m_route.maxAttempts));
     if (m_route.isStateful) {
         m_stream.setKeepsOutput();
     }
@@ -198,7 +194,7 @@
 
 void ProxiedRequest::onNotQueued(const Error &error)
 {
-    if (m_possibleExecutors.empty() && !m_stream.hasStarted()) {
+    if (!m_retries.mayHaveRun() && !m_stream.hasStarted()) {
         refuse(503, errorInfo(error.kind).name, error.retryAfter.value_or(DefaultRetryAfter));
     } else {
         onAttemptFailed("no endpoint available", false);
@@ -243,13 +239,18 @@
         onDeadline();
         return;
     }
+    if (!m_retries.maySendTo(endpoint.id)) {
+        m_context.dispatchQueue.onFailed(m_dispatchRequest, endpoint.id, false);
+        onAttemptFailed("the endpoint that may have run the request can't be reached again", false);
+        return;
+    }
     m_attempt.emplace(m_context.responseBuffers);
     m_attempt->endpoint = endpoint;
     m_attempt->sentAt = now;
     m_attempt->number = ++m_attemptCount;
     m_attempt->isResumption = m_stream.hasStarted();
     m_stream.beginAttempt();
-    m_possibleExecutors.insert(endpoint.id);
+    m_retries.onSent(endpoint.id);
     logChange("request-sent",
               "id={} endpoint={} attempt={} waited_ms={} reason=\"{}\"",
               m_metadata.id.value(),
@@ -265,8 +266,7 @@
     handlers.onFailure = [self](const RequestFailure &failure) { self->onCallFailure(failure); };
     m_attempt->call = m_context.endpointConnections.send(buildRequest(endpoint, now), std::move(handlers));
     m_usedConnections.push_back(m_attempt->call.connection());
-    const bool mayRetryElsewhere = m_route.mayRepeat() && (static_cast<int>(m_possibleExecutors.size()) < m_route.maxAttempts);
-    if (mayRetryElsewhere) {
+    if (m_retries.mayRunElsewhere()) {
         const Milliseconds overdue = std::max(MinOverdueTime, m_route.latencyObjective * OverdueObjectiveFactor);
         m_attempt->overdueTimer = m_context.timers.at(now + overdue, [weak = weak_from_this(), number = m_attemptCount](Instant) {
             if (const auto it = weak.lock()) {
@@ -424,12 +424,12 @@
               endpoint.value(),
               m_attempt->responseHead.status,
               isOtherEndpoint);
-    m_possibleExecutors.erase(endpoint);
+    const bool mayQueueAgain = m_retries.onNotExecuted(endpoint);
     m_dispatchRequest.failedEndpoints.insert(endpoint);
     endAttempt(true);
-    if (++m_rejections <= MaxRejections) {
+    if (mayQueueAgain) {
         enqueue();
-    } else if (m_possibleExecutors.empty() && !m_stream.hasStarted()) {
+    } else if (!m_retries.mayHaveRun() && !m_stream.hasStarted()) {
         refuse(503, "rejected-everywhere", m_context.dispatchQueue.retryAfter(m_pool));
     } else {
         onAttemptFailed("too many rejections", false);
@@ -441,12 +441,12 @@
     const EndpointId endpoint = m_attempt->endpoint.id;
     if (failure.kind == RequestFailure::Kind::NotSent) {
         logChange("endpoint-unreachable", "id={} endpoint={} reason=\"{}\"", m_metadata.id.value(), endpoint.value(), failure.detail);
-        m_possibleExecutors.erase(endpoint);
+        const bool mayQueueAgain = m_retries.onNotExecuted(endpoint);
         m_dispatchRequest.failedEndpoints.insert(endpoint);
         endAttempt(true);
-        if (++m_rejections <= MaxRejections) {
+        if (mayQueueAgain) {
             enqueue();
-        } else if (m_possibleExecutors.empty() && !m_stream.hasStarted()) {
+        } else if (!m_retries.mayHaveRun() && !m_stream.hasStarted()) {
             refuse(503, "endpoints-unreachable", DefaultRetryAfter);
         } else {
             onAttemptFailed("too many unreachable endpoints", false);
@@ -458,7 +458,7 @@
 
 bool ProxiedRequest::mayRetry() const
 {
-    return m_route.mayRepeat() && m_stream.canResume() && static_cast<int>(m_possibleExecutors.size()) < m_route.maxAttempts;
+    return m_stream.canResume() && m_retries.mayRunElsewhere();
 }
 
 // The request may have run. It is retried only if it may run more than once; otherwise the caller learns that it failed.
@@ -473,9 +473,8 @@
         endAttempt(!mayUseSameEndpoint);
     }
     const EndpointEntry *sameEndpoint = lastEndpoint && mayUseSameEndpoint ? m_context.endpointDirectory.find(lastEndpoint->id) : nullptr;
-    if (lastEndpoint && m_route.mayRepeat() && m_stream.canResume() && sameEndpoint && m_sameEndpointRetries < MaxSameEndpointRetries) {
-        ++m_sameEndpointRetries;
-        m_dispatchRequest.failedEndpoints.erase(lastEndpoint->id);
+    if (lastEndpoint && m_stream.canResume() && sameEndpoint && m_retries.tryRetryAtSameEndpoint()) {
+        avoidOtherEndpoints(lastEndpoint->id);
         enqueue();
         return;
     }
@@ -491,6 +490,20 @@
     }
 }
 
+// Where the request may run at no further endpoint, the dispatcher would choose one in vain.
+void ProxiedRequest::avoidOtherEndpoints(const EndpointId &last)
+{
+    m_dispatchRequest.failedEndpoints.erase(last);
+    if (m_retries.mayRunElsewhere()) {
+        return;
+    }
+    for (const EndpointEntry &entry : m_context.endpointDirectory.all()) {
+        if (entry.pool == m_pool && entry.id != last) {
+            m_dispatchRequest.failedEndpoints.insert(entry.id);
+        }
+    }
+}
+
 void ProxiedRequest::onAttemptOverdue(std::uint64_t attemptNumber)
 {
     if (m_isFinished || !m_attempt || m_attempt->number != attemptNumber || m_attempt->firstByteAt || !mayRetry()) {
@@ -503,21 +516,40 @@
 
 void ProxiedRequest::onDeadline()
 {
+    constexpr int GatewayTimeout = 504;
+    endUnanswered("timed-out", GatewayTimeout, "timed-out-waiting", DefaultRetryAfter);
+}
+
+bool ProxiedRequest::isWaiting() const
+{
+    return !m_attempt;
+}
+
+void ProxiedRequest::end()
+{
+    constexpr int BadGateway = 502;
+    endUnanswered("stopped", BadGateway, "stopping", StoppingRetryAfter);
+}
+
+// The status of a request that may have run promises nothing; a refusal says that it hasn't.
+void ProxiedRequest::endUnanswered(const char *outcome, int unknownStatus, const char *refusal, Milliseconds retryAfter)
+{
+    constexpr int ServiceUnavailable = 503;
     if (m_isFinished) {
         return;
     }
-    const bool mayHaveRun = !m_possibleExecutors.empty();
+    const bool mayHaveRun = m_retries.mayHaveRun();
     if (m_attempt) {
         m_attempt->call.cancel();
         endAttempt(false);
     }
     if (m_stream.hasStarted()) {
         m_connection->abort();
-        finish("timed-out", 0);
+        finish(outcome, 0);
     } else if (mayHaveRun) {
-        refuse(504, "timed-out");
+        refuse(unknownStatus, outcome);
     } else {
-        refuse(503, "timed-out-waiting", DefaultRetryAfter);
+        refuse(ServiceUnavailable, refusal, retryAfter);
     }
 }
 
--- a/src/instance/proxiedrequest.h
+++ b/src/instance/proxiedrequest.h
@@ -13,12 +13,12 @@
 #include "platform/headercodec.h"
 #include "serving/drainschedule.h"
 #include "serving/responseverdict.h"
+#include "serving/retrypolicy.h"
 #include "serving/routetable.h"
 #include "serving/turncache.h"
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -50,6 +50,12 @@
     /// Begins processing. The request keeps itself alive until it is finished.
     void start();
 
+    /// Whether the request is at no endpoint now.
+    bool isWaiting() const;
+
+    /// Ends the request, since the process ends: refuses it if no endpoint may have run it, otherwise its outcome is unknown.
+    void end();
+
 private:
     void admit();
     void onHomeResponse(BeginTurnResponse response);
@@ -70,8 +76,10 @@
     void onAttemptFailed(const std::string &reason, bool mayUseSameEndpoint);
     void finishResponse();
     void finishStream();
+    void avoidOtherEndpoints(const EndpointId &last);
     void onAttemptOverdue(std::uint64_t attemptNumber);
     void onDeadline();
+    void endUnanswered(const char *outcome, int unknownStatus, const char *refusal, Milliseconds retryAfter);
     void onCallerDisconnected();
 
     void endAttempt(bool isEndpointFault);
@@ -101,12 +109,10 @@
     std::optional<CallId> m_queuedCallId;
     std::optional<Attempt> m_attempt;
     std::vector<ConnectionRef> m_usedConnections; ///< Connections that have carried the request.
-    std::set<EndpointId> m_possibleExecutors; ///< Endpoints that may have run the request.
+    RetryPolicy m_retries;
     std::optional<InstanceId> m_home; ///< The program's home, until the end of the turn has been reported to it.
     Tokens m_reservedTokens;
     std::optional<CachedPrefix> m_cachedPrefix; ///< Where the session's prompt is cached, before and after this turn.
-    int m_rejections = 0;
-    int m_sameEndpointRetries = 0;
     std::uint64_t m_attemptCount = 0;
     bool m_isFinished = false;
 };
--- a/src/serving/drainschedule.h
+++ b/src/serving/drainschedule.h
@@ -23,6 +23,9 @@
     /// Whether a request that ends at its deadline at the latest may be accepted.
     bool mayAccept(Instant now, Instant deadline) const;
 
+    /// Whether requests in progress are ended now, so that their callers get an answer before the process ends.
+    bool isEndingRequests(Instant now) const;
+
     /// Whether the process ends now, whatever is in progress.
     bool isOver(Instant now) const;
 
--- a/tests/platform/answertest.cpp
+++ b/tests/platform/answertest.cpp
@@ -2,6 +2,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <set>
+
 using namespace flamingo;
 
 namespace
@@ -153,6 +158,49 @@
     }
 }
 
+// Guards against a request that runs at more endpoints than its route allows, after an answer was lost on a reused connection.
+TEST_CASE("A request runs at no more endpoints than its route allows", "[platform]")
+{
+    constexpr int Endpoints = 4;
+    constexpr int Requests = 120;
+    std::vector<std::unique_ptr<ScriptedEndpoint>> pool;
+    KvStandIn store;
+    store.put(
+        "op/config",
+        testConfiguration(
+            1,
+            R"(,{"name":"r-single","host":"h.example","prefix":"/single/","type":"idempotent","timeout-ms":3000,"slo-ms":250,"priority":0,"service":"app","max-attempts":1})"));
+    std::atomic<int> received{0};
+    for (int n = 1; n <= Endpoints; ++n) {
+        pool.push_back(std::make_unique<ScriptedEndpoint>([&](Connection &connection, const ReceivedRequest &request) {
+            if (++received % 5 == 0) {
+                connection.close();
+            } else {
+                connection.write(ScriptedEndpoint::response(request, "ok"));
+            }
+        }));
+        registerEndpoint(store, "i-" + std::to_string(n), *pool.back());
+    }
+    TestInstance instance(store, 1);
+    REQUIRE(instance.awaitReady());
+    int answered = 0;
+    for (int n = 0; n < Requests; ++n) {
+        answered += instance.send(callerRequest("/single/a", "m" + std::to_string(n))).status == 200 ? 1 : 0;
+    }
+    std::map<std::string, int> endpointsOf;
+    for (const auto &endpoint : pool) {
+        std::set<std::string> ids;
+        for (const ReceivedRequest &it : endpoint->requests()) {
+            ids.insert(it.head.fields.value("X-Attempt-Id"));
+        }
+        for (const std::string &id : ids) {
+            ++endpointsOf[id];
+        }
+    }
+    CHECK(std::all_of(endpointsOf.begin(), endpointsOf.end(), [](const auto &it) { return it.second == 1; }));
+    CHECK(answered > Requests * 3 / 4);
+}
+
 TEST_CASE("A connection with a keep-alive timeout of zero is not reused", "[platform]")
 {
     Fixture it([](Connection &connection, const ReceivedRequest &request) {
--- a/tests/platform/registrytest.cpp
+++ b/tests/platform/registrytest.cpp
@@ -182,11 +182,13 @@
 {
     constexpr int Budget = 200;
     constexpr int MaxTokens = 58;
+    int program = 0;
     for (const std::string usage : {"0000000000000110,58", "110,58             ", "110,00000000000000058"}) {
-        const std::string lines = fmt::format("X-Program-Id: p{}\r\nX-Token-Budget: {}\r\nX-Token-Usage: {}\r\n", usage.size(), Budget, usage);
+        ++program;
+        const std::string lines = fmt::format("X-Program-Id: p{}\r\nX-Token-Budget: {}\r\nX-Token-Usage: {}\r\n", program, Budget, usage);
         int served = 0;
         for (int n = 0; n < 12; ++n) {
-            served += first.send(callerRequest("/stream/a", fmt::format("u{}-{}", usage.size(), n), lines)).status == 200 ? 1 : 0;
+            served += first.send(callerRequest("/stream/a", fmt::format("u{}-{}", program, n), lines)).status == 200 ? 1 : 0;
         }
         INFO(usage);
         CHECK(served >= 3);
--- a/tests/platform/stopunderloadtest.cpp
+++ b/tests/platform/stopunderloadtest.cpp
@@ -147,3 +147,41 @@
     CHECK_FALSE(hasRun("long"));
     CHECK(instance->process().terminate(GraceSeconds) == 0);
 }
+
+// Guards against requests that are cut without an answer, though none of them has run, when a planned stop is over.
+TEST_CASE_METHOD(StoppedInstance, "Requests that still wait at the end of a planned stop are refused as not run", "[platform][stop]")
+{
+    constexpr int LongestMs = 20000;
+    store.put(
+        "op/config",
+        testConfiguration(
+            2,
+            R"(,{"name":"r-long","host":"h.example","prefix":"/long/","type":"non_idempotent","timeout-ms":20000,"slo-ms":250,"priority":0,"service":"app","max-attempts":1})"));
+    store.put("servers/i-1",
+              fmt::format(R"({{"service":"app","address":"{}","zone":"zone-1","version":"v1","slots":1,"state":"ready","cold-left-ms":0,"sequence":1}})",
+                          endpoint.address().text()));
+    REQUIRE(eventually([&] { return instance->log().find("event=configuration-applied version=2") != std::string::npos; }));
+    std::this_thread::sleep_for(Milliseconds(300));
+    constexpr int Callers = 8;
+    std::vector<CallerResponse> responses(Callers);
+    std::vector<std::thread> callers;
+    for (int n = 0; n < Callers; ++n) {
+        callers.emplace_back(
+            [&, n] { responses[static_cast<std::size_t>(n)] = instance->send(request(fmt::format("w{}", n), 15000, LongestMs), Milliseconds(12000)); });
+    }
+    std::this_thread::sleep_for(Milliseconds(500));
+    CHECK(instance->process().terminate(GraceSeconds) == 0);
+    int refused = 0;
+    for (std::thread &it : callers) {
+        it.join();
+    }
+    for (int n = 0; n < Callers; ++n) {
+        const CallerResponse &response = responses[static_cast<std::size_t>(n)];
+        const bool ran = hasRun(fmt::format("w{}", n));
+        INFO(n << " status " << response.status << " ran " << ran);
+        CHECK(response.isComplete);
+        CHECK(response.status == (ran ? 502 : 503));
+        refused += response.status == 503 ? 1 : 0;
+    }
+    CHECK(refused > 0);
+}
--- a/tests/unit/servingtest.cpp
+++ b/tests/unit/servingtest.cpp
@@ -6,6 +6,7 @@
 #include "serving/memberdirectory.h"
 #include "serving/provisionalgrantpolicy.h"
 #include "serving/responseverdict.h"
+#include "serving/retrypolicy.h"
 #include "serving/routetable.h"
 #include "serving/turncache.h"
 
@@ -695,6 +696,41 @@
     }
 }
 
+TEST_CASE("A request is sent again only where it can't run too often, and counts as not run only if no attempt may have run", "[serving]")
+{
+    const EndpointId a("a");
+    const EndpointId b("b");
+    RetryPolicy once(false, 2);
+    once.onSent(a);
+    CHECK(once.mayHaveRun());
+    CHECK_FALSE(once.mayRunElsewhere());
+    CHECK_FALSE(once.tryRetryAtSameEndpoint());
+    CHECK(once.onNotExecuted(a));
+    CHECK_FALSE(once.mayHaveRun());
+    RetryPolicy single(true, 1);
+    single.onSent(a);
+    CHECK_FALSE(single.mayRunElsewhere());
+    CHECK(single.tryRetryAtSameEndpoint());
+    CHECK(single.maySendTo(a));
+    CHECK_FALSE(single.maySendTo(b));
+    // The second attempt was refused, the first one may have run.
+    single.onSent(a);
+    CHECK(single.onNotExecuted(a));
+    CHECK(single.mayHaveRun());
+    CHECK(single.tryRetryAtSameEndpoint());
+    CHECK_FALSE(single.tryRetryAtSameEndpoint());
+    RetryPolicy twice(true, 2);
+    twice.onSent(a);
+    CHECK(twice.mayRunElsewhere());
+    twice.onSent(b);
+    CHECK_FALSE(twice.mayRunElsewhere());
+    int rejections = 0;
+    while (once.onNotExecuted(b)) {
+        ++rejections;
+    }
+    CHECK(rejections == 5);
+}
+
 TEST_CASE("A response is judged by its status, its signature and its end", "[serving]")
 {
     ReceivedResponse sound;
@@ -794,7 +830,10 @@
     CHECK_FALSE(schedule.isClosingConnections(after(2000)));
     CHECK(schedule.mayAccept(after(2000), after(20000)));
     CHECK(schedule.isClosingConnections(after(2600)));
-    CHECK(schedule.mayAccept(after(3700), after(7500)));
+    CHECK(schedule.mayAccept(after(3700), after(7400)));
+    CHECK_FALSE(schedule.mayAccept(after(3700), after(7500)));
+    CHECK_FALSE(schedule.isEndingRequests(after(7400)));
+    CHECK(schedule.isEndingRequests(after(7450)));
     CHECK_FALSE(schedule.mayAccept(after(3700), after(8700)));
     CHECK_FALSE(schedule.isOver(after(7500)));
     CHECK(schedule.isOver(after(7600)));
