--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -16,6 +16,15 @@
     fi
 }
 
+# Builds the unit tests with the address and undefined-behaviour sanitizers.
+build_sanitized() {
+    cmake -S . -B "$BUILD/sanitized" -G Ninja -DFLAMINGO_SANITIZE=ON -DCMAKE_CXX_FLAGS_RELWITHDEBINFO="-O1 -g1" >/dev/null
+    ninja -C "$BUILD/sanitized" unit-tests >"$BUILD/sanitized/ninja.log" 2>&1 || {
+        grep -E 'error|FAILED' "$BUILD/sanitized/ninja.log" | head -40
+        return 1
+    }
+}
+
 build() {
     cmake -S . -B "$BUILD" -G Ninja >/dev/null
     ninja -C "$BUILD" "$@" >"$BUILD/ninja.log" 2>&1 || {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Installs missing packages, builds, and runs all checks: formatter, linter, model checking and tests.
+# Installs missing packages, builds, and runs all checks: formatter, linter, model checking, the unit tests with sanitizers, and
+# tests.
 # Tests listed in KNOWN-RED.txt run and are printed, but don't affect the result.
 source "$(dirname "${BASH_SOURCE[0]}")/common.sh"
 install_packages
@@ -14,6 +15,13 @@
 echo "models"
 scripts/models.sh
 
+echo "sanitizers"
+build_sanitized
+"$BUILD/sanitized/tests/unit-tests" >"$BUILD/sanitized/unit-tests.log" 2>&1 || {
+    tail -n 60 "$BUILD/sanitized/unit-tests.log"
+    exit 1
+}
+
 echo "tests"
 known_failures=$(grep -oE '^test: [^ ]+' KNOWN-RED.txt 2>/dev/null | cut -d' ' -f2 || true)
 if [ -n "$known_failures" ]; then
