Keep a budget's record while other holders take part in the program

Cause: removeIdle took the holder's own idleness for the program's. Change: removal on condition of the revision, only where no other grant is open; else the holder writes what it spent as final. A grant that the record names for this holder, and of which it has no memory, counts as spent.

--- a/src/persistence/platformbudgetstore.cpp
+++ b/src/persistence/platformbudgetstore.cpp
@@ -1,14 +1,18 @@
 #include "persistence/platformbudgetstore.h"
 
 #include "core/log.h"
-#include "persistence/keyremoval.h"
 #include "persistence/storedid.h"
 
+#include <algorithm>
+
 namespace flamingo
 {
 
 namespace
 {
+/// Each key takes two entries of a transaction, the condition and the removal.
+constexpr std::size_t MaxRemovalsPerTransaction = 15;
+
 SwapResult swapResult(const tl::expected<platform::TransactionResult, platform::StoreFailure> &result)
 {
     SwapResult swap;
@@ -44,14 +48,32 @@
     m_store.commit(transaction, [onResult = std::move(onResult)](const auto &result) { onResult(swapResult(result)); });
 }
 
-void PlatformBudgetStore::remove(const std::vector<ProgramId> &programs)
+void PlatformBudgetStore::remove(const std::vector<BudgetRevision> &records)
 {
-    std::vector<std::string> keys;
-    keys.reserve(programs.size());
-    for (const ProgramId &program : programs) {
-        keys.push_back(KeyPrefix + storedId(program).value());
+    for (std::size_t begin = 0; begin < records.size(); begin += MaxRemovalsPerTransaction) {
+        const std::size_t end = std::min(begin + MaxRemovalsPerTransaction, records.size());
+        removeGroup({records.begin() + static_cast<std::ptrdiff_t>(begin), records.begin() + static_cast<std::ptrdiff_t>(end)});
     }
-    removeKeys(m_store, keys);
+}
+
+// One record that has changed keeps the whole transaction from being executed, so the halves are tried apart.
+void PlatformBudgetStore::removeGroup(const std::vector<BudgetRevision> &records)
+{
+    platform::StoreTransaction transaction;
+    for (const BudgetRevision &record : records) {
+        const std::string key = KeyPrefix + storedId(record.program).value();
+        transaction.preconditions.push_back({key, record.revision});
+        transaction.removals.push_back(key);
+    }
+    m_store.commit(transaction, [this, records](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
+        if (!result) {
+            logChange("removal-failed", "keys={} reason=\"{}\"", records.size(), result.error().detail);
+        } else if (!result->isCommitted && records.size() > 1) {
+            const auto middle = records.begin() + static_cast<std::ptrdiff_t>(records.size() / 2);
+            removeGroup({records.begin(), middle});
+            removeGroup({middle, records.end()});
+        }
+    });
 }
 
 void PlatformBudgetStore::checkEmpty(std::function<void(bool isEmpty)> onChecked)
--- a/src/persistence/platformbudgetstore.h
+++ b/src/persistence/platformbudgetstore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "platform/platformstore.h"
-#include "serving/budgetledger.h"
+#include "serving/budgetrecord.h"
 
 namespace flamingo
 {
@@ -16,12 +16,14 @@
     explicit PlatformBudgetStore(platform::PlatformStore &store);
 
     void compareAndSwap(const ProgramId &program, std::uint64_t expectedRevision, const std::string &bytes, std::function<void(SwapResult)> onResult) override;
-    void remove(const std::vector<ProgramId> &programs) override;
+    void remove(const std::vector<BudgetRevision> &records) override;
 
     /// Checks whether the store holds no budget at all. The handler is not called when the store doesn't respond.
     void checkEmpty(std::function<void(bool isEmpty)> onChecked);
 
 private:
+    void removeGroup(const std::vector<BudgetRevision> &records);
+
     platform::PlatformStore &m_store;
 };
 
--- a/src/serving/budgetledger.cpp
+++ b/src/serving/budgetledger.cpp
@@ -692,21 +692,40 @@
 
 void BudgetLedger::removeIdle(Milliseconds idle, Instant now)
 {
-    std::vector<ProgramId> removed;
+    std::vector<BudgetRevision> removed;
     for (auto it = m_accounts.begin(); it != m_accounts.end();) {
         const Account &account = it->second;
-        if (now - account.lastUsedAt > idle && account.reserved.value() == 0 && account.waiters.empty() && !isBusy(account)) {
-            removed.push_back(it->first);
-            it = m_accounts.erase(it);
-        } else {
+        if (now - account.lastUsedAt <= idle || account.reserved.value() > 0 || !account.waiters.empty() || isBusy(account)) {
             ++it;
+            continue;
+        }
+        const auto &granted = account.record.granted;
+        const bool haveOthers = std::any_of(granted.begin(), granted.end(), [&](const auto &grant) { return holdsOpenGrant(account, grant.first); });
+        if (haveOthers) {
+            resign(it->first, account);
+        } else if (account.revision != 0) {
+            removed.push_back({it->first, account.revision});
         }
+        it = m_accounts.erase(it);
     }
     if (!removed.empty()) {
         m_store.remove(removed);
     }
 }
 
+// If the write fails, the whole grant counts as spent.
+void BudgetLedger::resign(const ProgramId &program, const Account &account)
+{
+    if (account.record.grantOf(m_self) <= account.spent) {
+        return;
+    }
+    BudgetRecord proposed = account.record;
+    proposed.granted[m_self] = account.spent;
+    proposed.witnesses.erase(m_self);
+    proposed.closed.insert(m_self);
+    m_store.compareAndSwap(program, account.revision, proposed.encode(), [](const SwapResult &) {});
+}
+
 std::size_t BudgetLedger::programCount() const
 {
     return m_accounts.size();
--- a/src/serving/budgetledger.h
+++ b/src/serving/budgetledger.h
@@ -79,7 +79,8 @@
     /// from here on.
     void beginRelease(Instant now);
 
-    /// Drops programs that have been idle for longer than this, and removes their records from the store.
+    /// Drops programs that have been idle for longer than this. Their records are removed from the store, or tell what was spent
+    /// here where other holders take part.
     void removeIdle(Milliseconds idle, Instant now);
 
     std::size_t programCount() const;
@@ -171,6 +172,7 @@
 
     void release(const ProgramId &program, Account &account);
     void onReleaseWritten(const ProgramId &program, Account &account, const BudgetRecord &proposed, const SwapResult &result);
+    void resign(const ProgramId &program, const Account &account);
 
     IncarnationId m_self;
     BudgetStore &m_store;
--- a/src/serving/budgetrecord.h
+++ b/src/serving/budgetrecord.h
@@ -59,6 +59,12 @@
     std::string bytes;
 };
 
+/// One state of a program's record in the store.
+struct BudgetRevision {
+    ProgramId program;
+    std::uint64_t revision = 0;
+};
+
 /// Storage of budget records.
 class BudgetStore
 {
@@ -66,7 +72,9 @@
     virtual ~BudgetStore() = default;
     virtual void
     compareAndSwap(const ProgramId &program, std::uint64_t expectedRevision, const std::string &bytes, std::function<void(SwapResult)> onResult) = 0;
-    virtual void remove(const std::vector<ProgramId> &programs) = 0;
+
+    /// Removes the records that have not changed since these revisions.
+    virtual void remove(const std::vector<BudgetRevision> &records) = 0;
 };
 
 } // namespace flamingo
--- a/tests/unit/budgetwitnesstest.cpp
+++ b/tests/unit/budgetwitnesstest.cpp
@@ -252,6 +252,37 @@
     }
 }
 
+TEST_CASE_METHOD(Fixture, "An idle program's record is kept while other holders take part, and tells what was spent", "[serving][promises]")
+{
+    auto first = start("a:1");
+    auto witness = start("w:1");
+    REQUIRE(run(*first, 4) == 4);
+    network.unreachable = {"w:1"};
+    auto second = start("b:1");
+    REQUIRE(run(*second, 1) == 1);
+    const auto later = Start + Milliseconds(200000);
+    second->ledger.reserve({ProgramId("p"), Tokens(Budget), Tokens(1), false}, later, [](const BudgetAnswer &) {});
+    second->settle(1, 0);
+    SECTION("The first holder is idle")
+    {
+        first->ledger.removeIdle(Milliseconds(180000), later);
+        CHECK(store.records.count(ProgramId("p")) == 1);
+        CHECK(first->ledger.programCount() == 0);
+        const int turns = 5 + run(*second);
+        CHECK(turns + run(*first) <= Turns + 1);
+    }
+    SECTION("The second holder is idle too: the record is removed")
+    {
+        first->ledger.removeIdle(Milliseconds(180000), later);
+        second->reserve(Budget, 1, false, later);
+        second->settle(1, 0);
+        run(*second, 1);
+        const auto muchLater = later + Milliseconds(400000);
+        second->ledger.removeIdle(Milliseconds(180000), muchLater);
+        CHECK(second->ledger.programCount() == 0);
+    }
+}
+
 // Homes are killed, frozen and cut off at random, and messages and answers are delayed and lost, while one program keeps sending turns
 // to all of them. Guards against tokens that two holders use.
 TEST_CASE("A budget holds with witnesses across kills, freezes, lost messages and store failures", "[serving][promises]")
--- a/tests/unit/inmemorybudgetstore.h
+++ b/tests/unit/inmemorybudgetstore.h
@@ -54,10 +54,12 @@
         onResult({SwapResult::Status::Done, record.revision, {}});
     }
 
-    void remove(const std::vector<ProgramId> &programs) override
+    void remove(const std::vector<BudgetRevision> &removed) override
     {
-        for (const ProgramId &program : programs) {
-            records.erase(program);
+        for (const BudgetRevision &it : removed) {
+            if (records[it.program].revision == it.revision) {
+                records.erase(it.program);
+            }
         }
     }
 
