Cover all that a holder may use while a write that names a new witness has no response

What callers would see: a budget exceeded by several turns after a store write was lost, and the holder was fenced meanwhile. The first limit of a new term didn't cover a grant that the holder used without a witness; and a record that names a term which the holder had given up was taken for one without a witness. Ruled out: the witness's notes and fences (all in order in the traces).

--- a/src/serving/budgetledger.cpp
+++ b/src/serving/budgetledger.cpp
@@ -291,6 +291,10 @@
     } else if (account.nextWitness && account.nextWitness->witness.term == it->second.term) {
         account.witness = std::move(account.nextWitness);
         account.nextWitness.reset();
+    } else if (!account.witness) {
+        // By an earlier write without a response. Its limit covers what turns have used, and nothing beyond that.
+        account.witness = WitnessedLimit{it->second, Tokens(0), Tokens(0)};
+        account.witness->isLost = true;
     }
 }
 
@@ -300,19 +304,17 @@
     if (!m_witnesses) {
         return;
     }
-    Tokens limit = std::max(account.spent + account.reserved + wantedTokens(account), account.provisionalLimit);
+    const Tokens needed = account.spent + account.reserved + wantedTokens(account);
+    Tokens limit = std::max(needed, usableTokens(account));
     if (account.witness && !account.witness->isLost) {
-        if (limit > account.witness->noted && !account.witness->isSending) {
-            sendLimit(program, account, *account.witness, limit);
+        if (needed > account.witness->noted && !account.witness->isSending) {
+            sendLimit(program, account, *account.witness, std::max(needed, account.provisionalLimit));
         }
         return;
     }
     if (account.revision == 0 && account.provisionalGrant.value() == 0 && m_checks.mayGrantProvisionally(program)) {
         limit = std::max(limit, provisionalGrantFor(account.budget, wantedTokens(account)));
     }
-    if (account.witness) {
-        limit = std::max(limit, account.witness->noted);
-    }
     if (account.nextWitness && !account.nextWitness->isLost && limit <= account.nextWitness->lastSent) {
         return; // The last write had no response, and names this one already.
     }
--- a/tests/unit/budgetwitnesstest.cpp
+++ b/tests/unit/budgetwitnesstest.cpp
@@ -290,7 +290,11 @@
     int turnsAfterFence = 0;
     int provisionalTurns = 0;
     std::int64_t totalGenerated = 0;
+    std::vector<unsigned> seeds = {12651, 27179, 47891}; // Found tokens that were used twice while a write's outcome was unknown.
     for (unsigned seed = 1; seed <= 4000; ++seed) {
+        seeds.push_back(seed);
+    }
+    for (const unsigned seed : seeds) {
         std::mt19937 random(seed);
         const auto randomBelow = [&](int limit) { return static_cast<int>(random() % static_cast<unsigned>(limit)); };
         InMemoryBudgetStore store;
