Don't let programs stand still in a store outage because of their witness

Cause: another witness is named by a write to the store, so one that was lost in or just before an outage left its holders with the limit they had; and a kept connection that was reset counted as a lost witness. Ruled out: waiting for a term's first limit. Change: notes and fences are repeated once after a reset; while the store is unreachable a witness that didn't respond is asked again, and limits are raised to the whole grant; refusals of a witness are told from silence. Unit test "In a store outage a home asks its witness again, and uses its whole grant".

--- a/src/instance/witnessclient.cpp
+++ b/src/instance/witnessclient.cpp
@@ -1,7 +1,6 @@
 #include "instance/witnessclient.h"
 
 #include "core/log.h"
-#include "http/internalrequest.h"
 #include "serving/provisionalgrantpolicy.h"
 #include "serving/witnessmessages.h"
 
@@ -15,8 +14,9 @@
 namespace
 {
 /// A turn may wait for the witness, so another one is chosen soon.
-constexpr Milliseconds ResponseTimeout{300};
-constexpr Milliseconds AvoidedTime{2000};
+constexpr Milliseconds ResponseTimeout{150};
+constexpr Milliseconds AvoidedTime{5000};
+constexpr int MaxTries = 2;
 constexpr std::size_t MaxNotesPerRequest = 64;
 /// Longer than any holder keeps the program.
 constexpr Milliseconds NoteLifetime = 2 * ProgramIdleTimeout;
@@ -54,7 +54,7 @@
     return inOwnDomain;
 }
 
-void WitnessClient::note(const IncarnationId &witness, const SpendLimit &limit, std::function<void(bool)> onResult)
+void WitnessClient::note(const IncarnationId &witness, const SpendLimit &limit, std::function<void(NoteResult)> onResult)
 {
     m_witnesses[witness].waiting.push_back({limit, std::move(onResult)});
     sendNotes(witness);
@@ -89,16 +89,15 @@
 
 void WitnessClient::onNotesAnswered(const IncarnationId &id, const std::vector<PendingNote> &sent, const std::optional<std::string> &body)
 {
-    auto response = body ? NoteLimitsResponse::decode(*body) : std::nullopt;
+    const auto response = body ? NoteLimitsResponse::decode(*body) : std::nullopt;
     if (!response) {
         m_witnesses[id].avoidedUntil = std::chrono::steady_clock::now() + AvoidedTime;
         m_metrics.add("flamingo_witness_failures_total");
         logChange("witness-unreachable", "witness={} limits={}", id.value(), sent.size());
-        response.emplace();
     }
-    response->areNoted.resize(sent.size(), false);
     for (std::size_t n = 0; n < sent.size(); ++n) {
-        sent[n].onResult(response->areNoted[n]);
+        const bool isNoted = response && n < response->areNoted.size() && response->areNoted[n];
+        sent[n].onResult(!response ? NoteResult::Unreachable : isNoted ? NoteResult::Noted : NoteResult::Refused);
     }
 }
 
@@ -157,19 +156,32 @@
     }
 }
 
-void WitnessClient::post(const MemberRecord &member, const char *path, std::string body, std::function<void(std::optional<std::string>)> onResponse)
+void WitnessClient::post(const MemberRecord &member, const char *path, const std::string &body, std::function<void(std::optional<std::string>)> onResponse)
 {
     InternalRequest call;
     call.address = member.peerAddress;
     call.method = "POST";
     call.target = path;
-    call.body = std::move(body);
+    call.body = body;
     call.connectTimeout = ResponseTimeout;
     call.responseTimeout = ResponseTimeout;
-    sendInternalRequest(m_context, m_peerConnections, std::move(call), [onResponse = std::move(onResponse)](std::optional<InternalResponse> response) {
+    trySend(call, MaxTries - 1, std::move(onResponse));
+}
+
+// A kept connection may have been reset. Both kinds of requests may be repeated.
+void WitnessClient::trySend(const InternalRequest &call, int triesLeft, std::function<void(std::optional<std::string>)> onResponse)
+{
+    const Instant sentAt = std::chrono::steady_clock::now();
+    const auto onSent = [this, call, triesLeft, sentAt, onResponse = std::move(onResponse)](std::optional<InternalResponse> response) {
         constexpr int StatusOk = 200;
-        onResponse(response && response->status == StatusOk ? std::optional<std::string>(std::move(response->body)) : std::nullopt);
-    });
+        const bool wasReset = !response && std::chrono::steady_clock::now() - sentAt < ResponseTimeout;
+        if (wasReset && triesLeft > 0) {
+            trySend(call, triesLeft - 1, onResponse);
+        } else {
+            onResponse(response && response->status == StatusOk ? std::optional<std::string>(std::move(response->body)) : std::nullopt);
+        }
+    };
+    sendInternalRequest(m_context, m_peerConnections, call, onSent);
 }
 
 } // namespace flamingo
--- a/src/instance/witnessclient.h
+++ b/src/instance/witnessclient.h
@@ -2,6 +2,7 @@
 
 #include "core/metrics.h"
 #include "http/connectionpool.h"
+#include "http/internalrequest.h"
 #include "serving/memberdirectory.h"
 #include "serving/witnessbook.h"
 
@@ -27,7 +28,7 @@
     std::optional<IncarnationId> choose(const ProgramId &program) override;
 
     /// Limits for a witness that is yet to answer wait, and are then sent together.
-    void note(const IncarnationId &witness, const SpendLimit &limit, std::function<void(bool)> onResult) override;
+    void note(const IncarnationId &witness, const SpendLimit &limit, std::function<void(NoteResult)> onResult) override;
     void fence(const IncarnationId &witness,
                const ProgramId &program,
                const IncarnationId &holder,
@@ -46,7 +47,7 @@
 private:
     struct PendingNote {
         SpendLimit limit;
-        std::function<void(bool)> onResult;
+        std::function<void(NoteResult)> onResult;
     };
     struct Witness {
         bool isSending = false;
@@ -56,7 +57,8 @@
 
     void sendNotes(const IncarnationId &id);
     void onNotesAnswered(const IncarnationId &id, const std::vector<PendingNote> &sent, const std::optional<std::string> &body);
-    void post(const MemberRecord &member, const char *path, std::string body, std::function<void(std::optional<std::string>)> onResponse);
+    void post(const MemberRecord &member, const char *path, const std::string &body, std::function<void(std::optional<std::string>)> onResponse);
+    void trySend(const InternalRequest &call, int triesLeft, std::function<void(std::optional<std::string>)> onResponse);
 
     asio::io_context &m_context;
     MemberDirectory &m_members;
--- a/src/serving/budgetledger.cpp
+++ b/src/serving/budgetledger.cpp
@@ -138,6 +138,7 @@
     account.waiters.push_back({maxTokens, std::move(onAnswer)});
     if (!isBusy(account)) {
         account.consecutiveFailures = 0;
+        account.lostWitnesses = 0;
         requestTokens(program, account);
     }
 }
@@ -146,7 +147,7 @@
 void BudgetLedger::requestTokens(const ProgramId &program, Account &account)
 {
     const Tokens needed = account.spent + account.reserved + account.waiters.front().maxTokens;
-    if (account.witness && !account.witness->isLost && needed <= account.record.grantOf(m_self)) {
+    if (account.witness && isUsable(*account.witness) && account.lostWitnesses <= MaxLostWitnesses && needed <= account.record.grantOf(m_self)) {
         raiseLimit(program, account);
     } else {
         requestGrant(program, account);
@@ -295,6 +296,7 @@
         // By an earlier write without a response. Its limit covers what turns have used, and nothing beyond that.
         account.witness = WitnessedLimit{it->second, Tokens(0), Tokens(0)};
         account.witness->isLost = true;
+        account.witness->isRefused = true;
     }
 }
 
@@ -337,10 +339,22 @@
     }
 }
 
+// Another witness can't be named while the store is unreachable, so one that didn't respond is asked again.
+bool BudgetLedger::isUsable(const WitnessedLimit &witnessed) const
+{
+    return !witnessed.isRefused && (!witnessed.isLost || m_checks.isStoreUnreachable());
+}
+
+// For the same reason the whole grant is made usable then, so that turns don't depend on the witness until the store is back.
+Tokens BudgetLedger::limitInOutage(const Account &account, Tokens limit) const
+{
+    return m_checks.isStoreUnreachable() ? std::max(limit, account.record.grantOf(m_self)) : limit;
+}
+
 void BudgetLedger::raiseLimit(const ProgramId &program, Account &account)
 {
     if (!account.witness->isSending) {
-        sendLimit(program, account, *account.witness, account.spent + account.reserved + wantedTokens(account));
+        sendLimit(program, account, *account.witness, limitInOutage(account, account.spent + account.reserved + wantedTokens(account)));
     }
 }
 
@@ -355,7 +369,7 @@
 // After a turn the limit covers what was spent and one more turn, so that this one needn't wait.
 void BudgetLedger::updateLimit(const ProgramId &program, Account &account)
 {
-    if (!account.witness || account.witness->isLost || account.witness->isSending || account.nextWitness || isBusy(account)) {
+    if (!account.witness || !isUsable(*account.witness) || account.witness->isSending || account.nextWitness || isBusy(account)) {
         return;
     }
     const Tokens limit = expectedLimit(account);
@@ -368,7 +382,7 @@
 {
     const Tokens committed = account.spent + account.reserved;
     const Tokens expected = std::min(committed + account.lastTurnMaximum, account.record.grantOf(m_self));
-    return std::max(std::max(expected, committed), account.provisionalLimit);
+    return limitInOutage(account, std::max(std::max(expected, committed), account.provisionalLimit));
 }
 
 // The first limit of a term may be higher than turns need after the store's response.
@@ -382,7 +396,9 @@
 
 void BudgetLedger::sendLimit(const ProgramId &program, Account &account, WitnessedLimit &witnessed, Tokens limit)
 {
-    witnessed.noted = std::min(witnessed.noted, limit);
+    const bool isFirst = witnessed.sequence == 0;
+    // Turns needn't wait for the first limit of a term: as long as the witness hasn't noted it, the whole grant counts as spent.
+    witnessed.noted = isFirst ? limit : std::min(witnessed.noted, limit);
     witnessed.lastSent = limit;
     witnessed.isSending = true;
     SpendLimit spendLimit;
@@ -390,15 +406,15 @@
     spendLimit.holder = m_self;
     spendLimit.term = witnessed.witness.term;
     spendLimit.sequence = ++witnessed.sequence;
-    spendLimit.isFirst = spendLimit.sequence == 1;
+    spendLimit.isFirst = isFirst;
     spendLimit.limit = limit;
     const Tokens committed = account.spent + account.reserved + wantedTokens(account);
     spendLimit.unreserved = std::max(Tokens(0), std::min(limit - committed, account.lastTurnMaximum));
     const IncarnationId witness = witnessed.witness.incarnation;
-    m_witnesses->note(witness, spendLimit, [this, program, term = spendLimit.term, limit](bool isNoted) { onLimitNoted(program, term, limit, isNoted); });
+    m_witnesses->note(witness, spendLimit, [this, program, term = spendLimit.term, limit](NoteResult result) { onLimitNoted(program, term, limit, result); });
 }
 
-void BudgetLedger::onLimitNoted(const ProgramId &program, WitnessTerm term, Tokens limit, bool isNoted)
+void BudgetLedger::onLimitNoted(const ProgramId &program, WitnessTerm term, Tokens limit, NoteResult result)
 {
     const auto it = m_accounts.find(program);
     if (it == m_accounts.end()) {
@@ -411,10 +427,12 @@
     }
     WitnessedLimit &witnessed = isAtTerm(account.witness) ? *account.witness : *account.nextWitness;
     witnessed.isSending = false;
-    if (isNoted) {
+    if (result == NoteResult::Noted) {
         witnessed.noted = limit;
+        witnessed.isLost = false;
     } else {
         witnessed.isLost = true;
+        witnessed.isRefused = witnessed.isRefused || result == NoteResult::Refused;
         ++account.lostWitnesses;
     }
     if (isBusy(account)) {
--- a/src/serving/budgetledger.h
+++ b/src/serving/budgetledger.h
@@ -93,11 +93,12 @@
     /// What the holder knows of its limit at one witness.
     struct WitnessedLimit {
         NamedWitness witness;
-        Tokens noted; ///< Turns use no more than this in total.
+        Tokens noted; ///< Turns use no more than this in total: the first limit of the term, then the last one that was noted.
         Tokens lastSent;
         std::uint64_t sequence = 0;
         bool isSending = false;
-        bool isLost = false; ///< The witness didn't respond, or has refused a limit. The noted limit stays valid.
+        bool isLost = false; ///< The witness didn't respond, so another one is chosen if possible. The noted limit stays valid.
+        bool isRefused = false; ///< The witness notes nothing more at this term.
     };
     /// An attempt to have another holder fenced.
     struct Fence {
@@ -159,13 +160,15 @@
 
     void chooseWitness(const ProgramId &program, Account &account);
     void nameWitness(const Account &account, BudgetRecord &proposed) const;
+    bool isUsable(const WitnessedLimit &witnessed) const;
+    Tokens limitInOutage(const Account &account, Tokens limit) const;
     void raiseLimit(const ProgramId &program, Account &account);
     bool lacksWitness(const ProgramId &program, const Account &account) const;
     void updateLimit(const ProgramId &program, Account &account);
     Tokens expectedLimit(const Account &account) const;
     void lowerLimit(const ProgramId &program);
     void sendLimit(const ProgramId &program, Account &account, WitnessedLimit &witnessed, Tokens limit);
-    void onLimitNoted(const ProgramId &program, WitnessTerm term, Tokens limit, bool isNoted);
+    void onLimitNoted(const ProgramId &program, WitnessTerm term, Tokens limit, NoteResult result);
     bool fenceHolders(const ProgramId &program, Account &account, bool areReachableIncluded);
     void onFenceEnded(const ProgramId &program);
     static void applyFences(const Account &account, BudgetRecord &proposed);
--- a/src/serving/witnessbook.h
+++ b/src/serving/witnessbook.h
@@ -65,6 +65,13 @@
     std::map<Key, Note> m_notes;
 };
 
+/// Result of asking a witness to note a limit.
+enum class NoteResult {
+    Noted,
+    Refused, ///< Compare WitnessBook::Result.
+    Unreachable, ///< No response: the limit may have been noted.
+};
+
 /// Access to the witnesses of this instance's grants. Handlers are called once, possibly before the function returns.
 class WitnessNetwork
 {
@@ -74,8 +81,8 @@
     /// An instance that can be reached and is fit as the program's witness, if there is one.
     virtual std::optional<IncarnationId> choose(const ProgramId &program) = 0;
 
-    /// Asks the witness to note a limit. The handler gets whether it has.
-    virtual void note(const IncarnationId &witness, const SpendLimit &limit, std::function<void(bool isNoted)> onResult) = 0;
+    /// Asks the witness to note a limit.
+    virtual void note(const IncarnationId &witness, const SpendLimit &limit, std::function<void(NoteResult)> onResult) = 0;
 
     /// Asks the witness of another holder to fence it. The handler gets nothing if there is no response or no note.
     virtual void fence(const IncarnationId &witness,
--- a/tests/unit/budgetwitnesstest.cpp
+++ b/tests/unit/budgetwitnesstest.cpp
@@ -39,13 +39,13 @@
             return std::nullopt;
         }
 
-        void note(const IncarnationId &witness, const SpendLimit &limit, std::function<void(bool)> onResult) override
+        void note(const IncarnationId &witness, const SpendLimit &limit, std::function<void(NoteResult)> onResult) override
         {
             ++m_network.notes;
             m_network.deliver([this, witness, limit, onResult](bool hasArrived, bool isAnswered) {
                 WitnessBook *book = hasArrived ? m_network.find(witness.value()) : nullptr;
                 const bool isNoted = book && book->note(limit, Start) == WitnessBook::Result::Noted;
-                onResult(isNoted && isAnswered);
+                onResult(!book || !isAnswered ? NoteResult::Unreachable : isNoted ? NoteResult::Noted : NoteResult::Refused);
             });
         }
 
@@ -100,6 +100,7 @@
         BudgetLedger::Checks checks{
             [](const IncarnationId &) { return false; }, [](const ProgramId &) { return false; }, [](const ProgramId &) { return true; }};
         checks.mayBeAlive = mayBeAlive;
+        checks.isStoreUnreachable = [this] { return store.isRefusing; };
         return std::make_unique<Holder>(store, name, std::move(checks), views.back().get());
     }
 
@@ -219,6 +220,23 @@
     }
 }
 
+// Guards against programs that can't go on in a store outage because their witness was lost or didn't respond for a moment.
+TEST_CASE_METHOD(Fixture, "In a store outage a home asks its witness again, and uses its whole grant", "[serving]")
+{
+    auto home = start("a:1");
+    auto witness = start("w:1");
+    REQUIRE(run(*home, 1) == 1);
+    network.unreachable = {"w:1"};
+    home->reserve(Budget, MaxTurnTokens);
+    home->settle(MaxTurnTokens, UsedTurnTokens); // The new limit is lost.
+    store.isRefusing = true;
+    CHECK(home->reserve(Budget, MaxTurnTokens).verdict == BudgetVerdict::Unconfirmed);
+    network.unreachable.clear();
+    REQUIRE(run(*home, 1) == 1);
+    network.unreachable = {"w:1"};
+    CHECK(run(*home) == 2); // Half of the budget was granted.
+}
+
 // Guards against a 503 that is repeated until the program's end.
 TEST_CASE_METHOD(Fixture, "Turns are refused for a limited time while another holder can't be reached", "[serving]")
 {
