Model of a holder and its witness, with a variant for each step left out

The second and the fifth of the holes that the random test found are SMALL_FIRST_LIMIT and UNKNOWN_TERM_IS_NONE. Not in the model: two holders that are fenced one after the other, whose unreserved parts count once; the random test of the ledger has it.

--- a/scripts/models.sh
+++ b/scripts/models.sh
@@ -52,6 +52,10 @@
 for variant in FREE_FIRST_TURN KEEP_GRANT_ON_RESTART LOST_IS_REFUSED GRANT_AT_BOTH_HOMES GRANT_AFTER_RESTART NO_RESERVE; do
     check budget fails "$variant"
 done
+check witness holds
+for variant in USE_BEFORE_NOTED NO_FENCE ANY_TERM SMALL_FIRST_LIMIT UNKNOWN_TERM_IS_NONE MISSING_NOTE_IS_ZERO; do
+    check witness fails "$variant"
+done
 check history holds
 for variant in STORE_THEN_ARCHIVES ONE_COPY DELETE_BEFORE_UPLOAD; do
     check history fails "$variant"
