Raise no limit at a former witness while the store may name another one

What callers would see: a budget exceeded by more than a turn, when an outage of the store begins with the lost response to a write that names another witness, and the holder is fenced later. Provisional grants had the same hole. Change: Account::unconfirmedLimit; until the record is read nothing is raised, and no provisional grant exceeds it.

--- a/src/serving/budgetledger.cpp
+++ b/src/serving/budgetledger.cpp
@@ -84,8 +84,10 @@
         return false;
     }
     const Tokens grant = provisionalGrantFor(account.budget, maxTokens);
-    if (account.nextWitness && account.nextWitness->lastSent < grant) {
-        return false; // The store may hold a write by which no more than this limit counts as spent here.
+    // The store may hold a write by which no more than such a limit counts as spent here.
+    const bool isLimited = (account.nextWitness && account.nextWitness->lastSent < grant) || account.unconfirmedLimit.value_or(grant) < grant;
+    if (isLimited) {
+        return false;
     }
     account.provisionalGrant = grant;
     account.provisionalLimit = account.provisionalGrant;
@@ -147,7 +149,7 @@
 void BudgetLedger::requestTokens(const ProgramId &program, Account &account)
 {
     const Tokens needed = account.spent + account.reserved + account.waiters.front().maxTokens;
-    if (account.witness && isUsable(*account.witness) && account.lostWitnesses <= MaxLostWitnesses && needed <= account.record.grantOf(m_self)) {
+    if (mayRaiseLimit(account) && account.lostWitnesses <= MaxLostWitnesses && needed <= account.record.grantOf(m_self)) {
         raiseLimit(program, account);
     } else {
         requestGrant(program, account);
@@ -248,6 +250,9 @@
         account.nextWitness.reset();
     } else {
         account.hasUnknownWrite = true;
+        if (account.nextWitness) {
+            account.unconfirmedLimit = std::min(account.unconfirmedLimit.value_or(account.nextWitness->lastSent), account.nextWitness->lastSent);
+        }
     }
     if (!account.waiters.empty() && tryGrantProvisionally(program, account, account.waiters.front().maxTokens)) {
         return true;
@@ -286,6 +291,7 @@
 
 void BudgetLedger::adoptWitness(Account &account) const
 {
+    account.unconfirmedLimit.reset();
     const auto it = account.record.witnesses.find(m_self);
     if (it == account.record.witnesses.end()) {
         account.witness.reset();
@@ -340,9 +346,12 @@
 }
 
 // Another witness can't be named while the store is unreachable, so one that didn't respond is asked again.
-bool BudgetLedger::isUsable(const WitnessedLimit &witnessed) const
+bool BudgetLedger::mayRaiseLimit(const Account &account) const
 {
-    return !witnessed.isRefused && (!witnessed.isLost || m_checks.isStoreUnreachable());
+    if (!account.witness || account.witness->isRefused || account.unconfirmedLimit) {
+        return false;
+    }
+    return !account.witness->isLost || m_checks.isStoreUnreachable();
 }
 
 // For the same reason the whole grant is made usable then, so that turns don't depend on the witness until the store is back.
@@ -369,7 +378,7 @@
 // After a turn the limit covers what was spent and one more turn, so that this one needn't wait.
 void BudgetLedger::updateLimit(const ProgramId &program, Account &account)
 {
-    if (!account.witness || !isUsable(*account.witness) || account.witness->isSending || account.nextWitness || isBusy(account)) {
+    if (!mayRaiseLimit(account) || account.witness->isSending || account.nextWitness || isBusy(account)) {
         return;
     }
     const Tokens limit = expectedLimit(account);
--- a/src/serving/budgetledger.h
+++ b/src/serving/budgetledger.h
@@ -117,6 +117,9 @@
         Tokens provisionalLimit; ///< Limit of what turns may use under a provisional grant; part of it may be recorded by now.
         std::optional<WitnessedLimit> witness; ///< The one that the record names.
         std::optional<WitnessedLimit> nextWitness; ///< Named in a write that the store hasn't confirmed.
+        /// The lowest first limit of a term that a write without a response may have named. Until the record is read, no more than
+        /// that may be used, so nothing is raised at the witness before.
+        std::optional<Tokens> unconfirmedLimit;
         std::map<IncarnationId, Fence> fences; ///< By holder.
         int fencesInProgress = 0;
         int lostWitnesses = 0; ///< Since a turn was last served.
@@ -160,7 +163,7 @@
 
     void chooseWitness(const ProgramId &program, Account &account);
     void nameWitness(const Account &account, BudgetRecord &proposed) const;
-    bool isUsable(const WitnessedLimit &witnessed) const;
+    bool mayRaiseLimit(const Account &account) const;
     Tokens limitInOutage(const Account &account, Tokens limit) const;
     void raiseLimit(const ProgramId &program, Account &account);
     bool lacksWitness(const ProgramId &program, const Account &account) const;
--- a/tests/unit/budgetwitnesstest.cpp
+++ b/tests/unit/budgetwitnesstest.cpp
@@ -237,6 +237,30 @@
     CHECK(run(*home) == 2); // Half of the budget was granted.
 }
 
+// Guards against a holder that raises its limit at the former witness while the store may already name another one.
+TEST_CASE_METHOD(Fixture, "After a write without a response a home doesn't raise its limit at the witness before", "[serving][promises]")
+{
+    auto home = start("a:1");
+    auto witness = start("v:1");
+    int generated = run(*home, 1) * UsedTurnTokens;
+    auto nextWitness = start("w:1");
+    network.unreachable = {"v:1"};
+    CHECK(run(*home, 1) == 1);
+    generated += UsedTurnTokens;
+    store.answersToLose = 1; // The store names the other witness, but the home isn't told, and then the store is away for it.
+    store.refusesAfterLoss = true;
+    CHECK(home->reserve(Budget, MaxTurnTokens).verdict == BudgetVerdict::Unconfirmed);
+    network.unreachable.clear();
+    for (int n = 0; n < 10 && home->reserve(Budget, MaxTurnTokens).verdict == BudgetVerdict::Reserved; ++n) {
+        home->settle(MaxTurnTokens, MaxTurnTokens);
+        generated += MaxTurnTokens;
+    }
+    store.isRefusing = false;
+    auto next = start("b:1");
+    generated += run(*next) * UsedTurnTokens;
+    CHECK(generated <= Budget + MaxTurnTokens);
+}
+
 // Guards against a 503 that is repeated until the program's end.
 TEST_CASE_METHOD(Fixture, "Turns are refused for a limited time while another holder can't be reached", "[serving]")
 {
--- a/tests/unit/inmemorybudgetstore.h
+++ b/tests/unit/inmemorybudgetstore.h
@@ -48,6 +48,7 @@
         }
         if (answersToLose > 0) {
             --answersToLose;
+            isRefusing = isRefusing || refusesAfterLoss;
             onResult({SwapResult::Status::Unknown, 0, {}});
             return;
         }
@@ -74,6 +75,7 @@
     int answersToLose = 0;
     int writesToDelay = 0; ///< Reported as unknown, and carried out when a test calls them.
     bool isRefusing = false;
+    bool refusesAfterLoss = false; ///< An outage begins with a lost response.
     bool isHoldingAnswers = false;
     std::vector<std::function<void()>> heldAnswers;
     std::vector<std::function<void()>> delayedWrites;
