--- a/tests/unit/budgetwitnesstest.cpp
+++ b/tests/unit/budgetwitnesstest.cpp
@@ -391,6 +391,7 @@
             Node &node = nodes[name];
             store.answersToLose = randomBelow(9) == 0 ? 1 : 0;
             store.writesToDelay = randomBelow(12) == 0 ? 1 : 0;
+            store.refusesAfterLoss = randomBelow(4) == 0;
             switch (randomBelow(16)) {
             case 0:
                 store.isRefusing = randomBelow(3) == 0;
