Read the store in time when all registry readers are frozen

What callers saw: an instance that doesn't read the registry itself served a configuration that had been replaced for more than the four seconds that are promised, and with a little delay on top for as long as the readers of its failure domain were frozen.

Cause: each of three readers was polled for 1.4 s, one after the other, 4.2 s until the store is read. A reader that failed is avoided for 3 s, so 0.2 s later the first one is polled again in place of the store.

Ruled out: budgets and witnesses, since these requests have no budget.

Mend: once a reader hasn't responded, the next ones are polled without time to wait, until one responds. 2.2 s at most until the store is read. Endpoints and members are polled by the same function.

--- a/src/instance/registrywatcher.cpp
+++ b/src/instance/registrywatcher.cpp
@@ -25,8 +25,8 @@
 /// Normally this instance's own watch reports a change within this time after a peer has seen it.
 constexpr Milliseconds PeerVersionDelay{200};
 constexpr Milliseconds RetryDelay{300};
-/// How long a reader may wait for a change, and how much later the next one is asked. A reader may be frozen, so this adds to
-/// the time after which a change is seen.
+/// How long a reader may wait for a change, and how much later the next one is asked. All readers of a domain may be frozen or
+/// gone, so only the first one gets time to wait: what the others take adds to the time after which a change is seen.
 constexpr Milliseconds PollWait{1000};
 constexpr Milliseconds MemberPollWait{4000};
 constexpr Milliseconds PollTimeoutMargin{400};
@@ -191,7 +191,8 @@
     RegistryPoll poll;
     poll.prefix = watched.prefix;
     poll.after = watched.watchRevision;
-    poll.wait = &watched == &m_watchedMembers ? MemberPollWait : PollWait;
+    const Milliseconds wait = &watched == &m_watchedMembers ? MemberPollWait : PollWait;
+    poll.wait = watched.hasReaderFailed ? Milliseconds(0) : wait;
     poll.isStoreUnavailable = watched.isStoreUnavailable;
     InternalRequest request;
     request.address = reader.peerAddress;
@@ -220,11 +221,13 @@
     }
     logChange("reader-left", "prefix={} reader={} responded={}", watched.prefix, reader.id.value(), update.has_value());
     m_readers.onFailure(reader.id, now());
+    watched.hasReaderFailed = true;
     watch(watched);
 }
 
 void RegistryWatcher::onUpdate(WatchedPrefix &watched, const MemberRecord &reader, const RegistryUpdate &update, Instant polledAt)
 {
+    watched.hasReaderFailed = false;
     if (update.isStoreUnavailable && !watched.isStoreUnavailable) {
         setStoreUnavailable(watched, "reported by " + reader.id.value());
     } else if (!update.isStoreUnavailable) {
--- a/src/instance/registrywatcher.h
+++ b/src/instance/registrywatcher.h
@@ -75,6 +75,7 @@
         platform::Revision watchRevision = 0; ///< Where the next watch begins; 0 if the prefix has to be listed again.
         bool isLoaded = false;
         bool isStoreUnavailable = false;
+        bool hasReaderFailed = false; ///< Until a reader responds again, the next ones aren't given time to wait for a change.
         bool isReaderBypassed = false; ///< The next call goes to the store itself.
         int consecutiveFailures = 0;
         std::vector<platform::StoreItem> listedItems; ///< Items of the listing in progress.
--- a/tests/platform/registryreadertest.cpp
+++ b/tests/platform/registryreadertest.cpp
@@ -1,4 +1,5 @@
 #include "instance/registrylog.h"
+#include "platform/recordcodec.h"
 #include "platform/testinstance.h"
 #include "serving/registryreaders.h"
 
@@ -6,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <atomic>
 #include <csignal>
 #include <memory>
 #include <thread>
@@ -201,6 +203,36 @@
     }
 }
 
+// Guards against the time limits of polls that add up: each reader was given as long as one that is silent because nothing changes.
+TEST_CASE("Readers that freeze just when they are polled delay a configuration by no more than it may take", "[platform][readers]")
+{
+    ScriptedEndpoint endpoint(respondOk);
+    KvStandIn store;
+    std::atomic<bool> isPolled{false};
+    ScriptedEndpoint frozenReader([&](ScriptedEndpoint::Connection &, const ReceivedRequest &request) {
+        const auto poll = RegistryPoll::decode(request.body);
+        if (poll && poll->prefix == platform::OperatorPrefix && !isPolled.exchange(true)) {
+            store.put("op/config", testConfiguration(2, AddedRoute));
+        }
+    });
+    store.put("op/config", testConfiguration(1));
+    registerEndpoint(store, "i-1", endpoint);
+    MemberDirectory members(InstanceId("edge-2"), DomainId("one"));
+    for (int n = 0; n < 12; ++n) {
+        const std::string id = fmt::format("frozen-{}", n);
+        registerInstance(store, id, "one", frozenReader.address());
+        members.put({InstanceId(id), DomainId("one"), frozenReader.address(), IncarnationId(id + ".1")});
+    }
+    RegistryReaders roles(members, ReadersPerDomain);
+    roles.refresh();
+    REQUIRE_FALSE(roles.isReader());
+    const TestInstance instance(store.address(), 2, 1, "one");
+    REQUIRE(eventually([&] { return isPolled.load(); }));
+    CHECK(eventually([&] { return servesAddedRoute(instance); }, ConfigurationLimit));
+    INFO(instance.log());
+    CHECK(instance.log().find("event=reader-left prefix=op/") != std::string::npos);
+}
+
 TEST_CASE_METHOD(OneDomain, "During an outage endpoints stay in use everywhere, and its end is noticed everywhere", "[platform][readers]")
 {
     store.setFault(KvStandIn::Fault::Unavailable);
