--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -3,7 +3,6 @@
 #include "core/commandline.h"
 #include "core/digest.h"
 #include "core/log.h"
-#include "serving/cleanshutdownmarker.h"
 
 #include <fmt/format.h>
 
@@ -33,7 +32,6 @@
 constexpr std::size_t MaxStoreFallbacks = 3;
 constexpr std::size_t MaxIdleConnectionsPerPeer = 4;
 constexpr Milliseconds PeerAckTimeout{800};
-constexpr Milliseconds RegistrationRetryDelay{500};
 constexpr std::size_t MinReadersPerDomain = 3;
 
 /// One part of the process's memory limit, at most maxBytes.
@@ -63,10 +61,10 @@
     , m_store(m_loop.context(), m_settings.storeAddress, m_metrics)
     , m_budgetStore(m_store)
     , m_turnStore(m_store, m_incarnation, m_settings.storeValueBytes)
-    , m_registration(m_store, m_settings.instance)
     , m_members(m_settings.instance, m_settings.domain)
     , m_dispatchQueue(policyRules(), m_settings.domain, m_endpointDirectory)
     , m_provisionalGrantPolicy(m_members, suspendAwareNow())
+    , m_registration(ownMemberRecord(), m_store, m_loop.timers(), m_members, m_provisionalGrantPolicy)
     , m_peerConnections(m_loop.context(), {MaxIdleConnectionsPerPeer, PeerAckTimeout})
     , m_witnesses(m_loop.context(), m_members, m_peerConnections, m_incarnation, m_metrics)
     , m_budgets(m_incarnation,
@@ -123,10 +121,14 @@
     , m_signals(m_loop.context(), SIGTERM, SIGINT, SIGHUP)
     , m_garbageCollector(m_store, {})
 {
-    m_provisionalGrantPolicy.setRegistering();
     refreshStoreFallbacks();
 }
 
+MemberRecord InstanceDaemon::ownMemberRecord() const
+{
+    return {m_settings.instance, m_settings.domain, m_settings.peerAddress.value_or(SocketAddress()), m_incarnation};
+}
+
 // Chooses the instances that relay calls to the store: the seed peers of the settings until the member list is known.
 void InstanceDaemon::refreshStoreFallbacks()
 {
@@ -150,76 +152,15 @@
     m_store.setRelays(std::move(fallbacks));
 }
 
-void InstanceDaemon::readShutdownMarker()
-{
-    const std::string key = CleanShutdownMarker::KeyPrefix + m_settings.instance.value();
-    m_store.read(key, [this](const tl::expected<platform::StoreItem, platform::StoreFailure> &item) {
-        const auto marker = item && item->revision != 0 ? CleanShutdownMarker::decode(item->data) : std::nullopt;
-        if (marker && marker->isRecent(CleanShutdownMarker::now())) {
-            m_provisionalGrantPolicy.setCleanRestart();
-        }
-        logChange("last-shutdown", "store_responded={} was_planned={}", item.has_value(), marker.has_value());
-        registerMember();
-    });
-}
-
-void InstanceDaemon::registerMember()
-{
-    if (m_isDeregistrationRequested) {
-        return;
-    }
-    const MemberRecord member{m_settings.instance, m_settings.domain, m_settings.peerAddress.value_or(SocketAddress()), m_incarnation};
-    m_isRegistering = true;
-    m_members.put(member);
-    commitRegistration(member, true);
-}
-
-// The first try succeeds only if there is no earlier entry, so that it tells whether this machine is new.
-void InstanceDaemon::commitRegistration(const MemberRecord &member, bool mustBeNew)
-{
-    platform::StoreTransaction transaction = m_registration.registrationTransaction(member);
-    transaction.removals.push_back(CleanShutdownMarker::KeyPrefix + member.id.value());
-    if (mustBeNew) {
-        transaction.preconditions.push_back({MemberDirectory::KeyPrefix + member.id.value(), 0});
-    }
-    m_store.commit(transaction, [this, member, mustBeNew](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
-        if (!result) {
-            logChange("registration-failed", "reason=\"{}\"", result.error().detail);
-            m_loop.timers().at(std::chrono::steady_clock::now() + RegistrationRetryDelay, [this](Instant) { registerMember(); });
-        } else if (result->isCommitted) {
-            onRegistered(member, !mustBeNew);
-        } else {
-            const auto earlier = result->currentItems.empty() ? std::nullopt : MemberRecord::decode(member.id, result->currentItems.front().data);
-            const bool isOwn = earlier && earlier->incarnation == m_incarnation && !earlier->isPresumedDead;
-            if (isOwn) {
-                onRegistered(member, false); // By an earlier try whose response was lost.
-            } else {
-                commitRegistration(member, false);
-            }
-        }
-    });
-}
-
-void InstanceDaemon::onRegistered(const MemberRecord &member, bool hadEarlierEntry)
-{
-    m_isRegistering = false;
-    m_provisionalGrantPolicy.setRegistered(hadEarlierEntry, suspendAwareNow());
-    logChange("registered", "id={} had_earlier_entry={}", member.id.value(), hadEarlierEntry);
-}
-
-// Other instances may have presumed this one dead while it couldn't reach the store; it then registers again.
 void InstanceDaemon::onMembersChanged()
 {
     refreshStoreFallbacks();
-    const MemberRecord *self = m_members.find(m_settings.instance);
-    if (!m_isRegistering && !m_isDeregistrationRequested && (!self || self->isPresumedDead)) {
-        registerMember();
-    }
+    m_registration.onMembersChanged();
 }
 
 void InstanceDaemon::onHeartbeatTimer()
 {
-    if (m_isDeregistrationRequested) {
+    if (m_registration.isDeregistrationRequested()) {
         return;
     }
     m_registration.sendHeartbeat();
@@ -250,25 +191,12 @@
     m_store.read(MemberDirectory::KeyPrefix + m_settings.instance.value(), [](const tl::expected<platform::StoreItem, platform::StoreFailure> &) {});
 }
 
-// Like an instance that has crashed, this one stays listed while the store may not have recorded all provisional grants of this
-// incarnation or of earlier ones.
-void InstanceDaemon::tryDeregister()
-{
-    if (m_isDeregistrationRequested || m_budgets.hasProvisionalGrants() || !m_provisionalGrantPolicy.mayDeregister(suspendAwareNow())) {
-        return;
-    }
-    m_isDeregistrationRequested = true;
-    platform::StoreTransaction transaction;
-    transaction.writes.push_back({CleanShutdownMarker::KeyPrefix + m_settings.instance.value(), CleanShutdownMarker::now().encode()});
-    m_registration.deregister(std::move(transaction));
-}
-
 int InstanceDaemon::run()
 {
     std::signal(SIGPIPE, SIG_IGN);
     listen();
     awaitSignals();
-    readShutdownMarker();
+    m_registration.start();
     checkFirstStart();
     m_registryWatcher.start();
     m_isolationDetector.start();
@@ -434,14 +362,14 @@
     m_members.setDraining();
     m_peerApi.setDraining();
     m_budgets.beginRelease(now);
-    tryDeregister();
+    m_registration.tryDeregister(m_budgets.hasProvisionalGrants());
     m_callerServer->setClosing(true);
     m_loop.timers().every(now, DrainCheckPeriod, [this](Instant at) { checkDrain(at); });
 }
 
 void InstanceDaemon::checkDrain(Instant now)
 {
-    tryDeregister();
+    m_registration.tryDeregister(m_budgets.hasProvisionalGrants());
     if (m_drainSchedule.isOver(now)) {
         logChange("drain-timed-out", "busy={}", m_callerServer->busyCount());
         m_loop.stop();
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -7,13 +7,13 @@
 #include "instance/dispatchqueue.h"
 #include "instance/grantsurveyor.h"
 #include "instance/homeservice.h"
+#include "instance/instanceregistration.h"
 #include "instance/isolationdetector.h"
 #include "instance/peerapi.h"
 #include "instance/proxiedrequest.h"
 #include "instance/registrywatcher.h"
 #include "instance/witnessclient.h"
 #include "persistence/garbagecollector.h"
-#include "persistence/memberregistration.h"
 #include "persistence/platformbudgetstore.h"
 #include "persistence/platformturnstore.h"
 #include "persistence/replicatedturnstore.h"
@@ -38,17 +38,13 @@
     int run();
 
 private:
+    MemberRecord ownMemberRecord() const;
     void listen();
     void awaitSignals();
     void onSignal(int signal);
     void reloadSettings();
     void onCallerRequest(const ServerConnectionPtr &connection, ServerRequest request);
     void onReadinessRequest(const ServerConnectionPtr &connection);
-    void readShutdownMarker();
-    void registerMember();
-    void commitRegistration(const MemberRecord &member, bool mustBeNew);
-    void onRegistered(const MemberRecord &member, bool hadEarlierEntry);
-    void tryDeregister();
     void onMembersChanged();
     void onHeartbeatTimer();
     void probeStore();
@@ -70,12 +66,12 @@
     platform::PlatformStore m_store;
     PlatformBudgetStore m_budgetStore;
     PlatformTurnStore m_turnStore;
-    MemberRegistration m_registration;
     RouteTable m_routes;
     EndpointDirectory m_endpointDirectory;
     MemberDirectory m_members;
     DispatchQueue m_dispatchQueue;
     ProvisionalGrantPolicy m_provisionalGrantPolicy;
+    InstanceRegistration m_registration;
     ConnectionPool m_peerConnections;
     WitnessClient m_witnesses;
     BudgetLedger m_budgets;
@@ -99,8 +95,6 @@
     std::unique_ptr<ConnectionSet> m_peerServer;
     std::unique_ptr<ConnectionSet> m_metricsServer;
     GarbageCollector m_garbageCollector;
-    bool m_isRegistering = true; ///< Until the store has accepted this instance's entry in the member list.
-    bool m_isDeregistrationRequested = false; ///< The store has been asked to remove the entry.
 };
 
 } // namespace flamingo
--- /dev/null
+++ b/src/instance/instanceregistration.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "core/timerservice.h"
+#include "persistence/memberregistration.h"
+#include "serving/provisionalgrantpolicy.h"
+
+namespace flamingo
+{
+
+/// Puts this process on the member list when it starts, puts it back there when others presumed it dead, and takes it off when it
+/// stops. Tells the ProvisionalGrantPolicy what the store knows of earlier incarnations.
+class InstanceRegistration
+{
+public:
+    /// self is this process's entry.
+    InstanceRegistration(MemberRecord self,
+                         platform::PlatformStore &store,
+                         TimerService &timers,
+                         MemberDirectory &members,
+                         ProvisionalGrantPolicy &grantPolicy);
+
+    /// Registers once the store has told whether the last shutdown was planned, or has failed to.
+    void start();
+
+    /// Registers again if the list has this process no longer, or as presumed dead, since it couldn't reach the store for a while.
+    void onMembersChanged();
+
+    /// Must not be called once the process has asked to be taken off the list.
+    void sendHeartbeat();
+
+    /// Takes the process off the list for good. It stays listed, like one that has crashed, while the store may not have recorded
+    /// all provisional grants of this incarnation or of earlier ones.
+    void tryDeregister(bool hasProvisionalGrants);
+
+    bool isDeregistrationRequested() const;
+
+private:
+    void registerMember();
+    void commit(bool mustBeNew);
+    void onCommitted(const platform::TransactionResult &result, bool mustBeNew);
+    void onRegistered(bool hadEarlierEntry);
+
+    const MemberRecord m_self;
+    platform::PlatformStore &m_store;
+    TimerService &m_timers;
+    MemberDirectory &m_members;
+    ProvisionalGrantPolicy &m_grantPolicy;
+    MemberRegistration m_entry;
+    bool m_isRegistering = true; ///< Until the store has accepted the entry.
+    bool m_isDeregistrationRequested = false;
+};
+
+} // namespace flamingo
--- a/src/serving/budgetrecord.cpp
+++ b/src/serving/budgetrecord.cpp
@@ -40,6 +40,18 @@
     closed.insert(holder);
 }
 
+std::string BudgetRecord::describeHolders() const
+{
+    std::string text;
+    for (const auto &[holder, tokens] : granted) {
+        const auto witness = witnesses.find(holder);
+        const std::string by = witness == witnesses.end() ? "none" : witness->second.incarnation.value();
+        const bool isClosed = closed.count(holder) != 0;
+        text += fmt::format("{}{}={}/{}", text.empty() ? "" : ",", holder.value(), tokens.value(), isClosed ? "closed" : by);
+    }
+    return text;
+}
+
 std::string BudgetRecord::encode() const
 {
     Json json = {{"budget", budget}, {"granted", Json::object()}, {"reserve", provisionalReserve}};
--- a/src/serving/budgetrecord.h
+++ b/src/serving/budgetrecord.h
@@ -41,6 +41,9 @@
     /// Ends a holder that its witness has fenced: what lies beyond its last limit is free again.
     void close(const IncarnationId &holder, const FencedLimit &limit);
 
+    /// For the log: what each holder was granted, and by which witness it could be fenced.
+    std::string describeHolders() const;
+
     std::string encode() const;
     static std::optional<BudgetRecord> decode(const std::string &bytes);
 };
