Let an archive confirm a turn late when the store can't take it

What callers saw: during a store outage a turn's end was cut off when one archive took more than 120 ms, and the turns after it as well.

Cause: the archive's request was given up after 120 ms and only the store counted from then on; the archive was avoided for other turns, which then had too few archives and went to the store alone.

Ruled out: a shorter way by not avoiding late archives, since then every turn's end would wait for a dead one.

--- a/src/persistence/replicatedturnstore.cpp
+++ b/src/persistence/replicatedturnstore.cpp
@@ -5,6 +5,8 @@
 #include "persistence/memberregistration.h"
 #include "serving/archivemessages.h"
 
+#include <asio/steady_timer.hpp>
+
 #include <algorithm>
 #include <optional>
 #include <set>
@@ -17,28 +19,45 @@
 {
 /// A whole failure domain may be lost, so one replica is never enough.
 constexpr std::size_t MinReplicas = 2;
+constexpr std::size_t MinDomains = 2;
+constexpr Milliseconds ArchiveConnectTimeout{120};
 /// An archive responds within a few milliseconds; after this time the turn is written to the store as well.
-constexpr Milliseconds SaveTimeout{120};
+constexpr Milliseconds StoreFallbackDelay{120};
+/// An archive that was paused, or waits for its disk, may still confirm a turn that the store didn't take.
+constexpr Milliseconds ArchiveSaveTimeout{1500};
 constexpr Milliseconds LookupTimeout{400};
+constexpr std::size_t SparesFactor = 2;
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
 } // namespace
 
 struct ReplicatedTurnStore::PendingSave {
-    TurnRecordPtr turn;
-    std::function<void(bool)> onSaved;
-    std::size_t confirmedReplicas = 0;
-    std::size_t pending = 0;
-    bool isSentToStore = false;
+    PendingSave(asio::io_context &context, TurnRecordPtr turn, std::function<void(bool)> onSaved)
+        : turn(std::move(turn))
+        , onSaved(std::move(onSaved))
+        , fallbackTimer(context)
+    {
+    }
 
     void finish(bool isDurable)
     {
+        fallbackTimer.cancel();
         if (onSaved) {
             const auto handler = std::move(onSaved);
             onSaved = nullptr;
             handler(isDurable);
         }
     }
+
+    TurnRecordPtr turn;
+    std::function<void(bool)> onSaved;
+    asio::steady_timer fallbackTimer;
+    std::size_t confirmedReplicas = 0;
+    std::set<DomainId> confirmedDomains;
+    std::set<InstanceId> pendingArchives;
+    std::set<InstanceId> lateArchives; ///< They are avoided for other turns, and may still confirm this one.
+    bool isSentToStore = false;
+    bool hasStoreFailed = false;
 };
 
 struct ReplicatedTurnStore::PendingLoad {
@@ -67,27 +86,48 @@
 
 void ReplicatedTurnStore::save(const TurnRecordPtr &turn, std::function<void(bool)> onSaved)
 {
-    auto saving = std::make_shared<PendingSave>();
-    saving->turn = turn;
-    saving->onSaved = std::move(onSaved);
-    const std::vector<MemberRecord> archives = m_members.rankedArchives(turn->id.value(), std::chrono::steady_clock::now());
-    const bool hasEnoughArchives = archives.size() >= m_replicaCount && archives[0].domain != archives[1].domain;
-    if (!hasEnoughArchives) {
+    auto saving = std::make_shared<PendingSave>(m_context, turn, std::move(onSaved));
+    const std::vector<MemberRecord> archives = chooseArchives(turn->id);
+    for (const MemberRecord &archive : archives) {
+        saving->pendingArchives.insert(archive.id);
+    }
+    for (const MemberRecord &archive : archives) {
+        ArchiveKeepRequest message{turn->id, turn->encode(), archive.id == archives.front().id, {}};
+        for (const MemberRecord &other : archives) {
+            if (other.id != archive.id) {
+                message.otherReplicas.push_back(other.peerAddress.text());
+            }
+        }
+        sendToArchive(archive, message.encode(), saving);
+    }
+    if (archives.empty()) {
         saveToStore(saving);
         return;
     }
-    saving->pending = m_replicaCount;
-    ArchiveKeepRequest message{turn->id, turn->encode(), true, {}};
-    for (std::size_t n = 0; n < m_replicaCount; ++n) {
-        message.isPrimary = n == 0;
-        message.otherReplicas.clear();
-        for (std::size_t other = 0; other < m_replicaCount; ++other) {
-            if (other != n) {
-                message.otherReplicas.push_back(archives[other].peerAddress.text());
-            }
+    saving->fallbackTimer.expires_after(StoreFallbackDelay);
+    saving->fallbackTimer.async_wait([this, saving](const asio::error_code &ec) {
+        if (!ec) {
+            onArchivesLate(saving);
         }
-        sendToArchive(archives[n], message.encode(), saving);
+    });
+}
+
+// Returns nothing if there aren't enough archives. In an outage of the store there is no other place for the turn, so archives that
+// have just failed are tried as well, with one spare for each replica.
+std::vector<MemberRecord> ReplicatedTurnStore::chooseArchives(const RequestId &turn) const
+{
+    const Instant now = std::chrono::steady_clock::now();
+    std::vector<MemberRecord> archives = m_members.rankedArchives(turn.value(), now);
+    if (archives.size() >= m_replicaCount && archives[0].domain != archives[1].domain) {
+        archives.resize(m_replicaCount);
+        return archives;
     }
+    if (!m_platformStore.hasRecentFailure()) {
+        return {};
+    }
+    archives = m_members.rankedListedArchives(turn.value(), now);
+    archives.resize(std::min(archives.size(), SparesFactor * m_replicaCount));
+    return archives;
 }
 
 void ReplicatedTurnStore::sendToArchive(const MemberRecord &archive, const std::string &message, const std::shared_ptr<PendingSave> &saving)
@@ -97,23 +137,47 @@
     call.method = "POST";
     call.target = ArchiveKeepPath;
     call.body = message;
-    call.connectTimeout = SaveTimeout;
-    call.responseTimeout = SaveTimeout;
-    sendInternalRequest(m_context, m_links, std::move(call), [this, saving, id = archive.id](const std::optional<InternalResponse> &answer) {
-        --saving->pending;
-        const bool isStored = answer && answer->status == StatusOk;
-        saving->confirmedReplicas += isStored ? 1 : 0;
-        if (isStored) {
-            m_members.recordSuccess(id);
-        } else {
-            m_members.recordFailure(id, std::chrono::steady_clock::now());
-            logChange("archive-unreachable", "archive={} turn={}", id.value(), saving->turn->id.value());
-            saveToStore(saving);
-        }
-        if (saving->confirmedReplicas == m_replicaCount) {
-            saving->finish(true);
-        }
-    });
+    call.connectTimeout = ArchiveConnectTimeout;
+    call.responseTimeout = ArchiveSaveTimeout;
+    sendInternalRequest(
+        m_context, m_links, std::move(call), [this, saving, id = archive.id, domain = archive.domain](const std::optional<InternalResponse> &answer) {
+            saving->pendingArchives.erase(id);
+            if (answer && answer->status == StatusOk) {
+                ++saving->confirmedReplicas;
+                saving->confirmedDomains.insert(domain);
+                m_members.recordSuccess(id);
+            } else {
+                onArchiveUnreachable(saving, id);
+                saveToStore(saving);
+            }
+            finishIfDecided(saving);
+        });
+}
+
+void ReplicatedTurnStore::onArchivesLate(const std::shared_ptr<PendingSave> &saving)
+{
+    for (const InstanceId &archive : saving->pendingArchives) {
+        onArchiveUnreachable(saving, archive);
+    }
+    saveToStore(saving);
+}
+
+void ReplicatedTurnStore::onArchiveUnreachable(const std::shared_ptr<PendingSave> &saving, const InstanceId &archive)
+{
+    if (saving->lateArchives.insert(archive).second) {
+        m_members.recordFailure(archive, std::chrono::steady_clock::now());
+        logChange("archive-unreachable", "archive={} turn={}", archive.value(), saving->turn->id.value());
+    }
+}
+
+void ReplicatedTurnStore::finishIfDecided(const std::shared_ptr<PendingSave> &saving) const
+{
+    const bool areEnough = saving->confirmedReplicas >= m_replicaCount && saving->confirmedDomains.size() >= MinDomains;
+    if (areEnough) {
+        saving->finish(true);
+    } else if (saving->hasStoreFailed && saving->pendingArchives.empty()) {
+        saving->finish(false);
+    }
 }
 
 void ReplicatedTurnStore::saveToStore(const std::shared_ptr<PendingSave> &saving)
@@ -122,7 +186,14 @@
         return;
     }
     saving->isSentToStore = true;
-    m_store.save(saving->turn, [saving](bool isDurable) { saving->finish(isDurable); });
+    m_store.save(saving->turn, [this, saving](bool isDurable) {
+        saving->hasStoreFailed = !isDurable;
+        if (isDurable) {
+            saving->finish(true);
+        } else {
+            finishIfDecided(saving);
+        }
+    });
 }
 
 void ReplicatedTurnStore::load(const RequestId &id, std::function<void(TurnLookup)> onLoaded)
--- a/src/persistence/replicatedturnstore.h
+++ b/src/persistence/replicatedturnstore.h
@@ -32,7 +32,11 @@
     struct PendingSave;
     struct PendingLoad;
 
+    std::vector<MemberRecord> chooseArchives(const RequestId &turn) const;
     void sendToArchive(const MemberRecord &archive, const std::string &message, const std::shared_ptr<PendingSave> &saving);
+    void onArchivesLate(const std::shared_ptr<PendingSave> &saving);
+    void onArchiveUnreachable(const std::shared_ptr<PendingSave> &saving, const InstanceId &archive);
+    void finishIfDecided(const std::shared_ptr<PendingSave> &saving) const;
     void saveToStore(const std::shared_ptr<PendingSave> &saving);
     void queryArchives(const std::shared_ptr<PendingLoad> &loading);
     void onArchivesAnswered(const std::shared_ptr<PendingLoad> &loading);
--- a/src/serving/memberdirectory.cpp
+++ b/src/serving/memberdirectory.cpp
@@ -224,7 +224,22 @@
     std::vector<MemberRecord> members = archives();
     const auto isUnreachable = [&](const MemberRecord &member) { return !isReachable(m_members.at(member.id), now); };
     members.erase(std::remove_if(members.begin(), members.end(), isUnreachable), members.end());
-    const auto weight = [&](const MemberRecord &member) { return stableHash(turn, stableHash(member.id.value())); };
+    return ranked(std::move(members), turn);
+}
+
+std::vector<MemberRecord> MemberDirectory::rankedListedArchives(const std::string &turn, Instant now) const
+{
+    std::vector<MemberRecord> members = ranked(archives(), turn);
+    const auto isDead = [&](const MemberRecord &member) { return member.isPresumedDead; };
+    members.erase(std::remove_if(members.begin(), members.end(), isDead), members.end());
+    std::stable_partition(members.begin(), members.end(), [&](const MemberRecord &member) { return isReachable(m_members.at(member.id), now); });
+    return members;
+}
+
+// By rendezvous hashing, with the first member of another failure domain moved to the second place.
+std::vector<MemberRecord> MemberDirectory::ranked(std::vector<MemberRecord> members, const std::string &key)
+{
+    const auto weight = [&](const MemberRecord &member) { return stableHash(key, stableHash(member.id.value())); };
     std::sort(members.begin(), members.end(), [&](const MemberRecord &a, const MemberRecord &b) { return weight(a) > weight(b); });
     if (members.size() > 2) {
         const auto isInOtherDomain = [&](const MemberRecord &member) { return member.domain != members.front().domain; };
--- a/src/serving/memberdirectory.h
+++ b/src/serving/memberdirectory.h
@@ -96,6 +96,9 @@
     /// where possible.
     std::vector<MemberRecord> rankedArchives(const std::string &turn, Instant now) const;
 
+    /// All archives that are not presumed dead, those that can't be reached last, and for the rest in the same order of preference.
+    std::vector<MemberRecord> rankedListedArchives(const std::string &turn, Instant now) const;
+
     /// All archives, reachable or not.
     std::vector<MemberRecord> archives() const;
 
@@ -110,6 +113,7 @@
     };
 
     bool isReachable(const Entry &entry, Instant now) const;
+    static std::vector<MemberRecord> ranked(std::vector<MemberRecord> members, const std::string &key);
     using RankedInstances = std::vector<std::pair<std::uint64_t, InstanceId>>;
     static std::vector<InstanceId> inOrder(RankedInstances ranked);
     bool outranksSelf(const ProgramId &program, const InstanceId &other) const;
--- a/tests/platform/archivetest.cpp
+++ b/tests/platform/archivetest.cpp
@@ -27,6 +27,12 @@
     return callerRequest("/chat/a", attemptId, headerLines, text);
 }
 
+void registerArchive(KvStandIn &store, const std::string &id, const std::string &domain, const SocketAddress &address)
+{
+    const MemberRecord member{InstanceId(id), DomainId(domain), address, {}, MemberRecord::Role::Archive};
+    store.put(MemberDirectory::KeyPrefix + id, member.encode());
+}
+
 /// Two archives, and an instance that has both on its list.
 struct Fixture {
     Fixture()
@@ -261,8 +267,7 @@
         store.put(std::string(TurnKeyPrefix) + "t1", kept.encode());
         connection.write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
     });
-    store.put(std::string(MemberDirectory::KeyPrefix) + "storage-9",
-              MemberRecord{InstanceId("storage-9"), DomainId("z"), archive.address(), {}, MemberRecord::Role::Archive}.encode());
+    registerArchive(store, "storage-9", "z", archive.address());
     store.put("op/config", testConfiguration(1));
     registerEndpoint(store, "i-1", endpoint);
     TestInstance instance(store, 1);
@@ -279,3 +284,47 @@
     it.first.start();
     CHECK(eventually([&] { return it.instance->send(turnRequest("e2", "no-such-turn", "x")).status == 404; }));
 }
+
+// Guards against an archive that counts as gone after a tenth of a second, when the store can't take its place.
+TEST_CASE("A turn that an archive confirms late is kept during a store outage", "[platform]")
+{
+    constexpr Milliseconds Delay{500};
+    KvStandIn store;
+    ScriptedEndpoint endpoint(respondWithEvent);
+    const auto confirm = [](Connection &connection, const ReceivedRequest &) { connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"); };
+    ScriptedEndpoint prompt(confirm);
+    ScriptedEndpoint slow(
+        [&](Connection &connection, const ReceivedRequest &) { connection.writeLater(Delay, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"); });
+    registerArchive(store, "storage-7", "y", prompt.address());
+    registerArchive(store, "storage-8", "z", slow.address());
+    store.put("op/config", testConfiguration(1));
+    registerEndpoint(store, "i-1", endpoint);
+    const TestInstance instance(store, 1);
+    REQUIRE(instance.awaitReady());
+    REQUIRE(eventually([&] { return instance.log().find("listed prefix=instance/") != std::string::npos; }));
+    store.setFault(KvStandIn::Fault::Unavailable);
+    for (int n = 0; n < 4; ++n) {
+        CHECK(instance.send(turnRequest("l" + std::to_string(n), {}, "x")).isComplete);
+    }
+}
+
+// A turn counts as kept only by archives that have confirmed it, in two failure domains.
+TEST_CASE("A turn that only one archive confirms is not reported as kept during a store outage", "[platform]")
+{
+    KvStandIn store;
+    ScriptedEndpoint endpoint(respondWithEvent);
+    ScriptedEndpoint prompt([](Connection &connection, const ReceivedRequest &) { connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"); });
+    ScriptedEndpoint silent([](Connection &, const ReceivedRequest &) {});
+    registerArchive(store, "storage-6", "y", prompt.address());
+    registerArchive(store, "storage-7", "y", prompt.address());
+    registerArchive(store, "storage-8", "z", silent.address());
+    store.put("op/config", testConfiguration(1));
+    registerEndpoint(store, "i-1", endpoint);
+    const TestInstance instance(store, 1);
+    REQUIRE(instance.awaitReady());
+    REQUIRE(eventually([&] { return instance.log().find("listed prefix=instance/") != std::string::npos; }));
+    store.setFault(KvStandIn::Fault::Unavailable);
+    for (int n = 0; n < 3; ++n) {
+        CHECK_FALSE(instance.send(turnRequest("o" + std::to_string(n), {}, "x")).isComplete);
+    }
+}
