Don't avoid an archive longer for failures while it is avoided already

Follows: in an outage avoided archives are tried as well, and each try that failed doubled the time for which they are avoided after the outage.

--- a/src/persistence/replicatedturnstore.cpp
+++ b/src/persistence/replicatedturnstore.cpp
@@ -90,6 +90,10 @@
     const std::vector<MemberRecord> archives = chooseArchives(turn->id);
     for (const MemberRecord &archive : archives) {
         saving->pendingArchives.insert(archive.id);
+        // Further failures of an archive that is avoided already don't lengthen that.
+        if (!m_members.isReachable(archive.id, std::chrono::steady_clock::now())) {
+            saving->lateArchives.insert(archive.id);
+        }
     }
     for (const MemberRecord &archive : archives) {
         ArchiveKeepRequest message{turn->id, turn->encode(), archive.id == archives.front().id, {}};
--- a/src/serving/memberdirectory.cpp
+++ b/src/serving/memberdirectory.cpp
@@ -113,6 +113,12 @@
     return !entry.record.isPresumedDead && now >= entry.retryAt && (!m_isDomainIsolated || entry.record.domain == m_ownDomain);
 }
 
+bool MemberDirectory::isReachable(const InstanceId &id, Instant now) const
+{
+    const auto it = m_members.find(id);
+    return it != m_members.end() && isReachable(it->second, now);
+}
+
 std::optional<InstanceId> MemberDirectory::reachableInstance(const IncarnationId &incarnation, Instant now) const
 {
     for (const auto &[id, member] : m_members) {
--- a/src/serving/memberdirectory.h
+++ b/src/serving/memberdirectory.h
@@ -58,6 +58,9 @@
     void recordFailure(const InstanceId &id, Instant now);
     void recordSuccess(const InstanceId &id);
 
+    /// Whether the member is listed, not presumed dead and not avoided for its failures.
+    bool isReachable(const InstanceId &id, Instant now) const;
+
     /// This instance is about to stop; from here on it is a home only while no other instance can be reached.
     void setDraining();
 
