Give an archive half a second, not one and a half, to confirm a turn late

A turn that neither store nor archives take was refused up to 1.4 s later than before, in which its caller could have repeated it at an instance with a better connection. Half a second covers the pauses that were seen (150 ms).

--- a/src/persistence/replicatedturnstore.cpp
+++ b/src/persistence/replicatedturnstore.cpp
@@ -23,8 +23,9 @@
 constexpr Milliseconds ArchiveConnectTimeout{120};
 /// An archive responds within a few milliseconds; after this time the turn is written to the store as well.
 constexpr Milliseconds StoreFallbackDelay{120};
-/// An archive that was paused, or waits for its disk, may still confirm a turn that the store didn't take.
-constexpr Milliseconds ArchiveSaveTimeout{1500};
+/// An archive that was paused, or waits for its disk, may still confirm a turn that the store didn't take. Callers wait for it, and
+/// could have repeated the turn elsewhere by then, so this is short as well.
+constexpr Milliseconds ArchiveSaveTimeout{500};
 constexpr Milliseconds LookupTimeout{400};
 constexpr std::size_t SparesFactor = 2;
 constexpr int StatusOk = 200;
