Answer all limits that wait for a witness that has left the member list

What callers would see: turns that wait until their deadline, and all later turns of their programs, when a witness goes while more than 64 limits wait for it.

Cause: after a batch that couldn't be sent, since the witness isn't listed any more, the next batch was not begun.

Evidence: the test, with the old code: 65 of 200 handlers called; with this one 200. Found by reading; ruled out for fences and surveys, which are sent one by one.

Mend: the next batch follows at once.

--- a/src/instance/witnessclient.cpp
+++ b/src/instance/witnessclient.cpp
@@ -72,6 +72,7 @@
     const MemberRecord *member = m_members.findIncarnation(id);
     if (!member) {
         onNotesAnswered(id, batch, std::nullopt);
+        sendNotes(id);
         return;
     }
     witness.isSending = true;
