Platform tests: a network of their own for test runs side by side

Test instances and archives listen on fixed loopback addresses, so two runs on one machine met. FLAMINGO_TEST_NETWORK sets the second byte of all of them; without it they are 127.0.1.N and 127.0.2.N as before.

--- a/tests/platform/storeoutagetest.cpp
+++ b/tests/platform/storeoutagetest.cpp
@@ -75,8 +75,8 @@
     KvStandIn secondStore;
     for (KvStandIn *store : {&firstStore, &secondStore}) {
         store->put("op/config", testConfiguration(1));
-        registerInstance(*store, "edge-1", "zone-1", {"127.0.1.1", TestInstance::PeerPort});
-        registerInstance(*store, "edge-2", "zone-2", {"127.0.1.2", TestInstance::PeerPort});
+        registerInstance(*store, "edge-1", "zone-1", {TestInstance::address(1), TestInstance::PeerPort});
+        registerInstance(*store, "edge-2", "zone-2", {TestInstance::address(2), TestInstance::PeerPort});
     }
     TestInstance first(firstStore, 1);
     TestInstance second(secondStore, 2);
--- a/tests/platform/testinstance.cpp
+++ b/tests/platform/testinstance.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <cstdlib>
 #include <fstream>
 #include <sstream>
 #include <thread>
@@ -28,7 +29,7 @@
 bootstrap = true
 heartbeat-ms = 1200
 unknown-key = 1
-seed-nodes = ["127.0.1.1:{4}", "127.0.1.2:{4}"]
+seed-nodes = ["{8}:{4}", "{9}:{4}"]
 [listen]
 frontend = "{1}:{2}"
 ready = "{1}:{3}"
@@ -50,7 +51,17 @@
                        TestInstance::PeerPort,
                        store.text(),
                        toleratedMachines,
-                       domain);
+                       domain,
+                       TestInstance::address(1),
+                       TestInstance::address(2));
+}
+
+/// An address on the loopback network. FLAMINGO_TEST_NETWORK, a number up to 255, sets its second byte, so that test runs can go side
+/// by side on one machine.
+std::string loopbackAddress(int subnet, int number)
+{
+    const char *network = std::getenv("FLAMINGO_TEST_NETWORK");
+    return fmt::format("127.{}.{}.{}", network ? std::atoi(network) : 0, subnet, number);
 }
 
 /// A receive buffer of 0 bytes stands for the system's default.
@@ -141,7 +152,7 @@
 }
 
 TestInstance::TestInstance(const SocketAddress &store, int number, int toleratedMachines, const std::string &domain)
-    : m_ip(fmt::format("127.0.1.{}", number))
+    : m_ip(address(number))
     , m_folder(std::filesystem::temp_directory_path() / fmt::format("flamingo-instance-{}-{}", getpid(), number))
 {
     std::filesystem::create_directories(m_folder);
@@ -149,6 +160,12 @@
     start();
 }
 
+std::string TestInstance::address(int number)
+{
+    constexpr int Subnet = 1;
+    return loopbackAddress(Subnet, number);
+}
+
 TestInstance::~TestInstance()
 {
     m_process.reset();
@@ -244,7 +261,7 @@
 {
     std::filesystem::create_directories(m_folder);
     std::ofstream(m_folder / "boot.toml") << fmt::format(R"(node-name = "{0}"
-ip = "127.0.2.{1}"
+ip = "{4}"
 zone = "zone-{1}"
 port-range = [17380, 17395]
 data-dir = "{2}"
@@ -256,10 +273,17 @@
                                                          name(),
                                                          number,
                                                          (m_folder / "disk").string(),
-                                                         store.address().text());
+                                                         store.address().text(),
+                                                         address(number));
     start();
 }
 
+std::string TestArchive::address(int number)
+{
+    constexpr int Subnet = 2;
+    return loopbackAddress(Subnet, number);
+}
+
 TestArchive::~TestArchive()
 {
     m_process.reset();
--- a/tests/platform/testinstance.h
+++ b/tests/platform/testinstance.h
@@ -52,6 +52,9 @@
     TestInstance(const SocketAddress &store, int number, int toleratedMachines = 1, const std::string &domain = {});
     ~TestInstance();
 
+    /// Where the instance with this number listens.
+    static std::string address(int number);
+
     /// Waits until the instance is ready. Returns false after five seconds.
     bool awaitReady() const;
     bool isReady() const;
@@ -93,6 +96,9 @@
     TestArchive(const KvStandIn &store, int number);
     ~TestArchive();
 
+    /// Where the archive with this number listens.
+    static std::string address(int number);
+
     ChildProcess &process();
     void start();
 
