Hold nothing back after a restart for provisional grants that weren't made

Callers of programs that began within three minutes after a restart got 503 for 4 s and then 402 with half of their budget left: 40 of 40 programs after all processes were killed, 10 of 40 after one of three instances (platform-tests [all-restarted], [one-restarted]).

Cause: a restarted instance couldn't tell whether its earlier incarnation had made provisional grants, so it held half of each new budget back, for the program's whole life. Ruled out: the history (turns are kept), the witness (reserve is above 0 in budget-short, holders live).

Change: an incarnation makes its first provisional grant of an outage only when a mark is stored like a turn, on one archive more than may be lost (GrantMarks). The heartbeat in the store names the incarnation and the period whose mark counts; once all grants are recorded it names the next period. The next incarnation gets that heartbeat with its registration (no store call more), looks for the mark as for a turn, and holds nothing back when there is none. Turns that come before the mark is stored wait for it. Where no archive is listed nothing can be known and the reserve stays. On the way: a registration whose response was lost told 'no earlier entry' although there was one.

--- a/models/budget.pml
+++ b/models/budget.pml
@@ -4,8 +4,8 @@
  *
  * A home runs a turn out of what the store has granted to its current incarnation. While the store is unreachable, the
  * preferred home may instead run turns out of a provisional grant of half the budget, unless it knows of a record in the
- * store. When the other home creates the record, it reserves the provisional grant less one turn. A restarted home makes
- * no provisional grant.
+ * store. Before that it stores a mark, which outlasts its restarts. When another home creates the record, it reserves the
+ * provisional grant less one turn. A restarted home makes no provisional grant, and reserves nothing if there is no mark.
  *
  * Variants that must fail, selected with -D:
  * FREE_FIRST_TURN: while the store is unreachable, each home runs the first turn that it sees of a program without a grant.
@@ -13,6 +13,7 @@
  * LOST_IS_REFUSED: a grant whose answer is lost counts as not made, and is requested again in addition.
  * GRANT_AT_BOTH_HOMES: the second home makes a provisional grant as well.
  * GRANT_AFTER_RESTART: a restarted home makes a provisional grant although its previous incarnation may have made one.
+ * GRANT_BEFORE_MARK: the mark is stored after the provisional grant.
  * NO_RESERVE: nothing is reserved for a provisional grant that the store has not been told of.
  */
 #define BUDGET 4
@@ -25,13 +26,15 @@
 bool recordExists = false; /* The program has a record in the store. */
 byte turnsRun = 0;
 bool isStoreDown = false;
+bool isMarked = false; /* On the archives: the first home may have made a provisional grant. */
 
 /* The home that made the provisional grant knows what it has spent of it, so it needs no reserve: the unreported turns
  * count as granted first. */
 inline writeRecord() {
     if
     :: mayGrantProvisionally -> granted = granted + unreported; unreported = 0; provisionalLeft = 0; reserve = 0
-    :: !mayGrantProvisionally && !recordExists ->
+    :: !mayGrantProvisionally && !recordExists && isFirst && !isMarked -> skip
+    :: !mayGrantProvisionally && !recordExists && (!isFirst || isMarked) ->
 #ifdef NO_RESERVE
         skip
 #else
@@ -59,7 +62,12 @@
     do
     :: atomic { grantLeft > 0 -> grantLeft--; turnsRun++; assert(turnsRun <= BUDGET + SLACK) }
     :: atomic { provisionalLeft > 0 -> provisionalLeft--; unreported++; turnsRun++; assert(turnsRun <= BUDGET + SLACK) }
+    :: atomic { isStoreDown && mayGrantProvisionally && !isMarked -> isMarked = true }
+#ifdef GRANT_BEFORE_MARK
     :: atomic { isStoreDown && mayGrantProvisionally && !knowsRecord && !hasGrantedProvisionally ->
+#else
+    :: atomic { isStoreDown && mayGrantProvisionally && isMarked && !knowsRecord && !hasGrantedProvisionally ->
+#endif
         hasGrantedProvisionally = true;
         provisionalLeft = PROVISIONAL_GRANT
     }
--- a/scripts/models.sh
+++ b/scripts/models.sh
@@ -49,7 +49,7 @@
     check answers fails "$variant"
 done
 check budget holds
-for variant in FREE_FIRST_TURN KEEP_GRANT_ON_RESTART LOST_IS_REFUSED GRANT_AT_BOTH_HOMES GRANT_AFTER_RESTART NO_RESERVE; do
+for variant in FREE_FIRST_TURN KEEP_GRANT_ON_RESTART LOST_IS_REFUSED GRANT_AT_BOTH_HOMES GRANT_AFTER_RESTART GRANT_BEFORE_MARK NO_RESERVE; do
     check budget fails "$variant"
 done
 check witness holds
--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -18,6 +18,7 @@
 constexpr Milliseconds DrainCheckPeriod{50};
 constexpr Milliseconds HousekeepingPeriod{5000};
 constexpr Milliseconds DispatchPeriod{40};
+constexpr Milliseconds GrantMarkPeriod{250};
 /// A prompt that has not been continued for this long is assumed to be evicted from the endpoint's cache.
 constexpr Milliseconds CachedPrefixLifetime{30000};
 /// The turn cache may take up one part in this many of the process's memory limit.
@@ -64,7 +65,7 @@
     , m_members(m_settings.instance, m_settings.domain)
     , m_dispatchQueue(policyRules(), m_settings.domain, m_endpointDirectory)
     , m_provisionalGrantPolicy(m_members, suspendAwareNow())
-    , m_registration(ownMemberRecord(), m_store, m_loop.timers(), m_members, m_provisionalGrantPolicy)
+    , m_registration(ownMemberRecord(), m_store, m_loop.timers(), m_members, m_provisionalGrantPolicy, registrationHooks())
     , m_peerConnections(m_loop.context(), {MaxIdleConnectionsPerPeer, PeerAckTimeout})
     , m_witnesses(m_loop.context(), m_members, m_peerConnections, m_incarnation, m_metrics)
     , m_budgets(m_incarnation,
@@ -74,10 +75,13 @@
                  [this](const ProgramId &program) { return m_provisionalGrantPolicy.isSoleGranter(program, suspendAwareNow()); },
                  [this] { return m_store.hasRecentFailure(); },
                  [this](const ProgramId &program) { return m_provisionalGrantPolicy.excludesUnrecordedGrants(program, suspendAwareNow()); },
-                 [this](const IncarnationId &incarnation) { return m_members.findIncarnation(incarnation) != nullptr; }},
+                 [this](const IncarnationId &incarnation) { return m_members.findIncarnation(incarnation) != nullptr; },
+                 [this] { return m_grantMarks.mayGrant(suspendAwareNow()); },
+                 [this](std::function<void(bool)> onMarked) { m_grantMarks.store(suspendAwareNow(), std::move(onMarked)); }},
                 &m_witnesses)
     , m_archiveConnections(m_loop.context(), {MaxIdleConnectionsPerPeer, PeerAckTimeout})
     , m_replicatedTurnStore(m_loop.context(), m_members, m_archiveConnections, m_store, m_turnStore, m_settings.toleratedMachineFailures)
+    , m_grantMarks(m_incarnation, m_replicatedTurnStore, grantMarkHooks(), suspendAwareNow())
     , m_turnCache(m_replicatedTurnStore, memoryShare(m_settings, TurnCacheMemoryDivisor, MaxTurnCacheBytes))
     , m_endpointConnections(m_loop.context(), {MaxIdleConnectionsPerEndpoint, EndpointAckTimeout})
     , m_homeService(m_budgets, m_turnCache, m_settings.instance)
@@ -129,6 +133,27 @@
     return {m_settings.instance, m_settings.domain, m_settings.peerAddress.value_or(SocketAddress()), m_incarnation};
 }
 
+InstanceRegistration::Hooks InstanceDaemon::registrationHooks()
+{
+    return {[this] { return m_grantMarks.history(); }, [this](GrantHistory history) { m_grantMarks.setHistory(std::move(history)); }};
+}
+
+GrantMarks::Hooks InstanceDaemon::grantMarkHooks()
+{
+    return {[this] { return m_members.isLoaded() && m_members.archives().empty(); },
+            [this](std::function<void(bool)> onWritten) { writeGrantHistory(std::move(onWritten)); },
+            [this] { m_provisionalGrantPolicy.setEarlierGrantsExcluded(); }};
+}
+
+void InstanceDaemon::writeGrantHistory(std::function<void(bool)> onWritten)
+{
+    if (m_registration.isDeregistrationRequested()) {
+        onWritten(false);
+        return;
+    }
+    m_registration.sendHeartbeat(std::move(onWritten));
+}
+
 // Chooses the instances that relay calls to the store: the seed peers of the settings until the member list is known.
 void InstanceDaemon::refreshStoreFallbacks()
 {
@@ -203,6 +228,8 @@
     m_grantSurveyor.start();
     const Instant now = std::chrono::steady_clock::now();
     m_loop.timers().every(now, DispatchPeriod, [this](Instant) { m_dispatchQueue.onTimer(); });
+    m_loop.timers().every(
+        now, GrantMarkPeriod, [this](Instant) { m_grantMarks.onTimer(m_budgets.hasProvisionalGrants(), m_store.hasRecentFailure(), suspendAwareNow()); });
     m_loop.timers().every(now, HousekeepingPeriod, [this](Instant at) {
         reloadSettings();
         if (m_endpointDirectory.removeExpired(at)) {
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -19,6 +19,7 @@
 #include "persistence/replicatedturnstore.h"
 #include "platform/bootsettingsfile.h"
 #include "serving/drainschedule.h"
+#include "serving/grantmarks.h"
 #include "serving/provisionalgrantpolicy.h"
 
 #include <memory>
@@ -39,6 +40,9 @@
 
 private:
     MemberRecord ownMemberRecord() const;
+    InstanceRegistration::Hooks registrationHooks();
+    GrantMarks::Hooks grantMarkHooks();
+    void writeGrantHistory(std::function<void(bool isWritten)> onWritten);
     void listen();
     void awaitSignals();
     void onSignal(int signal);
@@ -77,6 +81,7 @@
     BudgetLedger m_budgets;
     ConnectionPool m_archiveConnections;
     ReplicatedTurnStore m_replicatedTurnStore;
+    GrantMarks m_grantMarks;
     TurnCache m_turnCache;
     ConnectionPool m_endpointConnections;
     HomeService m_homeService;
--- a/src/instance/instanceregistration.cpp
+++ b/src/instance/instanceregistration.cpp
@@ -2,7 +2,9 @@
 
 #include "core/log.h"
 #include "serving/cleanshutdownmarker.h"
+#include "serving/livenesstracker.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace flamingo
@@ -16,18 +18,27 @@
 {
     return CleanShutdownMarker::KeyPrefix + instance.value();
 }
+
+/// The item's bytes; empty if the key is absent.
+std::string findItem(const std::vector<platform::StoreItem> &items, const std::string &key)
+{
+    const auto it = std::find_if(items.begin(), items.end(), [&](const platform::StoreItem &item) { return item.key == key && item.revision != 0; });
+    return it == items.end() ? std::string() : it->data;
+}
 } // namespace
 
 InstanceRegistration::InstanceRegistration(MemberRecord self,
                                            platform::PlatformStore &store,
                                            TimerService &timers,
                                            MemberDirectory &members,
-                                           ProvisionalGrantPolicy &grantPolicy)
+                                           ProvisionalGrantPolicy &grantPolicy,
+                                           Hooks hooks)
     : m_self(std::move(self))
     , m_store(store)
     , m_timers(timers)
     , m_members(members)
     , m_grantPolicy(grantPolicy)
+    , m_hooks(std::move(hooks))
     , m_entry(store, m_self.id)
 {
     m_grantPolicy.setRegistering();
@@ -55,44 +66,59 @@
     commit(true);
 }
 
-// The first try succeeds only if there is no earlier entry, so that it tells whether this machine is new.
+// The first try succeeds only if there is no earlier entry, so that it tells whether this machine is new. Otherwise it gets the earlier
+// incarnation's heartbeat.
 void InstanceRegistration::commit(bool mustBeNew)
 {
-    platform::StoreTransaction transaction = m_entry.registrationTransaction(m_self);
+    platform::StoreTransaction transaction = m_entry.registrationTransaction(m_self, m_hooks.history().encode());
     transaction.removals.push_back(shutdownMarkerKey(m_self.id));
     if (mustBeNew) {
         transaction.preconditions.push_back({MemberDirectory::KeyPrefix + m_self.id.value(), 0});
+        transaction.preconditions.push_back({LivenessTracker::HeartbeatPrefix + m_self.id.value(), 0});
     }
-    m_store.commit(transaction, [this, mustBeNew](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
+    m_store.commit(transaction, [this](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
         if (!result) {
             logChange("registration-failed", "reason=\"{}\"", result.error().detail);
             m_timers.at(std::chrono::steady_clock::now() + RegistrationRetryDelay, [this](Instant) { registerMember(); });
             return;
         }
-        onCommitted(*result, mustBeNew);
+        onCommitted(*result);
     });
 }
 
-void InstanceRegistration::onCommitted(const platform::TransactionResult &result, bool mustBeNew)
+void InstanceRegistration::onCommitted(const platform::TransactionResult &result)
 {
     if (result.isCommitted) {
-        onRegistered(!mustBeNew);
+        onRegistered();
+        return;
+    }
+    const std::string entry = findItem(result.currentItems, MemberDirectory::KeyPrefix + m_self.id.value());
+    const auto member = entry.empty() ? std::nullopt : MemberRecord::decode(m_self.id, entry);
+    const bool isOwn = member && member->incarnation == m_self.incarnation;
+    if (isOwn && !member->isPresumedDead) {
+        onRegistered(); // By an earlier try whose response was lost.
         return;
     }
-    const auto earlier = result.currentItems.empty() ? std::nullopt : MemberRecord::decode(m_self.id, result.currentItems.front().data);
-    const bool isOwn = earlier && earlier->incarnation == m_self.incarnation && !earlier->isPresumedDead;
-    if (isOwn) {
-        onRegistered(false); // By an earlier try whose response was lost.
-    } else {
-        commit(false);
+    if (!isOwn) {
+        onEarlierEntry(findItem(result.currentItems, LivenessTracker::HeartbeatPrefix + m_self.id.value()));
+    }
+    commit(false);
+}
+
+void InstanceRegistration::onEarlierEntry(const std::string &heartbeat)
+{
+    if (std::exchange(m_hadEarlierEntry, true)) {
+        return;
     }
+    const auto earlier = heartbeat.empty() ? std::nullopt : GrantHistory::decode(heartbeat);
+    m_hooks.onEarlierIncarnation(earlier ? earlier->next(m_self.incarnation) : GrantHistory::afterUnknown(m_self.incarnation));
 }
 
-void InstanceRegistration::onRegistered(bool hadEarlierEntry)
+void InstanceRegistration::onRegistered()
 {
     m_isRegistering = false;
-    m_grantPolicy.setRegistered(hadEarlierEntry, suspendAwareNow());
-    logChange("registered", "id={} had_earlier_entry={}", m_self.id.value(), hadEarlierEntry);
+    m_grantPolicy.setRegistered(m_hadEarlierEntry, suspendAwareNow());
+    logChange("registered", "id={} had_earlier_entry={}", m_self.id.value(), m_hadEarlierEntry);
 }
 
 void InstanceRegistration::onMembersChanged()
@@ -103,9 +129,9 @@
     }
 }
 
-void InstanceRegistration::sendHeartbeat()
+void InstanceRegistration::sendHeartbeat(std::function<void(bool)> onWritten)
 {
-    m_entry.sendHeartbeat();
+    m_entry.sendHeartbeat(m_hooks.history().encode(), std::move(onWritten));
 }
 
 void InstanceRegistration::tryDeregister(bool hasProvisionalGrants)
--- a/src/instance/instanceregistration.h
+++ b/src/instance/instanceregistration.h
@@ -2,6 +2,7 @@
 
 #include "core/timerservice.h"
 #include "persistence/memberregistration.h"
+#include "serving/granthistory.h"
 #include "serving/provisionalgrantpolicy.h"
 
 namespace flamingo
@@ -12,12 +13,18 @@
 class InstanceRegistration
 {
 public:
+    struct Hooks {
+        std::function<GrantHistory()> history; ///< The content of heartbeats.
+        std::function<void(GrantHistory history)> onEarlierIncarnation; ///< There was one: the history to go on with.
+    };
+
     /// self is this process's entry.
     InstanceRegistration(MemberRecord self,
                          platform::PlatformStore &store,
                          TimerService &timers,
                          MemberDirectory &members,
-                         ProvisionalGrantPolicy &grantPolicy);
+                         ProvisionalGrantPolicy &grantPolicy,
+                         Hooks hooks);
 
     /// Registers once the store has told whether the last shutdown was planned, or has failed to.
     void start();
@@ -25,8 +32,8 @@
     /// Registers again if the list has this process no longer, or as presumed dead, since it couldn't reach the store for a while.
     void onMembersChanged();
 
-    /// Must not be called once the process has asked to be taken off the list.
-    void sendHeartbeat();
+    /// Must not be called once the process has asked to be taken off the list. The handler is told whether it was written.
+    void sendHeartbeat(std::function<void(bool isWritten)> onWritten = [](bool) {});
 
     /// Takes the process off the list for good. It stays listed, like one that has crashed, while the store may not have recorded
     /// all provisional grants of this incarnation or of earlier ones.
@@ -37,15 +44,18 @@
 private:
     void registerMember();
     void commit(bool mustBeNew);
-    void onCommitted(const platform::TransactionResult &result, bool mustBeNew);
-    void onRegistered(bool hadEarlierEntry);
+    void onCommitted(const platform::TransactionResult &result);
+    void onEarlierEntry(const std::string &heartbeat);
+    void onRegistered();
 
     const MemberRecord m_self;
     platform::PlatformStore &m_store;
     TimerService &m_timers;
     MemberDirectory &m_members;
     ProvisionalGrantPolicy &m_grantPolicy;
+    Hooks m_hooks;
     MemberRegistration m_entry;
+    bool m_hadEarlierEntry = false; ///< Of an earlier incarnation.
     bool m_isRegistering = true; ///< Until the store has accepted the entry.
     bool m_isDeregistrationRequested = false;
 };
--- a/src/persistence/memberregistration.cpp
+++ b/src/persistence/memberregistration.cpp
@@ -16,33 +16,34 @@
 {
 }
 
-platform::StoreTransaction MemberRegistration::registrationTransaction(const MemberRecord &member) const
+platform::StoreTransaction MemberRegistration::registrationTransaction(const MemberRecord &member, const std::string &heartbeat) const
 {
     platform::StoreTransaction transaction;
-    transaction.writes = {{MemberDirectory::KeyPrefix + m_id.value(), member.encode()}, {LivenessTracker::HeartbeatPrefix + m_id.value(), m_id.value()}};
+    transaction.writes = {{MemberDirectory::KeyPrefix + m_id.value(), member.encode()}, {LivenessTracker::HeartbeatPrefix + m_id.value(), heartbeat}};
     return transaction;
 }
 
-void MemberRegistration::sendHeartbeat()
+void MemberRegistration::sendHeartbeat(const std::string &heartbeat, std::function<void(bool)> onWritten)
 {
     platform::StoreTransaction transaction;
-    transaction.writes.push_back({LivenessTracker::HeartbeatPrefix + m_id.value(), m_id.value()});
-    commit(transaction, "heartbeat-not-written");
+    transaction.writes.push_back({LivenessTracker::HeartbeatPrefix + m_id.value(), heartbeat});
+    commit(transaction, "heartbeat-not-written", std::move(onWritten));
 }
 
 void MemberRegistration::deregister(platform::StoreTransaction transaction)
 {
     transaction.removals.push_back(MemberDirectory::KeyPrefix + m_id.value());
     transaction.removals.push_back(LivenessTracker::HeartbeatPrefix + m_id.value());
-    commit(transaction, "deregistration-failed");
+    commit(transaction, "deregistration-failed", [](bool) {});
 }
 
-void MemberRegistration::commit(const platform::StoreTransaction &transaction, const char *failureEvent)
+void MemberRegistration::commit(const platform::StoreTransaction &transaction, const char *failureEvent, std::function<void(bool)> onEnded)
 {
-    m_store.commit(transaction, [failureEvent](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
+    m_store.commit(transaction, [failureEvent, onEnded = std::move(onEnded)](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
         if (!result) {
             logChange(failureEvent, "reason=\"{}\"", result.error().detail);
         }
+        onEnded(result.has_value());
     });
 }
 
--- a/src/serving/budgetaccount.cpp
+++ b/src/serving/budgetaccount.cpp
@@ -68,7 +68,7 @@
 
 bool BudgetAccount::isBusy() const
 {
-    return isWriting || fencesInProgress > 0;
+    return isWriting || isAwaitingMark || fencesInProgress > 0;
 }
 
 bool BudgetAccount::hasSeenNoRecord() const
--- a/src/serving/budgetaccount.h
+++ b/src/serving/budgetaccount.h
@@ -65,7 +65,7 @@
     /// The size of a provisional grant, for a first turn with this maximum.
     Tokens provisionalGrantFor(Tokens maxTokens) const;
 
-    /// A write or a fence is in progress, and its result decides what comes next.
+    /// A write, a fence or a mark for provisional grants is in progress, and its result decides what comes next.
     bool isBusy() const;
 
     /// Whether this holder has never seen a record of the program.
@@ -118,6 +118,7 @@
     int lostWitnesses = 0; ///< Since a turn was last served.
     std::vector<Waiter> waiters;
     bool isWriting = false;
+    bool isAwaitingMark = false; ///< Turns wait until a provisional grant may be made.
     bool hasUnknownWrite = false; ///< A write had no response, so the store may hold a grant that this holder doesn't know of.
     bool hasCreatedRecord = false; ///< The program had no record when this holder first saw it.
     bool wasSoleGranterAtStart = false; ///< Whether no other holder could have granted when this one first saw the program.
--- a/src/serving/budgetledger.cpp
+++ b/src/serving/budgetledger.cpp
@@ -45,13 +45,43 @@
 
 bool BudgetLedger::tryGrantProvisionally(BudgetAccount &account, Tokens maxTokens) const
 {
-    if (!m_checks.mayGrantProvisionally(account.program) || !account.tryGrantProvisionally(maxTokens)) {
+    const bool mayGrant = m_checks.mayGrantProvisionally(account.program) && m_checks.isGrantMarked();
+    if (!mayGrant || !account.tryGrantProvisionally(maxTokens)) {
         return false;
     }
     logChange("provisional-grant", "program={} tokens={} budget={}", account.program.value(), account.provisionalLimit.value(), account.budget.value());
     return true;
 }
 
+// The first turns of an outage wait for the mark. Returns whether they do.
+bool BudgetLedger::awaitGrantMark(BudgetAccount &account)
+{
+    const bool isNeeded = !account.waiters.empty() && account.hasSeenNoRecord() && m_checks.mayGrantProvisionally(account.program) && !m_checks.isGrantMarked();
+    if (!isNeeded) {
+        return false;
+    }
+    account.isAwaitingMark = true;
+    m_checks.storeGrantMark([this, program = account.program](bool isMarked) { onGrantMarked(program, isMarked); });
+    return true;
+}
+
+void BudgetLedger::onGrantMarked(const ProgramId &program, bool isMarked)
+{
+    BudgetAccount *account = findAccount(program);
+    if (!account) {
+        return;
+    }
+    account->isAwaitingMark = false;
+    if (m_isReleasing || !isMarked) {
+        account->failWaiters({});
+        return;
+    }
+    if (!account->waiters.empty()) {
+        tryGrantProvisionally(*account, account->waiters.front().maxTokens);
+    }
+    serveWaiters(*account);
+}
+
 void BudgetLedger::reserve(const BudgetRequest &request, Instant now, AnswerHandler onAnswer)
 {
     if (m_isReleasing) {
@@ -214,6 +244,9 @@
     if (!account.waiters.empty() && tryGrantProvisionally(account, account.waiters.front().maxTokens)) {
         return true;
     }
+    if (awaitGrantMark(account)) {
+        return false;
+    }
     if (++account.consecutiveFailures >= MaxGrantAttempts || isRefused) {
         account.failWaiters({});
         return false;
--- a/src/serving/budgetledger.h
+++ b/src/serving/budgetledger.h
@@ -36,6 +36,10 @@
         /// Whether nobody can have made a provisional grant that isn't recorded, for a program without a record so far.
         ProgramCheck excludesUnrecordedGrants = [](const ProgramId &) { return false; };
         HolderCheck mayBeAlive = [](const IncarnationId &) { return true; }; ///< Whether a holder that can't be reached may come back.
+        /// Whether the mark is stored without which no provisional grant may be made; see GrantMarks.
+        std::function<bool()> isGrantMarked = [] { return true; };
+        /// Stores that mark. The handler is told whether it is stored.
+        std::function<void(std::function<void(bool isMarked)> onMarked)> storeGrantMark = [](const auto &onMarked) { onMarked(false); };
     };
 
     /// Without a network of witnesses all that was granted to a holder that is gone counts as spent.
@@ -68,6 +72,8 @@
 
     BudgetAccount *findAccount(const ProgramId &program);
     bool tryGrantProvisionally(BudgetAccount &account, Tokens maxTokens) const;
+    bool awaitGrantMark(BudgetAccount &account);
+    void onGrantMarked(const ProgramId &program, bool isMarked);
     void requestTokens(BudgetAccount &account);
     void requestGrant(BudgetAccount &account);
     bool mayDropProvisionalReserve(const BudgetAccount &account) const;
--- /dev/null
+++ b/src/serving/grantmarks.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "core/time.h"
+#include "serving/granthistory.h"
+#include "serving/turncache.h"
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace flamingo
+{
+
+/// Marks that survive a process, from which its next incarnation learns whether it may have made provisional grants that the store
+/// hasn't recorded. Before the first grant of an outage the mark of the present period is stored like a turn, on the archives. When all
+/// grants are recorded, the heartbeat names the next period, which has no mark yet. The next incarnation finds incarnation and period in
+/// the heartbeat and looks for the mark: without one, no grant was made.
+///
+/// Where there are no archives nothing can be stored in an outage. Grants are then made without marks, once the heartbeat says so.
+class GrantMarks
+{
+public:
+    struct Hooks {
+        std::function<bool()> hasNoArchives; ///< The member list was read, and it names no archive.
+        /// Writes a heartbeat with the present history. The handler is told whether the store has confirmed it.
+        std::function<void(std::function<void(bool isWritten)> onWritten)> writeHeartbeat;
+        std::function<void()> onEarlierExcluded; ///< No earlier incarnation has grants that aren't recorded.
+    };
+
+    GrantMarks(const IncarnationId &self, TurnStore &marks, Hooks hooks, Instant startedAt);
+
+    /// Takes the history that the store has of earlier incarnations.
+    void setHistory(GrantHistory history);
+    const GrantHistory &history() const;
+
+    /// Whether provisional grants may be made now.
+    bool mayGrant(Instant now) const;
+
+    /// Stores the mark of the present period. The handler is told whether grants may be made.
+    void store(Instant now, std::function<void(bool mayGrant)> onStored);
+
+    /// Looks for marks of earlier incarnations, and ends the period when all its grants are recorded. Called every few hundred
+    /// milliseconds.
+    void onTimer(bool hasUnrecordedGrants, bool isStoreUnreachable, Instant now);
+
+private:
+    void onMarkStored(bool isStored, Instant now);
+    bool lacksArchives(Instant now) const;
+    void endPeriod();
+    void writeHistory();
+    void lookUpEarlier(Instant now);
+    void onLookedUp(const GrantHistory::Entry &entry, TurnLookup::Status status, Instant now);
+
+    TurnStore &m_marks;
+    Hooks m_hooks;
+    const Instant m_startedAt;
+    GrantHistory m_history;
+    std::optional<Instant> m_markedAt; ///< When the present period's mark was stored.
+    std::vector<std::function<void(bool)>> m_waiting; ///< For the mark that is being stored.
+    bool m_isHistoryWritten = true; ///< Whether the store has the present history, as far as is known.
+    bool m_isWriting = false;
+    bool m_mayGrantUnmarked = false;
+    bool m_isLookingUp = false;
+    bool m_hasFoundMark = false;
+    Instant m_nextLookupAt{};
+    Milliseconds m_lookupDelay;
+};
+
+} // namespace flamingo
--- a/src/serving/provisionalgrantpolicy.cpp
+++ b/src/serving/provisionalgrantpolicy.cpp
@@ -28,6 +28,11 @@
     m_isCleanRestart = true;
 }
 
+void ProvisionalGrantPolicy::setEarlierGrantsExcluded()
+{
+    m_areEarlierGrantsExcluded = true;
+}
+
 void ProvisionalGrantPolicy::setRegistering()
 {
     m_registeredAt = Instant::max();
@@ -59,7 +64,7 @@
 bool ProvisionalGrantPolicy::mayDeregister(Instant now) const
 {
     const auto age = now - m_startedAt;
-    return age >= ProgramIdleTimeout || (age >= ListPropagationTime && hasNoEarlierIncarnation());
+    return age >= ProgramIdleTimeout || (age >= ListPropagationTime && hasNoEarlierGrants());
 }
 
 bool ProvisionalGrantPolicy::mayGrant(const ProgramId &program, Instant now) const
@@ -72,25 +77,25 @@
 bool ProvisionalGrantPolicy::isSoleGranter(const ProgramId &program, Instant now) const
 {
     const bool isDiscovering = m_isFirstStart && now - m_startedAt < DiscoveryTime;
-    const bool hasNoEarlierGrants = isDiscovering || m_isCleanRestart || hasOutlivedEarlierGrants(now);
-    return hasNoEarlierGrants && isListFresh(now) && m_members.isPreferredHome(program);
+    const bool areEarlierGrantsOver = isDiscovering || m_isCleanRestart || m_areEarlierGrantsExcluded || hasOutlivedEarlierGrants(now);
+    return areEarlierGrantsOver && isListFresh(now) && m_members.isPreferredHome(program);
 }
 
-bool ProvisionalGrantPolicy::hasNoEarlierIncarnation() const
+bool ProvisionalGrantPolicy::hasNoEarlierGrants() const
 {
-    return m_isFirstStart || m_isCleanRestart || m_isNewMember;
+    return m_isFirstStart || m_isCleanRestart || m_isNewMember || m_areEarlierGrantsExcluded;
 }
 
 bool ProvisionalGrantPolicy::excludesUnrecordedGrants(const ProgramId &program, Instant now) const
 {
     // A list that was read after this instance's registration holds all others that may not know of it.
     const bool isListComplete = m_listReadAt >= m_registeredAt && isListFresh(now);
-    return hasNoEarlierIncarnation() && isListComplete && m_members.isPreferredHome(program) && m_survey.excludesGrants(program);
+    return hasNoEarlierGrants() && isListComplete && m_members.isPreferredHome(program) && m_survey.excludesGrants(program);
 }
 
 bool ProvisionalGrantPolicy::needsSurvey(Instant now) const
 {
-    return !m_isFirstStart && hasNoEarlierIncarnation() && m_registeredAt <= now && now - m_startedAt < ProgramIdleTimeout;
+    return !m_isFirstStart && hasNoEarlierGrants() && m_registeredAt <= now && now - m_startedAt < ProgramIdleTimeout;
 }
 
 GrantSurvey &ProvisionalGrantPolicy::survey()
@@ -101,7 +106,7 @@
 GrantSurveyAnswer ProvisionalGrantPolicy::surveyAnswer(bool hasUnrecordedGrants, Instant now) const
 {
     const bool isListed = m_registeredAt <= now;
-    const bool mayHaveEarlierGrants = !hasNoEarlierIncarnation() && !hasOutlivedEarlierGrants(now);
+    const bool mayHaveEarlierGrants = !hasNoEarlierGrants() && !hasOutlivedEarlierGrants(now);
     return {hasUnrecordedGrants, mayHaveEarlierGrants, isListed ? std::chrono::duration_cast<Milliseconds>(now - m_registeredAt) : Milliseconds(0)};
 }
 
--- a/src/serving/provisionalgrantpolicy.h
+++ b/src/serving/provisionalgrantpolicy.h
@@ -32,6 +32,9 @@
     /// The previous incarnation shut down as planned a short time ago, with all its provisional grants recorded.
     void setCleanRestart();
 
+    /// No earlier incarnation of this instance has provisional grants that the store hasn't recorded.
+    void setEarlierGrantsExcluded();
+
     /// This instance has asked to be put on the member list. Until it is on the list it makes no provisional grants.
     void setRegistering();
 
@@ -66,7 +69,7 @@
 private:
     bool hasOutlivedEarlierGrants(Instant now) const;
     bool isListFresh(Instant now) const;
-    bool hasNoEarlierIncarnation() const;
+    bool hasNoEarlierGrants() const;
 
     const MemberDirectory &m_members;
     GrantSurvey m_survey;
@@ -75,6 +78,7 @@
     Instant m_registeredAt{};
     bool m_isFirstStart = false;
     bool m_isCleanRestart = false;
+    bool m_areEarlierGrantsExcluded = false;
     bool m_isNewMember = false; ///< There was no earlier entry in the member list.
 };
 
--- a/tests/unit/servingtest.cpp
+++ b/tests/unit/servingtest.cpp
@@ -2,6 +2,7 @@
 #include "serving/cleanshutdownmarker.h"
 #include "serving/drainschedule.h"
 #include "serving/endpointdirectory.h"
+#include "serving/grantmarks.h"
 #include "serving/memberdirectory.h"
 #include "serving/provisionalgrantpolicy.h"
 #include "serving/responseverdict.h"
@@ -412,6 +413,117 @@
     }
 }
 
+TEST_CASE("An instance finds out whether its earlier incarnations may have made provisional grants", "[serving]")
+{
+    const auto at = [](int ms) { return Start + Milliseconds(ms); };
+    InMemoryTurnStore archives;
+    bool hasNoArchives = false;
+    bool isStoreAway = false;
+    std::string heartbeat;
+    struct Incarnation {
+        Incarnation(const std::string &name, InMemoryTurnStore &archives, bool &hasNoArchives, bool &isStoreAway, std::string &heartbeat)
+            : marks(IncarnationId(name),
+                    archives,
+                    {[&] { return hasNoArchives; },
+                     [this, &heartbeat, &isStoreAway](const std::function<void(bool)> &onWritten) {
+                         heartbeat = isStoreAway ? heartbeat : marks.history().encode();
+                         onWritten(!isStoreAway);
+                     },
+                     [this] { isExcluded = true; }},
+                    Start)
+        {
+            if (const auto earlier = GrantHistory::decode(heartbeat)) {
+                marks.setHistory(earlier->next(IncarnationId(name)));
+            }
+            heartbeat = marks.history().encode();
+        }
+
+        bool mark()
+        {
+            bool mayGrant = false;
+            marks.store(Start, [&](bool it) { mayGrant = it; });
+            return mayGrant;
+        }
+
+        bool isExcluded = false;
+        GrantMarks marks;
+    };
+    const auto start = [&](const std::string &name) { return std::make_unique<Incarnation>(name, archives, hasNoArchives, isStoreAway, heartbeat); };
+    const auto lookUp = [&](Incarnation &it, int atMs = 1000) {
+        it.marks.onTimer(false, false, at(atMs));
+        return it.isExcluded;
+    };
+    auto first = start("a:1");
+    SECTION("Without an outage there is no mark")
+    {
+        CHECK(lookUp(*start("a:2")));
+    }
+    SECTION("With a mark, as long as the grants aren't recorded")
+    {
+        CHECK_FALSE(first->marks.mayGrant(Start));
+        CHECK(first->mark());
+        CHECK(first->marks.mayGrant(Start));
+        CHECK_FALSE(lookUp(*start("a:2")));
+    }
+    SECTION("The grants of an outage are recorded, and the next outage has a mark of its own")
+    {
+        CHECK(first->mark());
+        first->marks.onTimer(true, false, at(20000));
+        CHECK(first->marks.mayGrant(at(20000)));
+        first->marks.onTimer(false, false, at(20000));
+        CHECK_FALSE(first->marks.mayGrant(at(20000)));
+        CHECK(lookUp(*start("a:2")));
+    }
+    SECTION("A heartbeat that isn't written leaves the mark in force")
+    {
+        CHECK(first->mark());
+        isStoreAway = true;
+        first->marks.onTimer(false, false, at(20000));
+        isStoreAway = false;
+        CHECK_FALSE(lookUp(*start("a:2")));
+    }
+    SECTION("A mark of an incarnation before the last one counts as well")
+    {
+        CHECK(first->mark());
+        const auto second = start("a:2");
+        CHECK_FALSE(lookUp(*start("a:3")));
+    }
+    SECTION("Archives that don't respond prove nothing, and are asked again")
+    {
+        archives.isUnreachable = true;
+        const auto second = start("a:2");
+        CHECK_FALSE(lookUp(*second));
+        archives.isUnreachable = false;
+        CHECK(lookUp(*second, 1500));
+    }
+    SECTION("A mark that isn't stored allows no grant")
+    {
+        isStoreAway = true;
+        hasNoArchives = true;
+        first->marks.onTimer(false, false, at(6000));
+        CHECK_FALSE(first->marks.mayGrant(at(6000)));
+    }
+    SECTION("Without archives nothing is excluded, also after some have been added")
+    {
+        hasNoArchives = true;
+        first->marks.onTimer(false, false, at(6000));
+        CHECK(first->marks.mayGrant(at(6000)));
+        hasNoArchives = false;
+        CHECK_FALSE(lookUp(*start("a:2")));
+    }
+    SECTION("With archives that were added later, once there are no unrecorded grants")
+    {
+        hasNoArchives = true;
+        first->marks.onTimer(false, false, at(6000));
+        hasNoArchives = false;
+        first->marks.onTimer(true, false, at(6500));
+        CHECK(first->marks.mayGrant(at(6500)));
+        first->marks.onTimer(false, false, at(7000));
+        CHECK_FALSE(first->marks.mayGrant(at(7000)));
+        CHECK(lookUp(*start("a:2")));
+    }
+}
+
 // Instances start, stop, are killed and are cut off from the store and from each other at random, with member lists of
 // different ages, while one program keeps sending turns to all of them. Guards against two instances that grant the same
 // tokens.
@@ -422,25 +534,74 @@
     int provisionalTurns = 0;
     int cleanRestarts = 0;
     int clearedSurveys = 0;
+    int excludedRestarts = 0;
     for (unsigned seed = 1; seed <= 3000; ++seed) {
         std::mt19937 random(seed);
         const auto randomBelow = [&](int limit) { return static_cast<int>(random() % static_cast<unsigned>(limit)); };
         struct Node {
-            Node(InMemoryBudgetStore &shared, const std::string &name, int incarnation, Instant startedAt)
+            Node(InMemoryBudgetStore &shared,
+                 InMemoryTurnStore &archives,
+                 std::map<std::string, GrantHistory> &heartbeats,
+                 const std::string &name,
+                 int incarnation,
+                 Instant startedAt)
                 : members(InstanceId(name), DomainId("z"))
                 , policy(members, startedAt)
                 , now(startedAt)
                 , store(shared)
+                , markStore(archives, store)
+                , marks(IncarnationId(name + ":" + std::to_string(incarnation)),
+                        markStore,
+                        {[] { return false; },
+                         [this, &heartbeats, name](const std::function<void(bool)> &onWritten) {
+                             if (!store.isRefusing) {
+                                 heartbeats[name] = marks.history();
+                             }
+                             onWritten(!store.isRefusing);
+                         },
+                         [this] { policy.setEarlierGrantsExcluded(); }},
+                        startedAt)
                 , holder(store,
                          name + ":" + std::to_string(incarnation),
                          {[](const IncarnationId &) { return false; },
                           [this](const ProgramId &program) { return policy.mayGrant(program, now); },
                           [this](const ProgramId &program) { return policy.isSoleGranter(program, now); },
                           [this] { return store.isRefusing; },
-                          [this](const ProgramId &program) { return policy.excludesUnrecordedGrants(program, now); }})
+                          [this](const ProgramId &program) { return policy.excludesUnrecordedGrants(program, now); },
+                          [](const IncarnationId &) { return true; },
+                          [this] { return marks.mayGrant(now); },
+                          [this](std::function<void(bool)> onMarked) { marks.store(now, std::move(onMarked)); }})
             {
             }
 
+            /// The archives, and the node's own way to the store, which a lookup needs as well.
+            struct MarkStoreView : TurnStore {
+                MarkStoreView(InMemoryTurnStore &archives, const InMemoryBudgetStore &store)
+                    : archives(archives)
+                    , store(store)
+                {
+                }
+                void save(const TurnRecordPtr &turn, std::function<void(bool)> onSaved) override
+                {
+                    if (isCutOff) {
+                        onSaved(false);
+                    } else {
+                        archives.save(turn, std::move(onSaved));
+                    }
+                }
+                void load(const RequestId &id, std::function<void(TurnLookup)> onLoaded) override
+                {
+                    if (isCutOff || store.isRefusing) {
+                        onLoaded({});
+                    } else {
+                        archives.load(id, std::move(onLoaded));
+                    }
+                }
+                InMemoryTurnStore &archives;
+                const InMemoryBudgetStore &store;
+                bool isCutOff = false;
+            };
+
             /// The shared store, with a switch that makes it refuse this node's calls.
             struct StoreView : InMemoryBudgetStore {
                 explicit StoreView(InMemoryBudgetStore &it)
@@ -464,9 +625,13 @@
             Instant now{};
             bool isPartitioned = false; ///< From the other instances.
             StoreView store;
+            MarkStoreView markStore;
+            GrantMarks marks;
             Holder holder;
         };
         InMemoryBudgetStore store;
+        InMemoryTurnStore archives;
+        std::map<std::string, GrantHistory> heartbeats;
         std::map<std::string, std::unique_ptr<Node>> nodes;
         std::set<std::string> listed = {"a", "b", "c"};
         std::map<std::string, Instant> cleanShutdownAt;
@@ -476,8 +641,13 @@
             return MemberRecord{InstanceId(id), DomainId("z"), SocketAddress{"127.0.0.1", 1}, IncarnationId(id)};
         };
         const auto startNode = [&](const std::string &name, bool isFirst) {
-            nodes[name] = std::make_unique<Node>(store, name, ++incarnation, now);
+            nodes[name] = std::make_unique<Node>(store, archives, heartbeats, name, ++incarnation, now);
             ProvisionalGrantPolicy &policy = nodes[name]->policy;
+            GrantMarks &marks = nodes[name]->marks;
+            if (listed.count(name) != 0 && !isFirst) {
+                marks.setHistory(heartbeats.at(name).next(marks.history().own.incarnation));
+            }
+            heartbeats[name] = marks.history();
             policy.setRegistering();
             if (isFirst) {
                 policy.setFirstStart();
@@ -544,6 +714,9 @@
             }
             Node &node = *it->second;
             node.now = now;
+            const bool hasEarlier = !node.marks.history().earlier.empty();
+            node.marks.onTimer(node.holder.ledger.hasProvisionalGrants(), node.store.isRefusing, now);
+            excludedRestarts += hasEarlier && node.marks.history().earlier.empty() ? 1 : 0;
             for (const auto &[otherName, other] : nodes) {
                 if (other && otherName != name && randomBelow(3) == 0) {
                     survey(node, *other);
@@ -579,6 +752,7 @@
                 break;
             case 6:
                 node.isPartitioned = !node.isPartitioned && randomBelow(3) == 0;
+                node.markStore.isCutOff = randomBelow(4) == 0;
                 break;
             default:
                 if (Node *home = homeFor(node); home && home->holder.reserve(Budget, MaxTurnTokens).verdict == BudgetVerdict::Reserved) {
@@ -595,6 +769,7 @@
     CHECK(provisionalTurns > 100);
     CHECK(cleanRestarts > 100);
     CHECK(clearedSurveys > 100);
+    CHECK(excludedRestarts > 100);
 }
 
 TEST_CASE("An endpoint is removed at once while the store is reachable", "[serving]")
