TurnLog: its disk behind an interface, and a folder in memory for tests

No change of behaviour. The system calls of TurnLog move to DiskSegmentFolder and DiskSegmentFile; the new FakeSegmentFolder tells what a process reads from what is on the disk, forgets what wasn't synced, and fails on demand. A file sync that has failed makes the next one succeed without the lost bytes, a folder sync that of names.

--- a/src/archive/archivedaemon.cpp
+++ b/src/archive/archivedaemon.cpp
@@ -50,7 +50,8 @@
     awaitSignals();
     const Instant now = std::chrono::steady_clock::now();
     if (!m_settings.dataFolder.empty()) {
-        m_turnLog = std::make_unique<TurnLog>(m_settings.dataFolder);
+        m_segmentFolder = std::make_unique<DiskSegmentFolder>(m_settings.dataFolder);
+        m_turnLog = std::make_unique<TurnLog>(*m_segmentFolder);
         for (const RequestId &id : m_turnLog->turnIds()) {
             m_uploads.add(id, now, now);
         }
--- a/src/archive/archivedaemon.h
+++ b/src/archive/archivedaemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "archive/disksegmentfolder.h"
 #include "archive/turnlog.h"
 #include "archive/uploadqueue.h"
 #include "core/eventloop.h"
@@ -65,6 +66,7 @@
     PlatformTurnStore m_turnStore;
     ConnectionPool m_peerConnections;
     asio::signal_set m_signals;
+    std::unique_ptr<DiskSegmentFolder> m_segmentFolder;
     std::unique_ptr<TurnLog> m_turnLog;
     std::unique_ptr<ConnectionSet> m_turnServer;
     std::unique_ptr<ConnectionSet> m_metricsServer;
--- a/src/archive/turnlog.cpp
+++ b/src/archive/turnlog.cpp
@@ -3,12 +3,9 @@
 #include "core/digest.h"
 #include "core/log.h"
 
-#include <array>
+#include <algorithm>
+#include <cstdlib>
 #include <cstring>
-#include <fcntl.h>
-#include <fstream>
-#include <iterator>
-#include <unistd.h>
 
 namespace flamingo
 {
@@ -26,30 +23,17 @@
     std::uint64_t checksum = 0;
 };
 
-bool writeAll(int fd, std::string_view bytes)
+std::string segmentName(std::uint64_t number)
 {
-    while (!bytes.empty()) {
-        const ssize_t n = ::write(fd, bytes.data(), bytes.size());
-        if (n < 0 && errno == EINTR) {
-            continue;
-        }
-        if (n <= 0) {
-            logChange("disk-write-failed", "reason=\"{}\"", std::strerror(errno));
-            return false;
-        }
-        bytes.remove_prefix(static_cast<std::size_t>(n));
-    }
-    return true;
+    return SegmentPrefix + std::to_string(number);
 }
 } // namespace
 
-TurnLog::TurnLog(std::filesystem::path folder)
-    : m_folder(std::move(folder))
+TurnLog::TurnLog(SegmentFolder &folder)
+    : m_folder(folder)
 {
-    std::filesystem::create_directories(m_folder);
     std::uint64_t last = 0;
-    for (const auto &file : std::filesystem::directory_iterator(m_folder)) {
-        const std::string name = file.path().filename().string();
+    for (const std::string &name : m_folder.fileNames()) {
         if (name.rfind(SegmentPrefix, 0) == 0) {
             const std::uint64_t number = std::strtoull(name.c_str() + std::strlen(SegmentPrefix), nullptr, 10);
             readSegment(number);
@@ -65,15 +49,9 @@
     closeSegment();
 }
 
-std::filesystem::path TurnLog::segmentPath(std::uint64_t number) const
-{
-    return m_folder / (SegmentPrefix + std::to_string(number));
-}
-
 void TurnLog::readSegment(std::uint64_t number)
 {
-    std::ifstream file(segmentPath(number), std::ios::binary);
-    const std::string bytes((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    const std::string bytes = m_folder.read(segmentName(number)).value_or(std::string());
     std::size_t offset = 0;
     Segment segment;
     while (offset + sizeof(FrameHeader) <= bytes.size()) {
@@ -112,54 +90,40 @@
     closeSegment();
     ++m_currentSegment;
     m_currentBytes = 0;
-    m_fd = ::open(segmentPath(m_currentSegment).c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0644);
-    if (m_fd < 0) {
-        logChange("segment-open-failed", "segment={} reason=\"{}\"", m_currentSegment, std::strerror(errno));
+    m_file = m_folder.open(segmentName(m_currentSegment));
+    if (!m_file) {
         return false;
     }
     m_segments[m_currentSegment] = {};
-    return syncFolder();
+    return m_folder.sync();
 }
 
 void TurnLog::closeSegment()
 {
-    if (m_fd >= 0) {
-        ::close(m_fd);
-        m_fd = -1;
-        const std::uint64_t closed = m_currentSegment;
-        removeIfEmpty(closed);
+    if (m_file) {
+        m_file.reset();
+        removeIfEmpty(m_currentSegment);
     }
 }
 
-bool TurnLog::syncFolder() const
-{
-    const int folder = ::open(m_folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    if (folder < 0) {
-        return false;
-    }
-    const bool isSynced = ::fsync(folder) == 0;
-    ::close(folder);
-    return isSynced;
-}
-
 bool TurnLog::append(const ArchiveKeepRequest &turn)
 {
     if (m_turns.count(turn.id) != 0) {
         return true;
     }
-    const bool isFull = m_fd >= 0 && m_currentBytes > MaxSegmentBytes;
+    const bool isFull = m_file && m_currentBytes > MaxSegmentBytes;
     if (isFull && !sync()) {
         // Earlier turns may still wait for their sync, which covers the current segment only.
         return false;
     }
-    if ((m_fd < 0 || isFull) && !openSegment()) {
+    if ((!m_file || isFull) && !openSegment()) {
         return false;
     }
     const std::string body = turn.encode();
     const FrameHeader header{body.size(), stableHash(body)};
     std::string frame(reinterpret_cast<const char *>(&header), sizeof header);
     frame += body;
-    if (!writeAll(m_fd, frame)) {
+    if (!m_file->append(frame)) {
         // A partial frame would make all later ones unreadable, so nothing more is appended to this segment.
         closeSegment();
         return false;
@@ -173,11 +137,7 @@
 
 bool TurnLog::sync()
 {
-    if (m_fd < 0 || ::fdatasync(m_fd) != 0) {
-        logChange("disk-sync-failed", "reason=\"{}\"", std::strerror(errno));
-        return false;
-    }
-    return true;
+    return m_file && m_file->sync();
 }
 
 void TurnLog::remove(const RequestId &id)
@@ -190,7 +150,7 @@
     m_segmentByTurn.erase(it);
     m_turns.erase(id);
     m_segments[number].turnIds.erase(id);
-    if (number != m_currentSegment || m_fd < 0) {
+    if (number != m_currentSegment || !m_file) {
         removeIfEmpty(number);
     }
 }
@@ -203,14 +163,10 @@
     }
     const bool isKept = it->second.unreadableRecords > 0;
     m_segments.erase(it);
-    std::error_code ec;
     if (isKept) {
-        std::filesystem::rename(segmentPath(number), m_folder / (SetAsidePrefix + std::to_string(number)), ec);
+        m_folder.rename(segmentName(number), SetAsidePrefix + std::to_string(number));
     } else {
-        std::filesystem::remove(segmentPath(number), ec);
-    }
-    if (ec) {
-        logChange("segment-remove-failed", "segment={} reason=\"{}\"", number, ec.message());
+        m_folder.remove(segmentName(number));
     }
 }
 
--- a/src/archive/turnlog.h
+++ b/src/archive/turnlog.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "archive/segmentfolder.h"
 #include "serving/archivemessages.h"
 
-#include <filesystem>
+#include <cstdint>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -17,8 +19,8 @@
 class TurnLog
 {
 public:
-    /// Reads the segments in the folder. Throws std::exception when the folder can't be used.
-    explicit TurnLog(std::filesystem::path folder);
+    /// Reads the segments in the folder, which has to outlive the log.
+    explicit TurnLog(SegmentFolder &folder);
     ~TurnLog();
     TurnLog(const TurnLog &) = delete;
     TurnLog &operator=(const TurnLog &) = delete;
@@ -45,21 +47,19 @@
         std::size_t unreadableRecords = 0;
     };
 
-    std::filesystem::path segmentPath(std::uint64_t number) const;
     void readSegment(std::uint64_t number);
     bool openSegment();
     void closeSegment();
-    bool syncFolder() const;
     void removeIfEmpty(std::uint64_t number);
 
-    std::filesystem::path m_folder;
+    SegmentFolder &m_folder;
+    std::unique_ptr<SegmentFile> m_file; ///< The segment being written; null for none.
     std::map<RequestId, ArchiveKeepRequest> m_turns;
     std::map<RequestId, std::uint64_t> m_segmentByTurn;
     std::map<std::uint64_t, Segment> m_segments;
-    std::uint64_t m_currentSegment = 0; ///< The segment being written; 0 for none.
+    std::uint64_t m_currentSegment = 0; ///< The number of the segment that was opened last.
     std::size_t m_currentBytes = 0;
     std::size_t m_unreadableRecords = 0;
-    int m_fd = -1;
 };
 
 } // namespace flamingo
--- /dev/null
+++ b/tests/unit/turnlogtest.cpp
@@ -0,0 +1,58 @@
+#include "archive/turnlog.h"
+#include "unit/fakesegmentfolder.h"
+
+#include <catch2/catch.hpp>
+
+using namespace flamingo;
+
+namespace
+{
+using Ids = std::vector<std::string>;
+
+ArchiveKeepRequest turnOf(const std::string &id)
+{
+    return ArchiveKeepRequest{RequestId(id), "record of " + id, true, {}};
+}
+
+/// Keeps turns that arrive together, as the daemon does, and returns those that are confirmed.
+Ids keep(TurnLog &log, const Ids &ids)
+{
+    Ids appended;
+    for (const std::string &id : ids) {
+        if (log.append(turnOf(id))) {
+            appended.push_back(id);
+        }
+    }
+    return log.sync() ? appended : Ids();
+}
+
+Ids found(const TurnLog &log, const Ids &ids)
+{
+    Ids result;
+    for (const std::string &id : ids) {
+        if (log.find(RequestId(id))) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+/// The turns that are there after a loss of power.
+Ids foundAfterPowerLoss(FakeSegmentFolder &folder, const Ids &ids)
+{
+    folder.losePower();
+    return found(TurnLog(folder), ids);
+}
+} // namespace
+
+TEST_CASE("Turns that arrive together share one sync and survive a loss of power", "[archive]")
+{
+    FakeSegmentFolder folder;
+    {
+        TurnLog log(folder);
+        CHECK(keep(log, {"a", "b"}) == Ids{"a", "b"});
+        CHECK(folder.fileSyncCount() == 1);
+        REQUIRE(log.append(turnOf("c")));
+    }
+    CHECK(foundAfterPowerLoss(folder, {"a", "b", "c"}) == Ids{"a", "b"});
+}
