TurnLog: don't write to a segment whose name couldn't be synced

Cause: when the sync of the folder failed after a segment was opened, append() returned false once, but the segment stayed open; the next turn was appended to it and confirmed after a sync of the file alone. At the start the result wasn't looked at. Such a name may be lost although a later sync of the folder succeeds.

Change: the segment is closed and removed, and the next append() opens another one, with another name.

--- a/src/archive/disksegmentfolder.cpp
+++ b/src/archive/disksegmentfolder.cpp
@@ -51,6 +51,9 @@
         return false;
     }
     const bool isSynced = ::fsync(folder) == 0;
+    if (!isSynced) {
+        logChange("folder-sync-failed", "reason=\"{}\"", std::strerror(errno));
+    }
     ::close(folder);
     return isSynced;
 }
--- a/src/archive/turnlog.cpp
+++ b/src/archive/turnlog.cpp
@@ -95,7 +95,12 @@
         return false;
     }
     m_segments[m_currentSegment] = {};
-    return m_folder.sync();
+    if (!m_folder.sync()) {
+        // The next sync of the folder may succeed without the segment's name, so another segment is opened.
+        closeSegment();
+        return false;
+    }
+    return true;
 }
 
 void TurnLog::closeSegment()
--- a/tests/unit/turnlogtest.cpp
+++ b/tests/unit/turnlogtest.cpp
@@ -56,3 +56,27 @@
     }
     CHECK(foundAfterPowerLoss(folder, {"a", "b", "c"}) == Ids{"a", "b"});
 }
+
+// Guards against turns that are confirmed in a segment whose name isn't on the disk.
+TEST_CASE("A turn in a segment whose name couldn't be synced is not confirmed", "[archive]")
+{
+    FakeSegmentFolder folder;
+    Ids confirmed;
+    SECTION("At the start")
+    {
+        folder.faults().folderSyncs = 1;
+        TurnLog log(folder);
+        confirmed = keep(log, {"a"});
+    }
+    SECTION("Later")
+    {
+        TurnLog log(folder);
+        folder.faults().appends = 1;
+        folder.faults().folderSyncs = 1;
+        CHECK(keep(log, {"a"}).empty());
+        CHECK(keep(log, {"a"}).empty());
+        confirmed = keep(log, {"a"});
+    }
+    CHECK(confirmed == Ids{"a"});
+    CHECK(foundAfterPowerLoss(folder, {"a"}) == confirmed);
+}
