TurnLog: write a turn anew that was only read back at the start

Cause: a process that is killed between write and sync, or after a failed sync, leaves its records in the system's memory. The next process read them back and took them for kept: append() of the same turn returned true, and sync() covered the new segment only. Syncing the old segment wouldn't do: after a sync that has failed the next one succeeds without the lost pages.

Change: a turn that was read back is answered to lookups and uploaded as before, but when it is sent again it is written to the current segment, whose sync it shares with the others. No sync more at the start. A turn may now stand in several segments; it is removed from all.

Tests: "A turn that wasn't synced before a restart is not confirmed without a sync", failed before (killed before the sync, and after one that failed: confirmed, not found after the loss of power), passes now.

--- a/src/archive/turnlog.cpp
+++ b/src/archive/turnlog.cpp
@@ -53,7 +53,7 @@
 {
     const std::string bytes = m_folder.read(segmentName(number)).value_or(std::string());
     std::size_t offset = 0;
-    Segment segment;
+    Segment &segment = m_segments[number];
     while (offset + sizeof(FrameHeader) <= bytes.size()) {
         FrameHeader header;
         std::memcpy(&header, bytes.data() + offset, sizeof header);
@@ -70,9 +70,7 @@
             logChange("record-set-aside", "segment={} bytes={}", number, header.bytes);
             continue;
         }
-        segment.turnIds.insert(turn->id);
-        m_segmentByTurn[turn->id] = number;
-        m_turns[turn->id] = std::move(*turn);
+        addToSegment(number, *turn);
     }
     logChange("segment-read",
               "segment={} turns={} bytes={} truncated_bytes={}",
@@ -81,7 +79,6 @@
               offset,
               bytes.size() - std::min(offset, bytes.size()));
     m_unreadableRecords += segment.unreadableRecords;
-    m_segments[number] = std::move(segment);
     removeIfEmpty(number);
 }
 
@@ -111,9 +108,18 @@
     }
 }
 
+void TurnLog::addToSegment(std::uint64_t number, const ArchiveKeepRequest &request)
+{
+    m_segments[number].turnIds.insert(request.id);
+    Turn &turn = m_turns[request.id];
+    turn.request = request;
+    turn.segments.insert(number);
+}
+
 bool TurnLog::append(const ArchiveKeepRequest &turn)
 {
-    if (m_turns.count(turn.id) != 0) {
+    const auto it = m_turns.find(turn.id);
+    if (it != m_turns.end() && it->second.isAppended) {
         return true;
     }
     const bool isFull = m_file && m_currentBytes > MaxSegmentBytes;
@@ -134,9 +140,8 @@
         return false;
     }
     m_currentBytes += frame.size();
-    m_segments[m_currentSegment].turnIds.insert(turn.id);
-    m_segmentByTurn[turn.id] = m_currentSegment;
-    m_turns[turn.id] = turn;
+    addToSegment(m_currentSegment, turn);
+    m_turns[turn.id].isAppended = true;
     return true;
 }
 
@@ -147,16 +152,17 @@
 
 void TurnLog::remove(const RequestId &id)
 {
-    const auto it = m_segmentByTurn.find(id);
-    if (it == m_segmentByTurn.end()) {
+    const auto it = m_turns.find(id);
+    if (it == m_turns.end()) {
         return;
     }
-    const std::uint64_t number = it->second;
-    m_segmentByTurn.erase(it);
-    m_turns.erase(id);
-    m_segments[number].turnIds.erase(id);
-    if (number != m_currentSegment || !m_file) {
-        removeIfEmpty(number);
+    const std::set<std::uint64_t> segments = std::move(it->second.segments);
+    m_turns.erase(it);
+    for (const std::uint64_t number : segments) {
+        m_segments[number].turnIds.erase(id);
+        if (number != m_currentSegment || !m_file) {
+            removeIfEmpty(number);
+        }
     }
 }
 
@@ -178,7 +184,7 @@
 const ArchiveKeepRequest *TurnLog::find(const RequestId &id) const
 {
     const auto it = m_turns.find(id);
-    return it == m_turns.end() ? nullptr : &it->second;
+    return it == m_turns.end() ? nullptr : &it->second.request;
 }
 
 std::vector<RequestId> TurnLog::turnIds() const
--- a/src/archive/turnlog.h
+++ b/src/archive/turnlog.h
@@ -25,11 +25,12 @@
     TurnLog(const TurnLog &) = delete;
     TurnLog &operator=(const TurnLog &) = delete;
 
-    /// Appends a turn. It is durable once sync() has returned true.
+    /// Appends a turn unless this log has done so already. It is durable once sync() has returned true. A turn that was read back at
+    /// the start is written anew.
     bool append(const ArchiveKeepRequest &turn);
     bool sync();
 
-    /// Removes a turn, and its segment if that has no other turns left.
+    /// Removes a turn, and its segments if they have no other turns left.
     void remove(const RequestId &id);
 
     const ArchiveKeepRequest *find(const RequestId &id) const;
@@ -42,6 +43,13 @@
     std::size_t unreadableRecords() const;
 
 private:
+    struct Turn {
+        ArchiveKeepRequest request;
+        std::set<std::uint64_t> segments;
+        /// False when the turn has been read back: it may be in the system's memory only, and no sync would cover it.
+        bool isAppended = false;
+    };
+
     struct Segment {
         std::set<RequestId> turnIds;
         std::size_t unreadableRecords = 0;
@@ -50,12 +58,12 @@
     void readSegment(std::uint64_t number);
     bool openSegment();
     void closeSegment();
+    void addToSegment(std::uint64_t number, const ArchiveKeepRequest &request);
     void removeIfEmpty(std::uint64_t number);
 
     SegmentFolder &m_folder;
     std::unique_ptr<SegmentFile> m_file; ///< The segment being written; null for none.
-    std::map<RequestId, ArchiveKeepRequest> m_turns;
-    std::map<RequestId, std::uint64_t> m_segmentByTurn;
+    std::map<RequestId, Turn> m_turns;
     std::map<std::uint64_t, Segment> m_segments;
     std::uint64_t m_currentSegment = 0; ///< The number of the segment that was opened last.
     std::size_t m_currentBytes = 0;
--- a/tests/unit/turnlogtest.cpp
+++ b/tests/unit/turnlogtest.cpp
@@ -80,3 +80,51 @@
     CHECK(confirmed == Ids{"a"});
     CHECK(foundAfterPowerLoss(folder, {"a"}) == confirmed);
 }
+
+// Guards against turns that are confirmed because a killed process has left them in the system's memory.
+TEST_CASE("A turn that wasn't synced before a restart is not confirmed without a sync", "[archive]")
+{
+    FakeSegmentFolder folder;
+    folder.faults().fileSyncs = GENERATE(0, 1);
+    {
+        TurnLog log(folder);
+        REQUIRE(log.append(turnOf("a")));
+        REQUIRE(log.append(turnOf("b")));
+        if (folder.faults().fileSyncs > 0) {
+            REQUIRE_FALSE(log.sync());
+        }
+    }
+    {
+        TurnLog log(folder);
+        CHECK(found(log, {"a", "b"}) == Ids{"a", "b"});
+        CHECK(keep(log, {"a"}) == Ids{"a"});
+    }
+    CHECK(foundAfterPowerLoss(folder, {"a"}) == Ids{"a"});
+}
+
+// Guards against segments that stay on the disk because a turn in them was written a second time.
+TEST_CASE("A turn that was written to two segments is removed from both", "[archive]")
+{
+    FakeSegmentFolder folder;
+    {
+        TurnLog log(folder);
+        keep(log, {"a", "b"});
+    }
+    {
+        TurnLog log(folder);
+        keep(log, {"a", "c"});
+        const bool isReadAgain = GENERATE(false, true);
+        if (!isReadAgain) {
+            log.remove(RequestId("a"));
+            log.remove(RequestId("b"));
+            CHECK(folder.fileNames().size() == 1);
+            return;
+        }
+    }
+    TurnLog log(folder);
+    CHECK(log.size() == 3);
+    for (const std::string &id : {"a", "b", "c"}) {
+        log.remove(RequestId(id));
+    }
+    CHECK(folder.fileNames().size() == 1);
+}
