Archives: confirm each turn by its own sync, never after one that has failed

Cause: append() took every turn in memory for kept, and sync() answered for the current segment only. So a turn was confirmed without being on the disk - when its sync had failed and it was sent again: the next sync of the same file succeeds without the lost pages; - when another turn that arrived with it couldn't be written: the segment was closed, and the sync of the next one answered for both; - when the sync of its full segment had failed and the next sync of that segment succeeded.

Change: TurnLog knows for each turn whether a sync of its segment has covered it (isSynced), and the daemon answers by that. After a sync that failed nothing more is written to the segment or synced in it; what wasn't covered counts as not appended and is written anew to another segment when it is sent again. Before a segment is left because of a write that failed, the turns before it are synced. Turns that arrive together still share one sync, and a batch with no new turn needs none any more (before: one). Turns that aren't synced are answered to lookups and uploaded as before.

--- a/src/archive/archivedaemon.cpp
+++ b/src/archive/archivedaemon.cpp
@@ -151,14 +151,16 @@
     if (m_awaitingSync.empty()) {
         asio::post(m_loop.context(), [this] { syncAndRespond(); });
     }
-    m_awaitingSync.push_back(connection);
+    m_awaitingSync.push_back({connection, turn->id});
 }
 
 void ArchiveDaemon::syncAndRespond()
 {
-    const bool isSynced = m_turnLog->sync();
-    for (const ServerConnectionPtr &connection : std::exchange(m_awaitingSync, {})) {
-        connection->respond(isSynced ? StatusOk : StatusUnavailable, {}, {});
+    m_turnLog->sync();
+    for (const WaitingSender &sender : std::exchange(m_awaitingSync, {})) {
+        // A turn that was removed meanwhile is in the store.
+        const bool isKept = m_turnLog->isSynced(sender.turn) || !m_turnLog->find(sender.turn);
+        sender.connection->respond(isKept ? StatusOk : StatusUnavailable, {}, {});
     }
 }
 
--- a/src/archive/archivedaemon.h
+++ b/src/archive/archivedaemon.h
@@ -32,6 +32,11 @@
     int run();
 
 private:
+    struct WaitingSender {
+        ServerConnectionPtr connection;
+        RequestId turn;
+    };
+
     void listen();
     void awaitSignals();
     void reloadSettings();
@@ -71,7 +76,7 @@
     std::unique_ptr<ConnectionSet> m_turnServer;
     std::unique_ptr<ConnectionSet> m_metricsServer;
     UploadQueue m_uploads;
-    std::vector<ServerConnectionPtr> m_awaitingSync; ///< Get their response after the next sync.
+    std::vector<WaitingSender> m_awaitingSync; ///< Get their response after the next sync.
     bool m_isUploading = false;
     bool m_isDraining = false;
     bool m_isRetireReportDue = false;
--- a/src/archive/turnlog.cpp
+++ b/src/archive/turnlog.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <cstring>
+#include <utility>
 
 namespace flamingo
 {
@@ -102,6 +103,7 @@
 
 void TurnLog::closeSegment()
 {
+    m_awaitingSync.clear();
     if (m_file) {
         m_file.reset();
         removeIfEmpty(m_currentSegment);
@@ -118,16 +120,14 @@
 
 bool TurnLog::append(const ArchiveKeepRequest &turn)
 {
-    const auto it = m_turns.find(turn.id);
-    if (it != m_turns.end() && it->second.isAppended) {
+    if (isSynced(turn.id) || m_awaitingSync.count(turn.id) != 0) {
         return true;
     }
-    const bool isFull = m_file && m_currentBytes > MaxSegmentBytes;
-    if (isFull && !sync()) {
-        // Earlier turns may still wait for their sync, which covers the current segment only.
-        return false;
+    if (m_file && m_currentBytes > MaxSegmentBytes) {
+        sync();
+        closeSegment();
     }
-    if ((!m_file || isFull) && !openSegment()) {
+    if (!m_file && !openSegment()) {
         return false;
     }
     const std::string body = turn.encode();
@@ -136,18 +136,35 @@
     frame += body;
     if (!m_file->append(frame)) {
         // A partial frame would make all later ones unreadable, so nothing more is appended to this segment.
+        sync();
         closeSegment();
         return false;
     }
     m_currentBytes += frame.size();
     addToSegment(m_currentSegment, turn);
-    m_turns[turn.id].isAppended = true;
+    m_awaitingSync.insert(turn.id);
     return true;
 }
 
-bool TurnLog::sync()
+void TurnLog::sync()
+{
+    if (m_awaitingSync.empty()) {
+        return;
+    }
+    if (!m_file->sync()) {
+        // The next sync of this segment may succeed without the lost pages.
+        closeSegment();
+        return;
+    }
+    for (const RequestId &id : std::exchange(m_awaitingSync, {})) {
+        m_turns[id].isSynced = true;
+    }
+}
+
+bool TurnLog::isSynced(const RequestId &id) const
 {
-    return m_file && m_file->sync();
+    const auto it = m_turns.find(id);
+    return it != m_turns.end() && it->second.isSynced;
 }
 
 void TurnLog::remove(const RequestId &id)
@@ -158,6 +175,7 @@
     }
     const std::set<std::uint64_t> segments = std::move(it->second.segments);
     m_turns.erase(it);
+    m_awaitingSync.erase(id);
     for (const std::uint64_t number : segments) {
         m_segments[number].turnIds.erase(id);
         if (number != m_currentSegment || !m_file) {
--- a/src/archive/turnlog.h
+++ b/src/archive/turnlog.h
@@ -25,10 +25,15 @@
     TurnLog(const TurnLog &) = delete;
     TurnLog &operator=(const TurnLog &) = delete;
 
-    /// Appends a turn unless this log has done so already. It is durable once sync() has returned true. A turn that was read back at
-    /// the start is written anew.
+    /// Appends a turn, which is durable once sync() has covered it. A turn that no sync by this log can cover any more, or could ever,
+    /// is written anew: one whose sync has failed, or that was read back at the start.
     bool append(const ArchiveKeepRequest &turn);
-    bool sync();
+
+    /// Syncs the turns that have been appended since the last sync. isSynced() tells which ones are durable then.
+    void sync();
+
+    /// Whether the log has the turn and knows that it survives a loss of power.
+    bool isSynced(const RequestId &id) const;
 
     /// Removes a turn, and its segments if they have no other turns left.
     void remove(const RequestId &id);
@@ -46,8 +51,7 @@
     struct Turn {
         ArchiveKeepRequest request;
         std::set<std::uint64_t> segments;
-        /// False when the turn has been read back: it may be in the system's memory only, and no sync would cover it.
-        bool isAppended = false;
+        bool isSynced = false; ///< A sync by this process has covered the turn.
     };
 
     struct Segment {
@@ -65,6 +69,7 @@
     std::unique_ptr<SegmentFile> m_file; ///< The segment being written; null for none.
     std::map<RequestId, Turn> m_turns;
     std::map<std::uint64_t, Segment> m_segments;
+    std::set<RequestId> m_awaitingSync; ///< Turns in the current segment that its next sync covers.
     std::uint64_t m_currentSegment = 0; ///< The number of the segment that was opened last.
     std::size_t m_currentBytes = 0;
     std::size_t m_unreadableRecords = 0;
