TurnLog: don't delete a segment that can't be read at the start

Not seen in a play; found by reading.

Cause: a segment that couldn't be opened at the start counted as an empty one, and was removed. One that could be opened and not read threw an exception, which nothing catches on its way out of the start.

Change: read() tells a file that can't be read from an empty one. Such a segment keeps its name, so that the next start tries again, and counts as an unreadable record in the metric; the others are served.

Tests, both failed before and pass now: "A segment that can't be read at a start is kept for the next one" (turn gone at the next start), "A file of the disk that can't be read is told from an empty one" (an exception, and an empty file).

--- a/src/archive/disksegmentfolder.cpp
+++ b/src/archive/disksegmentfolder.cpp
@@ -3,16 +3,37 @@
 #include "archive/disksegmentfile.h"
 #include "core/log.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <fcntl.h>
-#include <fstream>
-#include <iterator>
 #include <unistd.h>
 
 namespace flamingo
 {
 
+namespace
+{
+constexpr std::size_t ReadBytes = std::size_t(256) * 1024;
+
+std::optional<std::string> readToEnd(int fd)
+{
+    std::string bytes;
+    for (;;) {
+        const std::size_t offset = bytes.size();
+        bytes.resize(offset + ReadBytes);
+        const ssize_t n = ::read(fd, bytes.data() + offset, ReadBytes);
+        if (n < 0 && errno != EINTR) {
+            return std::nullopt;
+        }
+        bytes.resize(offset + static_cast<std::size_t>(std::max<ssize_t>(n, 0)));
+        if (n == 0) {
+            return bytes;
+        }
+    }
+}
+} // namespace
+
 DiskSegmentFolder::DiskSegmentFolder(std::filesystem::path path)
     : m_path(std::move(path))
 {
@@ -30,8 +51,17 @@
 
 std::optional<std::string> DiskSegmentFolder::read(const std::string &name) const
 {
-    std::ifstream file(m_path / name, std::ios::binary);
-    return std::string((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    const int fd = ::open((m_path / name).c_str(), O_RDONLY | O_CLOEXEC);
+    if (fd < 0) {
+        logChange("segment-read-failed", "segment={} reason=\"{}\"", name, std::strerror(errno));
+        return std::nullopt;
+    }
+    auto bytes = readToEnd(fd);
+    if (!bytes) {
+        logChange("segment-read-failed", "segment={} reason=\"{}\"", name, std::strerror(errno));
+    }
+    ::close(fd);
+    return bytes;
 }
 
 std::unique_ptr<SegmentFile> DiskSegmentFolder::open(const std::string &name)
--- a/src/archive/turnlog.cpp
+++ b/src/archive/turnlog.cpp
@@ -52,7 +52,13 @@
 
 void TurnLog::readSegment(std::uint64_t number)
 {
-    const std::string bytes = m_folder.read(segmentName(number)).value_or(std::string());
+    const auto contents = m_folder.read(segmentName(number));
+    if (!contents) {
+        // The next start may be able to read it.
+        ++m_unreadableRecords;
+        return;
+    }
+    const std::string &bytes = *contents;
     std::size_t offset = 0;
     Segment &segment = m_segments[number];
     while (offset + sizeof(FrameHeader) <= bytes.size()) {
--- a/src/archive/turnlog.h
+++ b/src/archive/turnlog.h
@@ -44,7 +44,8 @@
     std::vector<RequestId> turnIds() const;
     std::size_t size() const;
 
-    /// The number of records on the disk that can't be read. Their segments are kept under another name.
+    /// The number of records on the disk that can't be read. Their segments are kept under another name. A segment that can't be read at
+    /// all counts as one record, and keeps its name.
     std::size_t unreadableRecords() const;
 
 private:
--- a/tests/unit/turnlogtest.cpp
+++ b/tests/unit/turnlogtest.cpp
@@ -1,13 +1,16 @@
 #include "archive/turnlog.h"
+#include "archive/disksegmentfolder.h"
 #include "unit/fakesegmentfolder.h"
 
 #include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
+#include <filesystem>
 #include <iterator>
 #include <memory>
 #include <random>
 #include <set>
+#include <unistd.h>
 
 using namespace flamingo;
 
@@ -76,6 +79,7 @@
         case 1:
             m_log.reset();
             m_folder.losePower(m_random);
+            m_folder.faults().reads = 0;
             restart();
             noteLostTurns();
             break;
@@ -105,7 +109,7 @@
     int &drawFault()
     {
         SegmentFolderFaults &faults = m_folder.faults();
-        const std::array<int *, 4> kinds{&faults.opens, &faults.appends, &faults.fileSyncs, &faults.folderSyncs};
+        const std::array<int *, 5> kinds{&faults.opens, &faults.reads, &faults.appends, &faults.fileSyncs, &faults.folderSyncs};
         return *kinds.at(m_random() % kinds.size());
     }
 
@@ -309,3 +313,36 @@
         REQUIRE(play.lostTurns() == Ids());
     }
 }
+
+// Guards against confirmed turns that are deleted because their segment couldn't be read for once.
+TEST_CASE("A segment that can't be read at a start is kept for the next one", "[archive]")
+{
+    FakeSegmentFolder folder;
+    {
+        TurnLog log(folder);
+        CHECK(keep(log, {"a"}) == Ids{"a"});
+    }
+    {
+        folder.faults().reads = 1;
+        TurnLog log(folder);
+        CHECK(found(log, {"a"}).empty());
+        CHECK(log.unreadableRecords() == 1);
+        CHECK(keep(log, {"b"}) == Ids{"b"});
+    }
+    CHECK(foundAfterPowerLoss(folder, {"a", "b"}) == Ids{"a", "b"});
+}
+
+// Guards against a file that can't be read and is taken for an empty one.
+TEST_CASE("A file of the disk that can't be read is told from an empty one", "[archive]")
+{
+    const auto path = std::filesystem::temp_directory_path() / ("flamingo-segments-" + std::to_string(::getpid()));
+    DiskSegmentFolder folder(path);
+    std::filesystem::create_directory(path / "turns-1");
+    REQUIRE(folder.open("turns-2"));
+    CHECK(folder.read("turns-1") == std::nullopt);
+    CHECK(folder.read("turns-2") == std::string());
+    CHECK(folder.read("turns-3") == std::nullopt);
+    REQUIRE(folder.open("turns-2")->append("some bytes"));
+    CHECK(folder.read("turns-2") == "some bytes");
+    std::filesystem::remove_all(path);
+}
