TurnLog: don't overwrite a segment that was set aside earlier

Operators could find fewer set-aside records than were reported. Not seen in a play; found by reading.

Cause: once all segments were removed, a restart counted from 1 again, and a segment was set aside under the name of an earlier one.

Change: the numbers of set-aside segments are taken as well.

Test: "A segment that is set aside doesn't replace an earlier one", before: 1 of 2 files left, now both. unit-tests: all 126 cases pass.

--- a/src/archive/turnlog.cpp
+++ b/src/archive/turnlog.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <cstdlib>
 #include <cstring>
+#include <optional>
+#include <string_view>
 #include <utility>
 
 namespace flamingo
@@ -28,6 +30,15 @@
 {
     return SegmentPrefix + std::to_string(number);
 }
+
+/// The number in the name of a file that begins with the prefix.
+std::optional<std::uint64_t> numberAfter(std::string_view prefix, const std::string &name)
+{
+    if (name.rfind(prefix, 0) != 0) {
+        return std::nullopt;
+    }
+    return std::strtoull(name.c_str() + prefix.size(), nullptr, 10);
+}
 } // namespace
 
 TurnLog::TurnLog(SegmentFolder &folder)
@@ -35,10 +46,12 @@
 {
     std::uint64_t last = 0;
     for (const std::string &name : m_folder.fileNames()) {
-        if (name.rfind(SegmentPrefix, 0) == 0) {
-            const std::uint64_t number = std::strtoull(name.c_str() + std::strlen(SegmentPrefix), nullptr, 10);
-            readSegment(number);
-            last = std::max(last, number);
+        if (const auto number = numberAfter(SegmentPrefix, name)) {
+            readSegment(*number);
+            last = std::max(last, *number);
+        } else if (const auto setAside = numberAfter(SetAsidePrefix, name)) {
+            // A later segment of this number would be set aside in its place.
+            last = std::max(last, *setAside);
         }
     }
     m_currentSegment = last;
--- a/tests/unit/fakesegmentfolder.cpp
+++ b/tests/unit/fakesegmentfolder.cpp
@@ -156,6 +156,15 @@
     losePower();
 }
 
+void FakeSegmentFolder::flipLastBytes()
+{
+    for (const auto &[name, file] : m_files) {
+        if (!file->readable.empty()) {
+            file->readable.back() ^= 1;
+        }
+    }
+}
+
 SegmentFolderFaults &FakeSegmentFolder::faults()
 {
     return m_faults;
--- a/tests/unit/fakesegmentfolder.h
+++ b/tests/unit/fakesegmentfolder.h
@@ -40,6 +40,9 @@
     /// Loses any part of what wasn't synced, drawn from the generator.
     void losePower(std::mt19937 &random);
 
+    /// Damages the last byte of each file.
+    void flipLastBytes();
+
     SegmentFolderFaults &faults();
 
     /// The number of file syncs so far, failed ones included.
--- a/tests/unit/turnlogtest.cpp
+++ b/tests/unit/turnlogtest.cpp
@@ -346,3 +346,20 @@
     CHECK(folder.read("turns-2") == "some bytes");
     std::filesystem::remove_all(path);
 }
+
+// Guards against a record that is set aside for inspection and overwritten by a later one.
+TEST_CASE("A segment that is set aside doesn't replace an earlier one", "[archive]")
+{
+    FakeSegmentFolder folder;
+    for (int n = 0; n < 2; ++n) {
+        {
+            TurnLog log(folder);
+            CHECK(keep(log, {"a"}) == Ids{"a"});
+        }
+        folder.flipLastBytes();
+        CHECK(TurnLog(folder).unreadableRecords() == 1);
+    }
+    Ids names = folder.fileNames();
+    names.erase(std::remove_if(names.begin(), names.end(), [](const std::string &name) { return name.rfind("unreadable-", 0) != 0; }), names.end());
+    CHECK(names.size() == 2);
+}
