Archives: sync the name of the data folder

Cause: create_directories() syncs nothing, and the segments' folder alone was synced later.

Change: each folder that is created has its name synced, and so has the data folder's at each start, as an earlier process may have been killed in between. When the name of a new folder can't be synced the start fails, as it does when the folder can't be created; for one that was there it is logged (folder-sync-failed).

--- a/src/archive/disksegmentfolder.cpp
+++ b/src/archive/disksegmentfolder.cpp
@@ -32,12 +32,40 @@
         }
     }
 }
+
+bool syncFolder(const std::filesystem::path &path)
+{
+    const int fd = ::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    const bool isSynced = fd >= 0 && ::fsync(fd) == 0;
+    if (!isSynced) {
+        logChange("folder-sync-failed", "folder={} reason=\"{}\"", path.string(), std::strerror(errno));
+    }
+    if (fd >= 0) {
+        ::close(fd);
+    }
+    return isSynced;
+}
+
+/// Creates a folder and those above it that aren't there, and syncs their names.
+void createFolder(const std::filesystem::path &path)
+{
+    const std::filesystem::path parent = path.has_parent_path() ? path.parent_path() : std::filesystem::path(".");
+    if (!std::filesystem::exists(parent)) {
+        createFolder(parent);
+    }
+    const bool isCreated = std::filesystem::create_directory(path);
+    // The name is synced again when the folder is there: an earlier process may have been ended before it had done so.
+    if (!syncFolder(parent) && isCreated) {
+        std::filesystem::remove(path);
+        throw std::filesystem::filesystem_error("can't sync the folder's name", path, std::make_error_code(std::errc::io_error));
+    }
+}
 } // namespace
 
 DiskSegmentFolder::DiskSegmentFolder(std::filesystem::path path)
     : m_path(std::move(path))
 {
-    std::filesystem::create_directories(m_path);
+    createFolder(m_path);
 }
 
 std::vector<std::string> DiskSegmentFolder::fileNames() const
@@ -76,16 +104,7 @@
 
 bool DiskSegmentFolder::sync()
 {
-    const int folder = ::open(m_path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    if (folder < 0) {
-        return false;
-    }
-    const bool isSynced = ::fsync(folder) == 0;
-    if (!isSynced) {
-        logChange("folder-sync-failed", "reason=\"{}\"", std::strerror(errno));
-    }
-    ::close(folder);
-    return isSynced;
+    return syncFolder(m_path);
 }
 
 bool DiskSegmentFolder::remove(const std::string &name)
