--- a/src/archive/archivedaemon.h
+++ b/src/archive/archivedaemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "archive/disksegmentfolder.h"
 #include "archive/turnlog.h"
 #include "archive/uploadqueue.h"
 #include "core/eventloop.h"
@@ -31,6 +32,11 @@
     int run();
 
 private:
+    struct WaitingSender {
+        ServerConnectionPtr connection;
+        RequestId turn;
+    };
+
     void listen();
     void awaitSignals();
     void reloadSettings();
@@ -65,11 +71,12 @@
     PlatformTurnStore m_turnStore;
     ConnectionPool m_peerConnections;
     asio::signal_set m_signals;
+    std::unique_ptr<DiskSegmentFolder> m_segmentFolder;
     std::unique_ptr<TurnLog> m_turnLog;
     std::unique_ptr<ConnectionSet> m_turnServer;
     std::unique_ptr<ConnectionSet> m_metricsServer;
     UploadQueue m_uploads;
-    std::vector<ServerConnectionPtr> m_awaitingSync; ///< Get their response after the next sync.
+    std::vector<WaitingSender> m_awaitingSync; ///< Get their response after the next sync.
     bool m_isUploading = false;
     bool m_isDraining = false;
     bool m_isRetireReportDue = false;
--- a/src/archive/turnlog.cpp
+++ b/src/archive/turnlog.cpp
@@ -3,12 +3,12 @@
 #include "core/digest.h"
 #include "core/log.h"
 
-#include <array>
+#include <algorithm>
+#include <cstdlib>
 #include <cstring>
-#include <fcntl.h>
-#include <fstream>
-#include <iterator>
-#include <unistd.h>
+#include <optional>
+#include <string_view>
+#include <utility>
 
 namespace flamingo
 {
@@ -26,34 +26,32 @@
     std::uint64_t checksum = 0;
 };
 
-bool writeAll(int fd, std::string_view bytes)
+std::string segmentName(std::uint64_t number)
 {
-    while (!bytes.empty()) {
-        const ssize_t n = ::write(fd, bytes.data(), bytes.size());
-        if (n < 0 && errno == EINTR) {
-            continue;
-        }
-        if (n <= 0) {
-            logChange("disk-write-failed", "reason=\"{}\"", std::strerror(errno));
-            return false;
-        }
-        bytes.remove_prefix(static_cast<std::size_t>(n));
+    return SegmentPrefix + std::to_string(number);
+}
+
+/// The number in the name of a file that begins with the prefix.
+std::optional<std::uint64_t> numberAfter(std::string_view prefix, const std::string &name)
+{
+    if (name.rfind(prefix, 0) != 0) {
+        return std::nullopt;
     }
-    return true;
+    return std::strtoull(name.c_str() + prefix.size(), nullptr, 10);
 }
 } // namespace
 
-TurnLog::TurnLog(std::filesystem::path folder)
-    : m_folder(std::move(folder))
+TurnLog::TurnLog(SegmentFolder &folder)
+    : m_folder(folder)
 {
-    std::filesystem::create_directories(m_folder);
     std::uint64_t last = 0;
-    for (const auto &file : std::filesystem::directory_iterator(m_folder)) {
-        const std::string name = file.path().filename().string();
-        if (name.rfind(SegmentPrefix, 0) == 0) {
-            const std::uint64_t number = std::strtoull(name.c_str() + std::strlen(SegmentPrefix), nullptr, 10);
-            readSegment(number);
-            last = std::max(last, number);
+    for (const std::string &name : m_folder.fileNames()) {
+        if (const auto number = numberAfter(SegmentPrefix, name)) {
+            readSegment(*number);
+            last = std::max(last, *number);
+        } else if (const auto setAside = numberAfter(SetAsidePrefix, name)) {
+            // A later segment of this number would be set aside in its place.
+            last = std::max(last, *setAside);
         }
     }
     m_currentSegment = last;
@@ -65,17 +63,17 @@
     closeSegment();
 }
 
-std::filesystem::path TurnLog::segmentPath(std::uint64_t number) const
-{
-    return m_folder / (SegmentPrefix + std::to_string(number));
-}
-
 void TurnLog::readSegment(std::uint64_t number)
 {
-    std::ifstream file(segmentPath(number), std::ios::binary);
-    const std::string bytes((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    const auto contents = m_folder.read(segmentName(number));
+    if (!contents) {
+        // The next start may be able to read it.
+        ++m_unreadableRecords;
+        return;
+    }
+    const std::string &bytes = *contents;
     std::size_t offset = 0;
-    Segment segment;
+    Segment &segment = m_segments[number];
     while (offset + sizeof(FrameHeader) <= bytes.size()) {
         FrameHeader header;
         std::memcpy(&header, bytes.data() + offset, sizeof header);
@@ -92,9 +90,7 @@
             logChange("record-set-aside", "segment={} bytes={}", number, header.bytes);
             continue;
         }
-        segment.turnIds.insert(turn->id);
-        m_segmentByTurn[turn->id] = number;
-        m_turns[turn->id] = std::move(*turn);
+        addToSegment(number, *turn);
     }
     logChange("segment-read",
               "segment={} turns={} bytes={} truncated_bytes={}",
@@ -103,7 +99,6 @@
               offset,
               bytes.size() - std::min(offset, bytes.size()));
     m_unreadableRecords += segment.unreadableRecords;
-    m_segments[number] = std::move(segment);
     removeIfEmpty(number);
 }
 
@@ -112,86 +107,99 @@
     closeSegment();
     ++m_currentSegment;
     m_currentBytes = 0;
-    m_fd = ::open(segmentPath(m_currentSegment).c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0644);
-    if (m_fd < 0) {
-        logChange("segment-open-failed", "segment={} reason=\"{}\"", m_currentSegment, std::strerror(errno));
+    m_file = m_folder.open(segmentName(m_currentSegment));
+    if (!m_file) {
         return false;
     }
     m_segments[m_currentSegment] = {};
-    return syncFolder();
+    if (!m_folder.sync()) {
+        // The next sync of the folder may succeed without the segment's name, so another segment is opened.
+        closeSegment();
+        return false;
+    }
+    return true;
 }
 
 void TurnLog::closeSegment()
 {
-    if (m_fd >= 0) {
-        ::close(m_fd);
-        m_fd = -1;
-        const std::uint64_t closed = m_currentSegment;
-        removeIfEmpty(closed);
+    m_awaitingSync.clear();
+    if (m_file) {
+        m_file.reset();
+        removeIfEmpty(m_currentSegment);
     }
 }
 
-bool TurnLog::syncFolder() const
+void TurnLog::addToSegment(std::uint64_t number, const ArchiveKeepRequest &request)
 {
-    const int folder = ::open(m_folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    if (folder < 0) {
-        return false;
-    }
-    const bool isSynced = ::fsync(folder) == 0;
-    ::close(folder);
-    return isSynced;
+    m_segments[number].turnIds.insert(request.id);
+    Turn &turn = m_turns[request.id];
+    turn.request = request;
+    turn.segments.insert(number);
 }
 
 bool TurnLog::append(const ArchiveKeepRequest &turn)
 {
-    if (m_turns.count(turn.id) != 0) {
+    if (isSynced(turn.id) || m_awaitingSync.count(turn.id) != 0) {
         return true;
     }
-    const bool isFull = m_fd >= 0 && m_currentBytes > MaxSegmentBytes;
-    if (isFull && !sync()) {
-        // Earlier turns may still wait for their sync, which covers the current segment only.
-        return false;
+    if (m_file && m_currentBytes > MaxSegmentBytes) {
+        sync();
+        closeSegment();
     }
-    if ((m_fd < 0 || isFull) && !openSegment()) {
+    if (!m_file && !openSegment()) {
         return false;
     }
     const std::string body = turn.encode();
     const FrameHeader header{body.size(), stableHash(body)};
     std::string frame(reinterpret_cast<const char *>(&header), sizeof header);
     frame += body;
-    if (!writeAll(m_fd, frame)) {
+    if (!m_file->append(frame)) {
         // A partial frame would make all later ones unreadable, so nothing more is appended to this segment.
+        sync();
         closeSegment();
         return false;
     }
     m_currentBytes += frame.size();
-    m_segments[m_currentSegment].turnIds.insert(turn.id);
-    m_segmentByTurn[turn.id] = m_currentSegment;
-    m_turns[turn.id] = turn;
+    addToSegment(m_currentSegment, turn);
+    m_awaitingSync.insert(turn.id);
     return true;
 }
 
-bool TurnLog::sync()
+void TurnLog::sync()
 {
-    if (m_fd < 0 || ::fdatasync(m_fd) != 0) {
-        logChange("disk-sync-failed", "reason=\"{}\"", std::strerror(errno));
-        return false;
+    if (m_awaitingSync.empty()) {
+        return;
     }
-    return true;
+    if (!m_file->sync()) {
+        // The next sync of this segment may succeed without the lost pages.
+        closeSegment();
+        return;
+    }
+    for (const RequestId &id : std::exchange(m_awaitingSync, {})) {
+        m_turns[id].isSynced = true;
+    }
+}
+
+bool TurnLog::isSynced(const RequestId &id) const
+{
+    const auto it = m_turns.find(id);
+    return it != m_turns.end() && it->second.isSynced;
 }
 
 void TurnLog::remove(const RequestId &id)
 {
-    const auto it = m_segmentByTurn.find(id);
-    if (it == m_segmentByTurn.end()) {
+    const auto it = m_turns.find(id);
+    if (it == m_turns.end()) {
         return;
     }
-    const std::uint64_t number = it->second;
-    m_segmentByTurn.erase(it);
-    m_turns.erase(id);
-    m_segments[number].turnIds.erase(id);
-    if (number != m_currentSegment || m_fd < 0) {
-        removeIfEmpty(number);
+    const std::set<std::uint64_t> segments = std::move(it->second.segments);
+    m_turns.erase(it);
+    m_awaitingSync.erase(id);
+    for (const std::uint64_t number : segments) {
+        m_segments[number].turnIds.erase(id);
+        if (number != m_currentSegment || !m_file) {
+            removeIfEmpty(number);
+        }
     }
 }
 
@@ -203,21 +211,17 @@
     }
     const bool isKept = it->second.unreadableRecords > 0;
     m_segments.erase(it);
-    std::error_code ec;
     if (isKept) {
-        std::filesystem::rename(segmentPath(number), m_folder / (SetAsidePrefix + std::to_string(number)), ec);
+        m_folder.rename(segmentName(number), SetAsidePrefix + std::to_string(number));
     } else {
-        std::filesystem::remove(segmentPath(number), ec);
-    }
-    if (ec) {
-        logChange("segment-remove-failed", "segment={} reason=\"{}\"", number, ec.message());
+        m_folder.remove(segmentName(number));
     }
 }
 
 const ArchiveKeepRequest *TurnLog::find(const RequestId &id) const
 {
     const auto it = m_turns.find(id);
-    return it == m_turns.end() ? nullptr : &it->second;
+    return it == m_turns.end() ? nullptr : &it->second.request;
 }
 
 std::vector<RequestId> TurnLog::turnIds() const
--- a/src/archive/turnlog.h
+++ b/src/archive/turnlog.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "archive/segmentfolder.h"
 #include "serving/archivemessages.h"
 
-#include <filesystem>
+#include <cstdint>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -17,17 +19,23 @@
 class TurnLog
 {
 public:
-    /// Reads the segments in the folder. Throws std::exception when the folder can't be used.
-    explicit TurnLog(std::filesystem::path folder);
+    /// Reads the segments in the folder, which has to outlive the log.
+    explicit TurnLog(SegmentFolder &folder);
     ~TurnLog();
     TurnLog(const TurnLog &) = delete;
     TurnLog &operator=(const TurnLog &) = delete;
 
-    /// Appends a turn. It is durable once sync() has returned true.
+    /// Appends a turn, which is durable once sync() has covered it. A turn that no sync by this log can cover any more, or could ever,
+    /// is written anew: one whose sync has failed, or that was read back at the start.
     bool append(const ArchiveKeepRequest &turn);
-    bool sync();
 
-    /// Removes a turn, and its segment if that has no other turns left.
+    /// Syncs the turns that have been appended since the last sync. isSynced() tells which ones are durable then.
+    void sync();
+
+    /// Whether the log has the turn and knows that it survives a loss of power.
+    bool isSynced(const RequestId &id) const;
+
+    /// Removes a turn, and its segments if they have no other turns left.
     void remove(const RequestId &id);
 
     const ArchiveKeepRequest *find(const RequestId &id) const;
@@ -36,30 +44,36 @@
     std::vector<RequestId> turnIds() const;
     std::size_t size() const;
 
-    /// The number of records on the disk that can't be read. Their segments are kept under another name.
+    /// The number of records on the disk that can't be read. Their segments are kept under another name. A segment that can't be read at
+    /// all counts as one record, and keeps its name.
     std::size_t unreadableRecords() const;
 
 private:
+    struct Turn {
+        ArchiveKeepRequest request;
+        std::set<std::uint64_t> segments;
+        bool isSynced = false; ///< A sync by this process has covered the turn.
+    };
+
     struct Segment {
         std::set<RequestId> turnIds;
         std::size_t unreadableRecords = 0;
     };
 
-    std::filesystem::path segmentPath(std::uint64_t number) const;
     void readSegment(std::uint64_t number);
     bool openSegment();
     void closeSegment();
-    bool syncFolder() const;
+    void addToSegment(std::uint64_t number, const ArchiveKeepRequest &request);
     void removeIfEmpty(std::uint64_t number);
 
-    std::filesystem::path m_folder;
-    std::map<RequestId, ArchiveKeepRequest> m_turns;
-    std::map<RequestId, std::uint64_t> m_segmentByTurn;
+    SegmentFolder &m_folder;
+    std::unique_ptr<SegmentFile> m_file; ///< The segment being written; null for none.
+    std::map<RequestId, Turn> m_turns;
     std::map<std::uint64_t, Segment> m_segments;
-    std::uint64_t m_currentSegment = 0; ///< The segment being written; 0 for none.
+    std::set<RequestId> m_awaitingSync; ///< Turns in the current segment that its next sync covers.
+    std::uint64_t m_currentSegment = 0; ///< The number of the segment that was opened last.
     std::size_t m_currentBytes = 0;
     std::size_t m_unreadableRecords = 0;
-    int m_fd = -1;
 };
 
 } // namespace flamingo
