Send a turn to another holder when this one has less than a turn left

Two instances held parts of its budget, and the one that was asked kept the last turn to itself as long as it had any tokens left, although the other one had enough. The turn now goes to that one. Ruled out: reserve (0) and fencing (the holders had no witness yet).

--- a/src/serving/budgetledger.cpp
+++ b/src/serving/budgetledger.cpp
@@ -307,7 +307,8 @@
 // Others may hold tokens that they don't need: one that can be reached serves the turn itself, the others are fenced.
 void BudgetLedger::handleShortage(BudgetAccount &account)
 {
-    const auto holder = account.isForwarded ? std::nullopt : reachableHolder(account);
+    // Also when this holder has some tokens left, since they aren't enough for a turn.
+    const auto holder = account.isForwarded ? std::nullopt : reachableOtherHolder(account);
     if (holder) {
         account.failWaiters({BudgetVerdict::HeldElsewhere, *holder, {}});
     } else if (!m_fencing.fence(account, true)) {
@@ -366,9 +367,11 @@
 std::optional<IncarnationId> BudgetLedger::reachableHolder(const BudgetAccount &account) const
 {
     const bool isHolder = account.grantedTokens() > account.committedTokens() && !account.isClosed();
-    if (account.isForwarded || isHolder) {
-        return std::nullopt;
-    }
+    return account.isForwarded || isHolder ? std::nullopt : reachableOtherHolder(account);
+}
+
+std::optional<IncarnationId> BudgetLedger::reachableOtherHolder(const BudgetAccount &account) const
+{
     std::optional<IncarnationId> best;
     for (const IncarnationId &holder : account.otherHolders()) {
         const bool isBetter = !best || account.record.grantOf(holder) > account.record.grantOf(*best);
--- a/src/serving/budgetledger.h
+++ b/src/serving/budgetledger.h
@@ -88,6 +88,7 @@
     BudgetAnswer shortageAnswer(BudgetAccount &account) const;
     bool mayChange(const BudgetAccount &account) const;
     std::optional<IncarnationId> reachableHolder(const BudgetAccount &account) const;
+    std::optional<IncarnationId> reachableOtherHolder(const BudgetAccount &account) const;
     void release(BudgetAccount &account);
     void onReleaseWritten(BudgetAccount &account, const BudgetRecord &proposed, const SwapResult &result);
     void resign(const BudgetAccount &account);
--- a/tests/unit/servingtest.cpp
+++ b/tests/unit/servingtest.cpp
@@ -147,6 +147,40 @@
     CHECK(store.granted("p") == Tokens(450));
 }
 
+// Guards against the failure of programs that began with the first start: one holder kept their last turns to itself.
+TEST_CASE("A holder with less than a turn left sends the turn to another one that has enough", "[serving]")
+{
+    constexpr int Budget = 2900;
+    constexpr int MaxTurnTokens = 290;
+    InMemoryBudgetStore store;
+    Holder first(store, "a", {"b"});
+    Holder second(store, "b");
+    const auto run = [](Holder &holder, int turns) {
+        for (int n = 0; n < turns; ++n) {
+            REQUIRE(holder.reserve(Budget, MaxTurnTokens).verdict == BudgetVerdict::Reserved);
+            holder.settle(MaxTurnTokens, 261);
+        }
+    };
+    run(first, 5);
+    run(second, 1);
+    BudgetAnswer answer;
+    int served = 6;
+    for (int n = 0; n < 2 * Budget / MaxTurnTokens && answer.verdict != BudgetVerdict::HeldElsewhere; ++n) {
+        answer = first.reserve(Budget, MaxTurnTokens);
+        REQUIRE((answer.verdict == BudgetVerdict::Reserved || answer.verdict == BudgetVerdict::HeldElsewhere));
+        if (answer.verdict == BudgetVerdict::Reserved) {
+            first.settle(MaxTurnTokens, 261);
+            ++served;
+        }
+    }
+    CHECK(answer.holder == IncarnationId("b"));
+    while (second.reserve(Budget, MaxTurnTokens, true).verdict == BudgetVerdict::Reserved) {
+        second.settle(MaxTurnTokens, 261);
+        ++served;
+    }
+    CHECK(served == Budget / MaxTurnTokens);
+}
+
 TEST_CASE("Without provisional grants no home runs a turn in a store outage, however often homes change", "[serving][promises]")
 {
     InMemoryBudgetStore store;
