Ask the other holders of a budget when the first one is short

Callers got 503 for a turn that another instance had tokens for (platform-tests [first-start]): a request that had been sent on to the holder with the largest grant wasn't sent on again, and an instance that was itself the other holder wasn't asked at all. A holder that is short now names another one that can be reached, and the caller's instance asks each once.

--- a/src/instance/homeservice.cpp
+++ b/src/instance/homeservice.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <set>
+
 namespace flamingo
 {
 
@@ -219,6 +221,7 @@
     std::function<void(BeginTurnResponse)> onResponse;
     std::vector<InstanceId> candidates;
     std::size_t nextCandidate = 0;
+    std::set<InstanceId> askedHolders; ///< Instances that got the request; each gets it once for a shortage.
 };
 
 HomeClient::HomeClient(asio::io_context &context, MemberDirectory &members, HomeService &localHome, ConnectionPool &peerConnections, Hooks hooks)
@@ -252,6 +255,7 @@
 void HomeClient::sendBegin(const std::shared_ptr<PendingBegin> &pending, const InstanceId &home)
 {
     const MemberRecord *member = m_members.find(home);
+    pending->askedHolders.insert(home);
     if (home == m_members.self() || !member) {
         m_localHome.beginTurn(pending->request, [this, pending](BeginTurnResponse response) { onBeginResponse(pending, std::move(response)); });
         return;
@@ -274,15 +278,15 @@
 
 void HomeClient::onBeginResponse(const std::shared_ptr<PendingBegin> &pending, BeginTurnResponse response)
 {
-    const auto holder = response.verdict == BudgetVerdict::HeldElsewhere && !pending->request.isForwarded
-                            ? m_members.reachableInstance(response.holder, std::chrono::steady_clock::now())
-                            : std::nullopt;
-    if (holder) {
+    const bool isHeldElsewhere = response.verdict == BudgetVerdict::HeldElsewhere;
+    const auto holder = response.verdict == BudgetVerdict::Reserved ? std::nullopt : reachableHolder(response.holder);
+    const bool mayHaveEnough = holder && (isHeldElsewhere ? !pending->request.isForwarded : pending->askedHolders.count(*holder) == 0);
+    if (mayHaveEnough) {
         pending->request.isForwarded = true;
         sendBegin(pending, *holder);
         return;
     }
-    if (response.verdict == BudgetVerdict::HeldElsewhere) {
+    if (isHeldElsewhere) {
         // This instance can't reach the holder, so the home takes what is left in the store.
         pending->request.isForwarded = true;
         sendBegin(pending, response.home);
@@ -291,6 +295,16 @@
     pending->onResponse(std::move(response));
 }
 
+// The holder may be this instance itself.
+std::optional<InstanceId> HomeClient::reachableHolder(const IncarnationId &holder) const
+{
+    const MemberRecord *self = m_members.find(m_members.self());
+    if (self && self->incarnation == holder) {
+        return self->id;
+    }
+    return m_members.reachableInstance(holder, std::chrono::steady_clock::now());
+}
+
 void HomeClient::endTurn(const InstanceId &home, const EndTurnRequest &request)
 {
     const MemberRecord *member = m_members.find(home);
--- a/src/instance/homeservice.h
+++ b/src/instance/homeservice.h
@@ -122,6 +122,7 @@
 
     void sendBegin(const std::shared_ptr<PendingBegin> &pending, const InstanceId &home);
     void onBeginResponse(const std::shared_ptr<PendingBegin> &pending, BeginTurnResponse response);
+    std::optional<InstanceId> reachableHolder(const IncarnationId &holder) const;
     void tryNextHome(const std::shared_ptr<PendingBegin> &pending);
     void post(const MemberRecord &member, const char *path, std::string body, std::function<void(std::optional<std::string> responseBody)> onResponse);
 
--- a/src/serving/budgetledger.cpp
+++ b/src/serving/budgetledger.cpp
@@ -312,8 +312,9 @@
     if (holder) {
         account.failWaiters({BudgetVerdict::HeldElsewhere, *holder, {}});
     } else if (!m_fencing.fence(account, true)) {
-        const BudgetAnswer answer = shortageAnswer(account);
+        BudgetAnswer answer = shortageAnswer(account);
         logShortage(account, answer);
+        answer.holder = reachableOtherHolder(account).value_or(IncarnationId());
         account.failWaiters(answer);
     }
 }
--- a/src/serving/budgetrequest.h
+++ b/src/serving/budgetrequest.h
@@ -25,7 +25,7 @@
 /// Result of a reservation.
 struct BudgetAnswer {
     BudgetVerdict verdict = BudgetVerdict::Unconfirmed;
-    IncarnationId holder; ///< The one that has the budget, for HeldElsewhere.
+    IncarnationId holder; ///< The one that has the budget, for HeldElsewhere; else one that may have enough, or empty.
     Milliseconds retryAfter{0}; ///< For Unconfirmed: when other holders may have been reached; 0 if the store didn't respond.
 };
 
