Don't take a holder for gone that isn't on the member list yet

Callers got 402, which ends a program, in the first second after a first start while another holder had tokens for the turn: its entry had reached the store, but not the list of the instance that was asked. Only an instance that has restarted or left counts as gone now; one that isn't listed yet gives 503 for as long as other doubts do.

--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -75,7 +75,7 @@
                  [this](const ProgramId &program) { return m_provisionalGrantPolicy.isSoleGranter(program, suspendAwareNow()); },
                  [this] { return m_store.hasRecentFailure(); },
                  [this](const ProgramId &program) { return m_provisionalGrantPolicy.excludesUnrecordedGrants(program, suspendAwareNow()); },
-                 [this](const IncarnationId &incarnation) { return m_members.findIncarnation(incarnation) != nullptr; },
+                 [this](const IncarnationId &incarnation) { return m_members.mayBeAlive(incarnation); },
                  [this] { return m_grantMarks.mayGrant(suspendAwareNow()); },
                  [this](std::function<void(bool)> onMarked) { m_grantMarks.store(suspendAwareNow(), std::move(onMarked)); }},
                 &m_witnesses)
--- a/src/serving/incarnationid.h
+++ b/src/serving/incarnationid.h
@@ -14,4 +14,7 @@
 /// An id that no other start has, made of the instance's id, the present time and the process id.
 IncarnationId newIncarnationId(const InstanceId &instance);
 
+/// The instance that an id of newIncarnationId() belongs to; empty for other ids.
+InstanceId instanceOf(const IncarnationId &incarnation);
+
 } // namespace flamingo
--- a/src/serving/memberdirectory.cpp
+++ b/src/serving/memberdirectory.cpp
@@ -193,6 +193,13 @@
     return it == m_members.end() || it->second.record.isPresumedDead ? nullptr : &it->second.record;
 }
 
+bool MemberDirectory::mayBeAlive(const IncarnationId &incarnation) const
+{
+    const InstanceId instance = instanceOf(incarnation);
+    const bool isKnownInstance = instance.value().empty() || m_members.count(instance) != 0 || m_removedAt.count(instance) != 0;
+    return !isKnownInstance || findIncarnation(incarnation) != nullptr;
+}
+
 const InstanceId &MemberDirectory::self() const
 {
     return m_self;
--- a/src/serving/memberdirectory.h
+++ b/src/serving/memberdirectory.h
@@ -86,6 +86,9 @@
     /// The member with this incarnation, reachable or not; nullptr if it isn't listed or is presumed dead.
     const MemberRecord *findIncarnation(const IncarnationId &incarnation) const;
 
+    /// Whether the incarnation may still run: it is listed, or it belongs to an instance that this list doesn't know yet.
+    bool mayBeAlive(const IncarnationId &incarnation) const;
+
     /// The instance with this incarnation, if it can be reached.
     std::optional<InstanceId> reachableInstance(const IncarnationId &incarnation, Instant now) const;
 
--- a/tests/unit/servingtest.cpp
+++ b/tests/unit/servingtest.cpp
@@ -147,6 +147,24 @@
     CHECK(store.granted("p") == Tokens(450));
 }
 
+// Guards against a 402 while the budget wasn't spent: the other holder had just registered, and wasn't on the list yet.
+TEST_CASE("A holder counts as gone when its instance has restarted or left, not when it isn't listed yet", "[serving]")
+{
+    MemberDirectory members(InstanceId("a"), DomainId("z"));
+    const IncarnationId early = newIncarnationId(InstanceId("b"));
+    CHECK(members.mayBeAlive(early));
+    MemberRecord record{InstanceId("b"), DomainId("z"), SocketAddress{"127.0.0.1", 1}, early};
+    members.put(record);
+    CHECK(members.mayBeAlive(early));
+    record.incarnation = IncarnationId(early.value() + "f");
+    members.put(record);
+    CHECK_FALSE(members.mayBeAlive(early));
+    CHECK(members.mayBeAlive(record.incarnation));
+    members.remove(InstanceId("b"), Start);
+    CHECK_FALSE(members.mayBeAlive(record.incarnation));
+    CHECK_FALSE(members.mayBeAlive(IncarnationId("no id of an instance")));
+}
+
 // Guards against the failure of programs that began with the first start: one holder kept their last turns to itself.
 TEST_CASE("A holder with less than a turn left sends the turn to another one that has enough", "[serving]")
 {
