Have others asked about their grants also when the earlier incarnation has made none

That an instance's earlier incarnations made no provisional grant says nothing of others whose member lists didn't hold it yet, but isSoleGranter and mayDeregister took it for that; the survey of the others is what tells. Both are again as before.

--- a/src/serving/provisionalgrantpolicy.cpp
+++ b/src/serving/provisionalgrantpolicy.cpp
@@ -64,7 +64,7 @@
 bool ProvisionalGrantPolicy::mayDeregister(Instant now) const
 {
     const auto age = now - m_startedAt;
-    return age >= ProgramIdleTimeout || (age >= ListPropagationTime && hasNoEarlierGrants());
+    return age >= ProgramIdleTimeout || (age >= ListPropagationTime && (m_isFirstStart || m_isCleanRestart || m_isNewMember));
 }
 
 bool ProvisionalGrantPolicy::mayGrant(const ProgramId &program, Instant now) const
@@ -77,7 +77,7 @@
 bool ProvisionalGrantPolicy::isSoleGranter(const ProgramId &program, Instant now) const
 {
     const bool isDiscovering = m_isFirstStart && now - m_startedAt < DiscoveryTime;
-    const bool areEarlierGrantsOver = isDiscovering || m_isCleanRestart || m_areEarlierGrantsExcluded || hasOutlivedEarlierGrants(now);
+    const bool areEarlierGrantsOver = isDiscovering || m_isCleanRestart || hasOutlivedEarlierGrants(now);
     return areEarlierGrantsOver && isListFresh(now) && m_members.isPreferredHome(program);
 }
 
--- a/tests/unit/servingtest.cpp
+++ b/tests/unit/servingtest.cpp
@@ -465,6 +465,37 @@
     }
 }
 
+TEST_CASE("A restart soon after an instance was added doesn't exclude grants of others whose lists lack it", "[serving]")
+{
+    const auto memberRecord = [](const std::string &id) {
+        return MemberRecord{InstanceId(id), DomainId("z"), SocketAddress{"127.0.0.1", 1}, IncarnationId(id)};
+    };
+    const auto at = [](int ms) { return Start + Milliseconds(ms); };
+    // b has run for long, and last read the list just before "added" was on it. The store is away from it since.
+    MemberDirectory membersOfB(InstanceId("b"), DomainId("z"));
+    ProvisionalGrantPolicy b(membersOfB, Start);
+    membersOfB.setLoaded();
+    b.onListRead(at(300000));
+    // "added" registers, is killed, starts again, reads the list, and finds no mark of its only earlier incarnation.
+    MemberDirectory membersOfAdded(InstanceId("added"), DomainId("z"));
+    ProvisionalGrantPolicy added(membersOfAdded, at(303000));
+    added.setRegistering();
+    added.setRegistered(true, at(303100));
+    membersOfAdded.put(memberRecord("b"));
+    membersOfAdded.setLoaded();
+    added.onListRead(at(303200));
+    added.setEarlierGrantsExcluded();
+    int granted = 0;
+    for (int n = 0; n < 100; ++n) {
+        const ProgramId program("p" + std::to_string(n));
+        if (membersOfAdded.isPreferredHome(program) && b.mayGrant(program, at(305000))) {
+            ++granted;
+            CHECK_FALSE(added.isSoleGranter(program, at(305000)));
+        }
+    }
+    CHECK(granted > 10);
+}
+
 TEST_CASE("An instance finds out whether its earlier incarnations may have made provisional grants", "[serving]")
 {
     const auto at = [](int ms) { return Start + Milliseconds(ms); };
@@ -485,7 +516,7 @@
                     Start)
         {
             if (const auto earlier = GrantHistory::decode(heartbeat)) {
-                marks.setHistory(earlier->next(IncarnationId(name)));
+                marks.setHistory(earlier->next(IncarnationId(name)), Start);
             }
             heartbeat = marks.history().encode();
         }
@@ -493,7 +524,7 @@
         bool mark()
         {
             bool mayGrant = false;
-            marks.store(Start, [&](bool it) { mayGrant = it; });
+            marks.storeMark(Start, [&](bool it) { mayGrant = it; });
             return mayGrant;
         }
 
@@ -534,6 +565,14 @@
         isStoreAway = false;
         CHECK_FALSE(lookUp(*start("a:2")));
     }
+    SECTION("The mark of an incarnation that may still run is looked for when it can make no more grants")
+    {
+        const auto second = start("a:2");
+        second->marks.setHistory(second->marks.history(), at(30000));
+        CHECK_FALSE(lookUp(*second, 29000));
+        CHECK(first->mark());
+        CHECK_FALSE(lookUp(*second, 31000));
+    }
     SECTION("A mark of an incarnation before the last one counts as well")
     {
         CHECK(first->mark());
@@ -622,7 +661,7 @@
                           [this](const ProgramId &program) { return policy.excludesUnrecordedGrants(program, now); },
                           [](const IncarnationId &) { return true; },
                           [this] { return marks.mayGrant(now); },
-                          [this](std::function<void(bool)> onMarked) { marks.store(now, std::move(onMarked)); }})
+                          [this](std::function<void(bool)> onMarked) { marks.storeMark(now, std::move(onMarked)); }})
             {
             }
 
@@ -685,7 +724,9 @@
         InMemoryTurnStore archives;
         std::map<std::string, GrantHistory> heartbeats;
         std::map<std::string, std::unique_ptr<Node>> nodes;
-        std::set<std::string> listed = {"a", "b", "c"};
+        // The program prefers the instances in the same order in all runs, so the one that is added later differs.
+        std::set<std::string> listed = {"a", "b", "c", "d"};
+        listed.erase(std::string(1, static_cast<char>('a' + seed % 4)));
         std::map<std::string, Instant> cleanShutdownAt;
         Instant now = Start;
         int incarnation = 0;
@@ -697,7 +738,7 @@
             ProvisionalGrantPolicy &policy = nodes[name]->policy;
             GrantMarks &marks = nodes[name]->marks;
             if (listed.count(name) != 0 && !isFirst) {
-                marks.setHistory(heartbeats.at(name).next(marks.history().own.incarnation));
+                marks.setHistory(heartbeats.at(name).next(marks.history().own.incarnation), now);
             }
             heartbeats[name] = marks.history();
             policy.setRegistering();
