Make heartbeats and registrations depend on what they replace, and look for marks only when no more can come

They are conditional on the revisions seen now, so that a late one changes nothing; - an earlier incarnation that still runs (cut off or frozen, its successor at another address) could store a mark after the successor had looked for it.

--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -77,7 +77,7 @@
                  [this](const ProgramId &program) { return m_provisionalGrantPolicy.excludesUnrecordedGrants(program, suspendAwareNow()); },
                  [this](const IncarnationId &incarnation) { return m_members.mayBeAlive(incarnation); },
                  [this] { return m_grantMarks.mayGrant(suspendAwareNow()); },
-                 [this](std::function<void(bool)> onMarked) { m_grantMarks.store(suspendAwareNow(), std::move(onMarked)); }},
+                 [this](std::function<void(bool)> onMarked) { m_grantMarks.storeMark(suspendAwareNow(), std::move(onMarked)); }},
                 &m_witnesses)
     , m_archiveConnections(m_loop.context(), {MaxIdleConnectionsPerPeer, PeerAckTimeout})
     , m_replicatedTurnStore(m_loop.context(), m_members, m_archiveConnections, m_store, m_turnStore, m_settings.toleratedMachineFailures)
@@ -135,16 +135,23 @@
 
 InstanceRegistration::Hooks InstanceDaemon::registrationHooks()
 {
-    return {[this] { return m_grantMarks.history(); }, [this](GrantHistory history) { m_grantMarks.setHistory(std::move(history)); }};
+    return {[this] { return m_grantMarks.history(); }, [this](GrantHistory history, bool hasEnded) { onEarlierIncarnation(std::move(history), hasEnded); }};
 }
 
 GrantMarks::Hooks InstanceDaemon::grantMarkHooks()
 {
-    return {[this] { return m_members.isLoaded() && m_members.archives().empty(); },
+    return {[this] { return m_members.isLoaded() && !m_replicatedTurnStore.hasEnoughArchives(); },
             [this](std::function<void(bool)> onWritten) { writeGrantHistory(std::move(onWritten)); },
             [this] { m_provisionalGrantPolicy.setEarlierGrantsExcluded(); }};
 }
 
+// One that may still run makes no more grants once its member list, which lacks this incarnation, is too old.
+void InstanceDaemon::onEarlierIncarnation(GrantHistory history, bool hasEnded)
+{
+    const Instant now = suspendAwareNow();
+    m_grantMarks.setHistory(std::move(history), hasEnded ? now : now + MemberDirectory::MaxListAge);
+}
+
 void InstanceDaemon::writeGrantHistory(std::function<void(bool)> onWritten)
 {
     if (m_registration.isDeregistrationRequested()) {
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -42,6 +42,7 @@
     MemberRecord ownMemberRecord() const;
     InstanceRegistration::Hooks registrationHooks();
     GrantMarks::Hooks grantMarkHooks();
+    void onEarlierIncarnation(GrantHistory history, bool hasEnded);
     void writeGrantHistory(std::function<void(bool isWritten)> onWritten);
     void listen();
     void awaitSignals();
--- a/src/instance/instanceregistration.cpp
+++ b/src/instance/instanceregistration.cpp
@@ -2,7 +2,6 @@
 
 #include "core/log.h"
 #include "serving/cleanshutdownmarker.h"
-#include "serving/livenesstracker.h"
 
 #include <algorithm>
 #include <utility>
@@ -19,11 +18,11 @@
     return CleanShutdownMarker::KeyPrefix + instance.value();
 }
 
-/// The item's bytes; empty if the key is absent.
-std::string findItem(const std::vector<platform::StoreItem> &items, const std::string &key)
+/// The item with this key; one with revision 0 if it is absent.
+platform::StoreItem findItem(const std::vector<platform::StoreItem> &items, const std::string &key)
 {
-    const auto it = std::find_if(items.begin(), items.end(), [&](const platform::StoreItem &item) { return item.key == key && item.revision != 0; });
-    return it == items.end() ? std::string() : it->data;
+    const auto it = std::find_if(items.begin(), items.end(), [&](const platform::StoreItem &item) { return item.key == key; });
+    return it == items.end() ? platform::StoreItem() : *it;
 }
 } // namespace
 
@@ -63,19 +62,17 @@
     }
     m_isRegistering = true;
     m_members.put(m_self);
-    commit(true);
+    commit();
 }
 
 // The first try succeeds only if there is no earlier entry, so that it tells whether this machine is new. Otherwise it gets the earlier
 // incarnation's heartbeat.
-void InstanceRegistration::commit(bool mustBeNew)
+void InstanceRegistration::commit()
 {
     platform::StoreTransaction transaction = m_entry.registrationTransaction(m_self, m_hooks.history().encode());
     transaction.removals.push_back(shutdownMarkerKey(m_self.id));
-    if (mustBeNew) {
-        transaction.preconditions.push_back({MemberDirectory::KeyPrefix + m_self.id.value(), 0});
-        transaction.preconditions.push_back({LivenessTracker::HeartbeatPrefix + m_self.id.value(), 0});
-    }
+    transaction.preconditions.push_back({m_entry.entryKey(), m_revisions.entry});
+    transaction.preconditions.push_back({m_entry.heartbeatKey(), m_revisions.heartbeat});
     m_store.commit(transaction, [this](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
         if (!result) {
             logChange("registration-failed", "reason=\"{}\"", result.error().detail);
@@ -89,29 +86,33 @@
 void InstanceRegistration::onCommitted(const platform::TransactionResult &result)
 {
     if (result.isCommitted) {
+        m_revisions = {result.revision, result.revision};
         onRegistered();
         return;
     }
-    const std::string entry = findItem(result.currentItems, MemberDirectory::KeyPrefix + m_self.id.value());
-    const auto member = entry.empty() ? std::nullopt : MemberRecord::decode(m_self.id, entry);
+    const platform::StoreItem entry = findItem(result.currentItems, m_entry.entryKey());
+    const platform::StoreItem heartbeat = findItem(result.currentItems, m_entry.heartbeatKey());
+    m_revisions = {entry.revision, heartbeat.revision};
+    const auto member = entry.revision == 0 ? std::nullopt : MemberRecord::decode(m_self.id, entry.data);
     const bool isOwn = member && member->incarnation == m_self.incarnation;
     if (isOwn && !member->isPresumedDead) {
         onRegistered(); // By an earlier try whose response was lost.
         return;
     }
-    if (!isOwn) {
-        onEarlierEntry(findItem(result.currentItems, LivenessTracker::HeartbeatPrefix + m_self.id.value()));
+    if (!isOwn && (entry.revision != 0 || heartbeat.revision != 0)) {
+        onEarlierEntry(member, heartbeat.data);
     }
-    commit(false);
+    commit();
 }
 
-void InstanceRegistration::onEarlierEntry(const std::string &heartbeat)
+void InstanceRegistration::onEarlierEntry(const std::optional<MemberRecord> &member, const std::string &heartbeat)
 {
     if (std::exchange(m_hadEarlierEntry, true)) {
         return;
     }
     const auto earlier = heartbeat.empty() ? std::nullopt : GrantHistory::decode(heartbeat);
-    m_hooks.onEarlierIncarnation(earlier ? earlier->next(m_self.incarnation) : GrantHistory::afterUnknown(m_self.incarnation));
+    const bool hasEnded = member && member->peerAddress.text() == m_self.peerAddress.text();
+    m_hooks.onEarlierIncarnation(earlier ? earlier->next(m_self.incarnation) : GrantHistory::afterUnknown(m_self.incarnation), hasEnded);
 }
 
 void InstanceRegistration::onRegistered()
@@ -131,7 +132,36 @@
 
 void InstanceRegistration::sendHeartbeat(std::function<void(bool)> onWritten)
 {
-    m_entry.sendHeartbeat(m_hooks.history().encode(), std::move(onWritten));
+    if (m_isRegistering) {
+        onWritten(false);
+        return;
+    }
+    platform::StoreTransaction transaction;
+    transaction.writes.push_back({m_entry.heartbeatKey(), m_hooks.history().encode()});
+    transaction.preconditions.push_back({m_entry.heartbeatKey(), m_revisions.heartbeat});
+    m_store.commit(transaction, [this, onWritten = std::move(onWritten)](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
+        if (!result) {
+            logChange("heartbeat-not-written", "reason=\"{}\"", result.error().detail);
+        }
+        onWritten(result && onHeartbeatCommitted(*result));
+    });
+}
+
+// Returns whether the heartbeat was written. After an earlier one whose response was lost, the next try succeeds.
+bool InstanceRegistration::onHeartbeatCommitted(const platform::TransactionResult &result)
+{
+    if (result.isCommitted) {
+        m_revisions.heartbeat = result.revision;
+        return true;
+    }
+    const platform::StoreItem heartbeat = findItem(result.currentItems, m_entry.heartbeatKey());
+    const auto history = heartbeat.revision == 0 ? std::nullopt : GrantHistory::decode(heartbeat.data);
+    const bool isOwn = history && history->own.incarnation == m_self.incarnation;
+    if (isOwn) {
+        m_revisions.heartbeat = heartbeat.revision;
+    }
+    logChange("heartbeat-conflict", "revision={} is_own={}", heartbeat.revision, isOwn);
+    return false;
 }
 
 void InstanceRegistration::tryDeregister(bool hasProvisionalGrants)
--- a/src/instance/instanceregistration.h
+++ b/src/instance/instanceregistration.h
@@ -15,7 +15,9 @@
 public:
     struct Hooks {
         std::function<GrantHistory()> history; ///< The content of heartbeats.
-        std::function<void(GrantHistory history)> onEarlierIncarnation; ///< There was one: the history to go on with.
+        /// There was an earlier incarnation: the history to go on with, and whether it listened at the same address, so that it has
+        /// ended for certain.
+        std::function<void(GrantHistory history, bool hasEnded)> onEarlierIncarnation;
     };
 
     /// self is this process's entry.
@@ -42,11 +44,18 @@
     bool isDeregistrationRequested() const;
 
 private:
+    /// Of this process's keys, as last seen. Writes depend on them, so that one which arrives late changes nothing.
+    struct Revisions {
+        platform::Revision entry = 0;
+        platform::Revision heartbeat = 0;
+    };
+
     void registerMember();
-    void commit(bool mustBeNew);
+    void commit();
     void onCommitted(const platform::TransactionResult &result);
-    void onEarlierEntry(const std::string &heartbeat);
+    void onEarlierEntry(const std::optional<MemberRecord> &member, const std::string &heartbeat);
     void onRegistered();
+    bool onHeartbeatCommitted(const platform::TransactionResult &result);
 
     const MemberRecord m_self;
     platform::PlatformStore &m_store;
@@ -55,6 +64,7 @@
     ProvisionalGrantPolicy &m_grantPolicy;
     Hooks m_hooks;
     MemberRegistration m_entry;
+    Revisions m_revisions;
     bool m_hadEarlierEntry = false; ///< Of an earlier incarnation.
     bool m_isRegistering = true; ///< Until the store has accepted the entry.
     bool m_isDeregistrationRequested = false;
--- a/src/persistence/memberregistration.cpp
+++ b/src/persistence/memberregistration.cpp
@@ -16,34 +16,43 @@
 {
 }
 
+std::string MemberRegistration::entryKey() const
+{
+    return MemberDirectory::KeyPrefix + m_id.value();
+}
+
+std::string MemberRegistration::heartbeatKey() const
+{
+    return LivenessTracker::HeartbeatPrefix + m_id.value();
+}
+
 platform::StoreTransaction MemberRegistration::registrationTransaction(const MemberRecord &member, const std::string &heartbeat) const
 {
     platform::StoreTransaction transaction;
-    transaction.writes = {{MemberDirectory::KeyPrefix + m_id.value(), member.encode()}, {LivenessTracker::HeartbeatPrefix + m_id.value(), heartbeat}};
+    transaction.writes = {{entryKey(), member.encode()}, {heartbeatKey(), heartbeat}};
     return transaction;
 }
 
-void MemberRegistration::sendHeartbeat(const std::string &heartbeat, std::function<void(bool)> onWritten)
+void MemberRegistration::sendHeartbeat()
 {
     platform::StoreTransaction transaction;
-    transaction.writes.push_back({LivenessTracker::HeartbeatPrefix + m_id.value(), heartbeat});
-    commit(transaction, "heartbeat-not-written", std::move(onWritten));
+    transaction.writes.push_back({heartbeatKey(), m_id.value()});
+    commit(transaction, "heartbeat-not-written");
 }
 
 void MemberRegistration::deregister(platform::StoreTransaction transaction)
 {
-    transaction.removals.push_back(MemberDirectory::KeyPrefix + m_id.value());
-    transaction.removals.push_back(LivenessTracker::HeartbeatPrefix + m_id.value());
-    commit(transaction, "deregistration-failed", [](bool) {});
+    transaction.removals.push_back(entryKey());
+    transaction.removals.push_back(heartbeatKey());
+    commit(transaction, "deregistration-failed");
 }
 
-void MemberRegistration::commit(const platform::StoreTransaction &transaction, const char *failureEvent, std::function<void(bool)> onEnded)
+void MemberRegistration::commit(const platform::StoreTransaction &transaction, const char *failureEvent)
 {
-    m_store.commit(transaction, [failureEvent, onEnded = std::move(onEnded)](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
+    m_store.commit(transaction, [failureEvent](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
         if (!result) {
             logChange(failureEvent, "reason=\"{}\"", result.error().detail);
         }
-        onEnded(result.has_value());
     });
 }
 
--- a/src/persistence/memberregistration.h
+++ b/src/persistence/memberregistration.h
@@ -17,19 +17,21 @@
 public:
     MemberRegistration(platform::PlatformStore &store, InstanceId id);
 
-    /// A transaction that writes the entry and a heartbeat, which has this content for the member's next incarnation.
-    platform::StoreTransaction registrationTransaction(const MemberRecord &member, const std::string &heartbeat = {}) const;
+    /// The keys of the entry and of the heartbeat.
+    std::string entryKey() const;
+    std::string heartbeatKey() const;
 
-    /// Writes a heartbeat. A failure is logged, and the handler is told.
-    void sendHeartbeat(
-        const std::string &heartbeat = {},
-        std::function<void(bool isWritten)> onWritten = [](bool) {});
+    /// A transaction that writes the entry and a heartbeat with this content.
+    platform::StoreTransaction registrationTransaction(const MemberRecord &member, const std::string &heartbeat) const;
+
+    /// Writes a heartbeat; a failure is logged.
+    void sendHeartbeat();
 
     /// Commits the transaction with the removal of the entry and the heartbeat added; a failure is logged.
     void deregister(platform::StoreTransaction transaction);
 
 private:
-    void commit(const platform::StoreTransaction &transaction, const char *failureEvent, std::function<void(bool isCommitted)> onEnded);
+    void commit(const platform::StoreTransaction &transaction, const char *failureEvent);
 
     platform::PlatformStore &m_store;
     InstanceId m_id;
--- a/src/persistence/replicatedturnstore.cpp
+++ b/src/persistence/replicatedturnstore.cpp
@@ -117,6 +117,16 @@
     });
 }
 
+bool ReplicatedTurnStore::hasEnoughArchives() const
+{
+    const std::vector<MemberRecord> archives = m_members.rankedListedArchives({}, std::chrono::steady_clock::now());
+    std::set<DomainId> domains;
+    for (const MemberRecord &archive : archives) {
+        domains.insert(archive.domain);
+    }
+    return archives.size() >= m_replicaCount && domains.size() >= MinDomains;
+}
+
 // Returns nothing if there aren't enough archives. In an outage of the store there is no other place for the turn, so archives that
 // have just failed are tried as well, with one spare for each replica.
 std::vector<MemberRecord> ReplicatedTurnStore::chooseArchives(const RequestId &turn) const
--- a/src/persistence/replicatedturnstore.h
+++ b/src/persistence/replicatedturnstore.h
@@ -28,6 +28,9 @@
     /// The result is Absent only when the store and every archive say so, and the store lists no archive that was not queried.
     void load(const RequestId &id, std::function<void(TurnLookup)> onLoaded) override;
 
+    /// Whether enough archives are listed, reachable or not, to hold a turn without the store.
+    bool hasEnoughArchives() const;
+
 private:
     struct PendingSave;
     struct PendingLoad;
--- a/src/serving/granthistory.h
+++ b/src/serving/granthistory.h
@@ -12,7 +12,7 @@
 namespace flamingo
 {
 
-/// Numbers the times at which an incarnation had recorded all its provisional grants.
+/// A span of an incarnation's life. The next one begins when all provisional grants of this one are recorded.
 using GrantPeriod = StrongId<struct GrantPeriodTag, std::uint64_t>;
 
 /// What an instance's heartbeat tells its next incarnation: which marks to look for, to find out whether there may be provisional
--- a/src/serving/grantmarks.cpp
+++ b/src/serving/grantmarks.cpp
@@ -11,7 +11,7 @@
 
 namespace
 {
-/// A mark is kept at least this long, and no grant is based on an older one.
+/// No grant is based on an older mark; the store keeps it for twice as long.
 constexpr Milliseconds MarkRetention{3600000};
 /// A period ends no sooner after its mark was stored, so that a store which fails now and then doesn't get a heartbeat each time.
 constexpr Milliseconds MinPeriodAge{15000};
@@ -19,8 +19,8 @@
 constexpr Milliseconds MaxLookupDelay{8000};
 } // namespace
 
-GrantMarks::GrantMarks(const IncarnationId &self, TurnStore &marks, Hooks hooks, Instant startedAt)
-    : m_marks(marks)
+GrantMarks::GrantMarks(const IncarnationId &self, TurnStore &turnStore, Hooks hooks, Instant startedAt)
+    : m_turnStore(turnStore)
     , m_hooks(std::move(hooks))
     , m_startedAt(startedAt)
     , m_lookupDelay(FirstLookupDelay)
@@ -28,9 +28,12 @@
     m_history.own.incarnation = self;
 }
 
-void GrantMarks::setHistory(GrantHistory history)
+void GrantMarks::setHistory(GrantHistory history, Instant lookUpAt)
 {
     m_history = std::move(history);
+    m_markedAt.reset();
+    m_mayGrantUnmarked = false;
+    m_nextLookupAt = lookUpAt;
 }
 
 const GrantHistory &GrantMarks::history() const
@@ -43,7 +46,7 @@
     return m_mayGrantUnmarked || (m_markedAt && now - *m_markedAt < MarkRetention);
 }
 
-void GrantMarks::store(Instant now, std::function<void(bool)> onStored)
+void GrantMarks::storeMark(Instant now, std::function<void(bool)> onStored)
 {
     if (mayGrant(now)) {
         onStored(true);
@@ -56,7 +59,7 @@
     TurnRecord mark;
     mark.id = m_history.own.markId();
     mark.retention = MarkRetention;
-    m_marks.save(std::make_shared<const TurnRecord>(std::move(mark)), [this, now](bool isStored) { onMarkStored(isStored, now); });
+    m_turnStore.save(std::make_shared<const TurnRecord>(std::move(mark)), [this, now](bool isStored) { onMarkStored(isStored, now); });
 }
 
 void GrantMarks::onMarkStored(bool isStored, Instant now)
@@ -83,10 +86,10 @@
     lookUpEarlier(now);
     const bool mayEndPeriod = !hasUnrecordedGrants && m_waiting.empty();
     const bool isMarkDone = m_markedAt && now - *m_markedAt >= MinPeriodAge;
-    if (m_history.own.marksGrants && !m_markedAt && m_waiting.empty() && lacksArchives(now)) {
+    if (m_history.own.marksGrants && !m_markedAt && m_waiting.empty() && hasTooFewArchives(now)) {
         m_history.own.marksGrants = false;
         m_isHistoryWritten = false;
-    } else if (mayEndPeriod && (isMarkDone || (!m_history.own.marksGrants && !m_hooks.hasNoArchives()))) {
+    } else if (mayEndPeriod && (isMarkDone || (!m_history.own.marksGrants && !m_hooks.lacksArchives()))) {
         endPeriod();
     }
     if (!m_isHistoryWritten) {
@@ -95,9 +98,9 @@
 }
 
 // Archives may register a little later than the first instances.
-bool GrantMarks::lacksArchives(Instant now) const
+bool GrantMarks::hasTooFewArchives(Instant now) const
 {
-    return now - m_startedAt >= ProvisionalGrantPolicy::DiscoveryTime && m_hooks.hasNoArchives();
+    return now - m_startedAt >= ProvisionalGrantPolicy::DiscoveryTime && m_hooks.lacksArchives();
 }
 
 // As long as the store may have the ended period, its mark is found there, so that the next incarnation excludes nothing.
@@ -126,16 +129,16 @@
 void GrantMarks::lookUpEarlier(Instant now)
 {
     const std::vector<GrantHistory::Entry> &earlier = m_history.earlier;
-    if (earlier.empty() || !m_history.isComplete || m_isLookingUp || m_hasFoundMark || now < m_nextLookupAt) {
+    if (earlier.empty() || !m_history.isComplete || m_isLookingUp || m_mayHaveEarlierGrants || now < m_nextLookupAt) {
         return;
     }
     const GrantHistory::Entry entry = earlier.front();
     if (!entry.marksGrants) {
-        m_hasFoundMark = true;
+        m_mayHaveEarlierGrants = true;
         return;
     }
     m_isLookingUp = true;
-    m_marks.load(entry.markId(), [this, entry, now](const TurnLookup &lookup) { onLookedUp(entry, lookup.status, now); });
+    m_turnStore.load(entry.markId(), [this, entry, now](const TurnLookup &lookup) { onLookedUp(entry, lookup.status, now); });
 }
 
 void GrantMarks::onLookedUp(const GrantHistory::Entry &entry, TurnLookup::Status status, Instant now)
@@ -147,8 +150,8 @@
         return;
     }
     logChange("earlier-grants", "incarnation={} period={} marked={}", entry.incarnation.value(), entry.period.value(), status == TurnLookup::Status::Found);
-    m_hasFoundMark = status == TurnLookup::Status::Found;
-    if (m_hasFoundMark || m_history.earlier.empty()) {
+    m_mayHaveEarlierGrants = status == TurnLookup::Status::Found;
+    if (m_mayHaveEarlierGrants || m_history.earlier.empty()) {
         return;
     }
     m_history.earlier.erase(m_history.earlier.begin());
--- a/src/serving/grantmarks.h
+++ b/src/serving/grantmarks.h
@@ -16,28 +16,29 @@
 /// grants are recorded, the heartbeat names the next period, which has no mark yet. The next incarnation finds incarnation and period in
 /// the heartbeat and looks for the mark: without one, no grant was made.
 ///
-/// Where there are no archives nothing can be stored in an outage. Grants are then made without marks, once the heartbeat says so.
+/// Where there are too few archives nothing can be stored in an outage. The heartbeat then announces grants without marks, and these are
+/// made once the store has confirmed it.
 class GrantMarks
 {
 public:
     struct Hooks {
-        std::function<bool()> hasNoArchives; ///< The member list was read, and it names no archive.
+        std::function<bool()> lacksArchives; ///< The member list was read, and it names too few archives to store a mark.
         /// Writes a heartbeat with the present history. The handler is told whether the store has confirmed it.
         std::function<void(std::function<void(bool isWritten)> onWritten)> writeHeartbeat;
         std::function<void()> onEarlierExcluded; ///< No earlier incarnation has grants that aren't recorded.
     };
 
-    GrantMarks(const IncarnationId &self, TurnStore &marks, Hooks hooks, Instant startedAt);
+    GrantMarks(const IncarnationId &self, TurnStore &turnStore, Hooks hooks, Instant startedAt);
 
-    /// Takes the history that the store has of earlier incarnations.
-    void setHistory(GrantHistory history);
+    /// Takes the history that the store has of earlier incarnations. These can make no more grants from lookUpAt on.
+    void setHistory(GrantHistory history, Instant lookUpAt);
     const GrantHistory &history() const;
 
     /// Whether provisional grants may be made now.
     bool mayGrant(Instant now) const;
 
     /// Stores the mark of the present period. The handler is told whether grants may be made.
-    void store(Instant now, std::function<void(bool mayGrant)> onStored);
+    void storeMark(Instant now, std::function<void(bool mayGrant)> onStored);
 
     /// Looks for marks of earlier incarnations, and ends the period when all its grants are recorded. Called every few hundred
     /// milliseconds.
@@ -45,13 +46,13 @@
 
 private:
     void onMarkStored(bool isStored, Instant now);
-    bool lacksArchives(Instant now) const;
+    bool hasTooFewArchives(Instant now) const;
     void endPeriod();
     void writeHistory();
     void lookUpEarlier(Instant now);
     void onLookedUp(const GrantHistory::Entry &entry, TurnLookup::Status status, Instant now);
 
-    TurnStore &m_marks;
+    TurnStore &m_turnStore;
     Hooks m_hooks;
     const Instant m_startedAt;
     GrantHistory m_history;
@@ -61,7 +62,7 @@
     bool m_isWriting = false;
     bool m_mayGrantUnmarked = false;
     bool m_isLookingUp = false;
-    bool m_hasFoundMark = false;
+    bool m_mayHaveEarlierGrants = false; ///< A mark was found, or grants without marks were announced.
     Instant m_nextLookupAt{};
     Milliseconds m_lookupDelay;
 };
--- a/tests/platform/persistencetest.cpp
+++ b/tests/platform/persistencetest.cpp
@@ -1,4 +1,5 @@
 #include "core/loopthread.h"
+#include "instance/instanceregistration.h"
 #include "instance/registrywatcher.h"
 #include "persistence/garbagecollector.h"
 #include "persistence/replicatedturnstore.h"
@@ -81,6 +82,62 @@
     CHECK(load("t1").status == TurnLookup::Status::Unknown);
 }
 
+// Guards against a heartbeat that arrives late and names an incarnation whose marks for provisional grants no longer tell enough.
+TEST_CASE_METHOD(Fixture, "An earlier incarnation doesn't overwrite the heartbeat of a later one", "[platform]")
+{
+    struct Registered {
+        Registered(Fixture &fixture, const std::string &incarnation, const SocketAddress &address)
+            : policy(fixture.members, std::chrono::steady_clock::now())
+            , registration({InstanceId("edge-1"), DomainId("zone-1"), address, IncarnationId(incarnation)},
+                           fixture.client,
+                           fixture.loop.loop.timers(),
+                           fixture.members,
+                           policy,
+                           {[this] { return history; },
+                            [this](GrantHistory it, bool hasEnded) {
+                                history = std::move(it);
+                                hasEarlierEnded = hasEnded;
+                            }})
+        {
+            history.own.incarnation = IncarnationId(incarnation);
+        }
+
+        ProvisionalGrantPolicy policy;
+        GrantHistory history;
+        bool hasEarlierEnded = false;
+        InstanceRegistration registration;
+    };
+    const std::string heartbeatKey = LivenessTracker::HeartbeatPrefix + std::string("edge-1");
+    const auto writer = [&] {
+        const auto history = GrantHistory::decode(store.get(heartbeatKey));
+        return history ? history->own.incarnation.value() : std::string();
+    };
+    const auto sendHeartbeat = [&](Registered &it) {
+        std::promise<bool> result;
+        asio::post(loop.loop.context(), [&] { it.registration.sendHeartbeat([&](bool isWritten) { result.set_value(isWritten); }); });
+        return result.get_future().get();
+    };
+    const auto start = [&](Registered &it) {
+        loop.call([&] {
+            it.registration.start();
+            return true;
+        });
+    };
+    Registered first(*this, "first", {"127.0.0.1", 1});
+    Registered second(*this, "second", {"127.0.0.1", 2});
+    start(first);
+    REQUIRE(eventually([&] { return writer() == "first"; }));
+    CHECK(eventually([&] { return sendHeartbeat(first); }));
+    start(second);
+    REQUIRE(eventually([&] { return writer() == "second"; }));
+    CHECK_FALSE(sendHeartbeat(first));
+    CHECK(writer() == "second");
+    CHECK(eventually([&] { return sendHeartbeat(second); }));
+    CHECK(second.history.earlier.size() == 1);
+    CHECK_FALSE(second.hasEarlierEnded); // It may still run at its own address.
+    loop.stop();
+}
+
 TEST_CASE_METHOD(Fixture, "A member without heartbeats is marked as dead, then removed; one with heartbeats stays", "[platform]")
 {
     const std::string dead = MemberDirectory::KeyPrefix + std::string("storage-1");
--- a/tests/platform/restartbudgettest.cpp
+++ b/tests/platform/restartbudgettest.cpp
@@ -38,6 +38,12 @@
     return fmt::format("p{}", n);
 }
 
+std::string turnRequest(const std::string &program, int turn, int attempt)
+{
+    const std::string headerLines = fmt::format("X-Program-Id: {}\r\nX-Token-Budget: {}\r\nX-Token-Usage: 100,{}\r\n", program, Budget, MaxTokensOfTurn);
+    return callerRequest("/stream/x", fmt::format("{}-{}-{}", program, turn, attempt), headerLines);
+}
+
 /// Three instances and three archives in front of one endpoint that generates the same number of tokens in each turn.
 struct Fixture {
     Fixture()
@@ -89,10 +95,7 @@
     CallerResponse sendTurn(const std::string &program, int turn, int attempt)
     {
         const TestInstance &instance = *instances[firstUsed + nextInstance++ % (instances.size() - firstUsed)];
-        return instance.send(
-            callerRequest("/stream/x",
-                          fmt::format("{}-{}-{}", program, turn, attempt),
-                          fmt::format("X-Program-Id: {}\r\nX-Token-Budget: {}\r\nX-Token-Usage: 100,{}\r\n", program, Budget, MaxTokensOfTurn)));
+        return instance.send(turnRequest(program, turn, attempt));
     }
 
     /// Sends turns of a program one after the other, each up to six times over three seconds. Returns how many were served.
@@ -157,6 +160,24 @@
 }
 } // namespace
 
+TEST_CASE("Programs can begin in an outage where there are too few archives for a mark", "[platform]")
+{
+    constexpr Milliseconds DiscoveryTime{7000};
+    constexpr int FewPrograms = 4;
+    KvStandIn store;
+    ScriptedEndpoint endpoint{respondWithTurn};
+    store.put("op/config", testConfiguration(1));
+    registerEndpoint(store, "i-1", endpoint);
+    const TestArchive archive(store, 1);
+    const TestInstance instance(store, 1);
+    REQUIRE(instance.awaitReady());
+    std::this_thread::sleep_for(DiscoveryTime);
+    store.setFault(KvStandIn::Fault::Unavailable);
+    for (int n = 0; n < FewPrograms; ++n) {
+        CHECK(instance.send(turnRequest(programName(n), 1, 1)).status == 200);
+    }
+}
+
 TEST_CASE_METHOD(Fixture, "Programs that begin with the first start can use their whole budget", "[platform][restart][first-start]")
 {
     CHECK(countBelow(runAll(1, Turns), Turns) == 0);
