--- a/src/serving/budgetledger.cpp
+++ b/src/serving/budgetledger.cpp
@@ -115,7 +115,9 @@
     if (!account.isBusy()) {
         account.consecutiveFailures = 0;
         account.lostWitnesses = 0;
-        requestTokens(account);
+        if (!m_checks.isStoreUnreachable() || !awaitGrantMark(account)) {
+            requestTokens(account);
+        }
     }
 }
 
