Run timers in time in a process that always has something to read or write

Callers of an instance that other callers kept busy got nothing when their time was over: a request whose endpoint never answers, with a deadline of 3 s, was unanswered after 4.5 s. In a planned stop such an instance went on taking connections up to its end, and cut off what was in progress then.

Cause: EventLoop::run() called io_context::poll(), which returns only when no handler is ready, and looked at the timers after that. With enough callers there is always one. Deadlines, heartbeats, the dispatch timer and the steps of a planned stop all waited.

Change: at most 64 handlers run between two looks at the timers. A second unit test guards the other direction, sockets that starve because a timer is always due.

--- a/src/core/eventloop.cpp
+++ b/src/core/eventloop.cpp
@@ -3,6 +3,12 @@
 namespace flamingo
 {
 
+namespace
+{
+/// Handlers that run between two looks at the timers, since sockets of a busy process may always have one ready.
+constexpr int MaxHandlersPerRound = 64;
+} // namespace
+
 asio::io_context &EventLoop::context()
 {
     return m_context;
@@ -18,11 +24,19 @@
     const auto guard = asio::make_work_guard(m_context);
     while (!m_isStopping) {
         m_context.run_one_until(m_timers.nextDue(std::chrono::steady_clock::now()));
-        m_context.poll();
+        runReadyHandlers();
         m_timers.advance(std::chrono::steady_clock::now());
     }
 }
 
+void EventLoop::runReadyHandlers()
+{
+    int count = 0;
+    while (count < MaxHandlersPerRound && m_context.poll_one() > 0) {
+        ++count;
+    }
+}
+
 void EventLoop::stop()
 {
     m_isStopping = true;
--- a/src/core/eventloop.h
+++ b/src/core/eventloop.h
@@ -21,6 +21,8 @@
     void stop();
 
 private:
+    void runReadyHandlers();
+
     asio::io_context m_context{1};
     TimerService m_timers;
     bool m_isStopping = false;
--- a/tests/platform/testinstance.cpp
+++ b/tests/platform/testinstance.cpp
@@ -16,7 +16,6 @@
 
 namespace
 {
-constexpr int CallersPort = 18149;
 constexpr int ReadyPort = 18141;
 constexpr int MetricsPort = 9464;
 constexpr int SlowReceiveBuffer = 16384;
@@ -46,7 +45,7 @@
 )",
                        number,
                        ip,
-                       CallersPort,
+                       TestInstance::CallersPort,
                        ReadyPort,
                        TestInstance::PeerPort,
                        store.text(),
@@ -118,7 +117,7 @@
     : m_private(std::make_unique<Private>())
 {
     m_private->readPause = readPause;
-    m_private->socket = connectTo(m_private->context, ip, CallersPort, readPause.count() > 0 ? SlowReceiveBuffer : 0);
+    m_private->socket = connectTo(m_private->context, ip, TestInstance::CallersPort, readPause.count() > 0 ? SlowReceiveBuffer : 0);
     asio::error_code ec;
     m_private->socket.remote_endpoint(ec);
     m_private->wasConnected = !ec;
@@ -249,7 +248,7 @@
 void TestInstance::sendAndDisconnect(const std::string &bytes, Milliseconds after) const
 {
     asio::io_context context;
-    auto socket = connectTo(context, m_ip, CallersPort);
+    auto socket = connectTo(context, m_ip, TestInstance::CallersPort);
     asio::error_code ignored;
     asio::write(socket, asio::buffer(bytes), ignored);
     std::this_thread::sleep_for(after);
--- a/tests/platform/testinstance.h
+++ b/tests/platform/testinstance.h
@@ -46,6 +46,9 @@
     /// Where instances listen for their peers.
     static constexpr std::uint16_t PeerPort = 18144;
 
+    /// Where instances listen for callers.
+    static constexpr std::uint16_t CallersPort = 18149;
+
     /// toleratedMachines is the number of machines with disks that may be lost at once. Without a domain, each instance has one of
     /// its own.
     TestInstance(const KvStandIn &store, int number, int toleratedMachines = 1);
--- a/tests/unit/coretest.cpp
+++ b/tests/unit/coretest.cpp
@@ -1,5 +1,6 @@
 #include "core/boundedqueue.h"
 #include "core/error.h"
+#include "core/eventloop.h"
 #include "core/metrics.h"
 #include "core/settingsreader.h"
 #include "core/timerservice.h"
@@ -11,7 +12,9 @@
 
 #include <cstdio>
 #include <fstream>
+#include <functional>
 #include <sstream>
+#include <thread>
 
 using namespace flamingo;
 
@@ -135,3 +138,46 @@
     }
     REQUIRE(got == "one;two;");
 }
+
+// Guards against timers that wait until all sockets are idle.
+TEST_CASE("Timers run in time though there is always a handler to run", "[core]")
+{
+    constexpr Milliseconds TimerDelay{20};
+    constexpr Milliseconds BusyTime{1000};
+    constexpr Milliseconds Tolerance{300};
+    EventLoop loop;
+    const Instant start = std::chrono::steady_clock::now();
+    std::function<void()> keepBusy = [&] {
+        if (std::chrono::steady_clock::now() < start + BusyTime) {
+            asio::post(loop.context(), keepBusy);
+        }
+    };
+    asio::post(loop.context(), keepBusy);
+    Instant ranAt;
+    loop.timers().at(start + TimerDelay, [&](Instant) {
+        ranAt = std::chrono::steady_clock::now();
+        loop.stop();
+    });
+    loop.run();
+    CHECK(ranAt - start < TimerDelay + Tolerance);
+}
+
+// Guards against sockets that are never served because a timer is always due.
+TEST_CASE("Handlers run though there is always a timer due", "[core]")
+{
+    EventLoop loop;
+    const Instant start = std::chrono::steady_clock::now();
+    constexpr Milliseconds Limit{1000};
+    bool hasRun = false;
+    std::function<void(Instant)> keepDue = [&](Instant now) {
+        if (hasRun || now > start + Limit) {
+            loop.stop();
+        }
+        // The work takes longer than until the next timer.
+        std::this_thread::sleep_for(Milliseconds(2));
+    };
+    loop.timers().every(start, Milliseconds(1), keepDue);
+    loop.timers().at(start + Milliseconds(10), [&](Instant) { asio::post(loop.context(), [&] { hasRun = true; }); });
+    loop.run();
+    CHECK(hasRun);
+}
