Answer requests on connections that were accepted just before an instance closes its port

Callers that opened a connection and sent a request 2.6 s after the begin of a planned stop got no byte of an answer, in some cases.

Cause, by reading: at that time the instance closed its listening socket, and the system resets the connections that wait there to be accepted, whose callers may have sent requests. It closed idle connections in the same step, also those that had been open for less than a millisecond, or whose request lay unread in the socket.

What remains: a connection that is made between the last accept and the close of the socket, two system calls later.

--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -25,6 +25,8 @@
 /// Callers may reuse a connection until the idle timeout, so the server closes it a little later.
 constexpr Milliseconds IdleTimeoutMargin{500};
 constexpr int ListenBacklog = 1024;
+/// A request may be on its way on a connection that has been idle, or open, for less than this.
+constexpr Milliseconds MinIdleTime{100};
 } // namespace
 
 ServerConnection::ServerConnection(asio::ip::tcp::socket socket, const ServerHooks &hooks)
@@ -223,7 +225,14 @@
 
 void ServerConnection::closeIfIdle()
 {
-    if (isIdle()) {
+    if (!isIdle()) {
+        return;
+    }
+    // The timer of an idle connection was set when it became idle.
+    const Instant idleSince = m_timer.expiry() - m_limits.idleTimeout - IdleTimeoutMargin;
+    asio::error_code ignored;
+    const bool hasUnreadBytes = m_socket.available(ignored) > 0;
+    if (!hasUnreadBytes && std::chrono::steady_clock::now() - idleSince >= MinIdleTime) {
         beginLingeringClose();
     }
 }
@@ -376,8 +385,18 @@
     accept();
 }
 
+// Connections that wait to be accepted would be reset, though their callers may have sent requests already.
 void ServerListener::close()
 {
+    asio::error_code ec;
+    m_acceptor.non_blocking(true, ec);
+    while (!ec) {
+        asio::ip::tcp::socket socket(m_context);
+        m_acceptor.accept(socket, ec);
+        if (!ec) {
+            m_onAccept(std::move(socket));
+        }
+    }
     asio::error_code ignored;
     m_acceptor.close(ignored);
     m_retryTimer.cancel();
@@ -385,6 +404,9 @@
 
 void ServerListener::accept()
 {
+    if (!m_acceptor.is_open()) {
+        return;
+    }
     m_acceptor.async_accept([this](const asio::error_code &ec, asio::ip::tcp::socket socket) {
         if (ec == asio::error::operation_aborted) {
             return;
