An archive replaced at its address counts as one replica

Callers could get a turn whole that was on two disks where three are required. When an archive is replaced under another name at the same address, the store lists both names until the old one is presumed dead, and during an outage of the store for longer. The instance chose both entries, sent the turn to the same disk twice and counted two replicas.

Evidence: the new test lists two names at one address and one other archive, with two machines that may be lost and the store away.

Archives are now chosen by distinct addresses. With too few of them the turn goes to the store, or isn't reported as kept.

--- a/src/persistence/replicatedturnstore.cpp
+++ b/src/persistence/replicatedturnstore.cpp
@@ -8,8 +8,10 @@
 #include <asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace flamingo
@@ -30,6 +32,16 @@
 constexpr std::size_t SparesFactor = 2;
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
+
+/// The store may still list an archive that was replaced under another name; both entries lead to the same disk.
+std::vector<MemberRecord> withDistinctAddresses(const std::vector<MemberRecord> &archives)
+{
+    std::set<std::string> addresses;
+    const auto isRepeated = [&](const MemberRecord &it) { return !addresses.insert(it.peerAddress.text()).second; };
+    std::vector<MemberRecord> distinct;
+    std::remove_copy_if(archives.begin(), archives.end(), std::back_inserter(distinct), isRepeated);
+    return distinct;
+}
 } // namespace
 
 struct ReplicatedTurnStore::PendingSave {
@@ -122,7 +134,7 @@
 std::vector<MemberRecord> ReplicatedTurnStore::chooseArchives(const RequestId &turn) const
 {
     const Instant now = std::chrono::steady_clock::now();
-    std::vector<MemberRecord> archives = m_members.rankedArchives(turn.value(), now);
+    std::vector<MemberRecord> archives = withDistinctAddresses(m_members.rankedArchives(turn.value(), now));
     if (archives.size() >= m_replicaCount && archives[0].domain != archives[1].domain) {
         archives.resize(m_replicaCount);
         return archives;
@@ -130,7 +142,7 @@
     if (!m_platformStore.hasRecentFailure()) {
         return {};
     }
-    archives = m_members.rankedListedArchives(turn.value(), now);
+    archives = withDistinctAddresses(m_members.rankedListedArchives(turn.value(), now));
     archives.resize(std::min(archives.size(), SparesFactor * m_replicaCount));
     return archives;
 }
--- a/tests/platform/archivetest.cpp
+++ b/tests/platform/archivetest.cpp
@@ -328,3 +328,26 @@
         CHECK_FALSE(instance.send(turnRequest("o" + std::to_string(n), {}, "x")).isComplete);
     }
 }
+
+// Guards against an archive that counts twice because it took the address of a lost one, whose entry is still in the store.
+TEST_CASE("A replaced archive at the same address doesn't count as a second replica", "[platform]")
+{
+    constexpr int ToleratedMachines = 2;
+    KvStandIn store;
+    ScriptedEndpoint endpoint(respondWithEvent);
+    const auto confirm = [](Connection &connection, const ReceivedRequest &) { connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"); };
+    ScriptedEndpoint replaced(confirm);
+    ScriptedEndpoint other(confirm);
+    registerArchive(store, "storage-5", "y", replaced.address());
+    registerArchive(store, "storage-6", "y", replaced.address());
+    registerArchive(store, "storage-7", "z", other.address());
+    store.put("op/config", testConfiguration(1));
+    registerEndpoint(store, "i-1", endpoint);
+    const TestInstance instance(store, 1, ToleratedMachines);
+    REQUIRE(instance.awaitReady());
+    REQUIRE(eventually([&] { return instance.log().find("listed prefix=instance/") != std::string::npos; }));
+    store.setFault(KvStandIn::Fault::Unavailable);
+    for (int n = 0; n < 3; ++n) {
+        CHECK_FALSE(instance.send(turnRequest("r" + std::to_string(n), {}, "x")).isComplete);
+    }
+}
