--- a/tests/harness/childprocess.cpp
+++ b/tests/harness/childprocess.cpp
@@ -13,18 +13,32 @@
 namespace flamingo
 {
 
-ChildProcess::ChildProcess(const std::vector<std::string> &command, const std::string &logFile)
+namespace
 {
-    std::vector<char *> arguments;
-    for (const std::string &word : command) {
-        arguments.push_back(const_cast<char *>(word.c_str()));
+std::vector<char *> pointersTo(const std::vector<std::string> &words)
+{
+    std::vector<char *> pointers;
+    for (const std::string &word : words) {
+        pointers.push_back(const_cast<char *>(word.c_str()));
     }
+    return pointers;
+}
+} // namespace
+
+ChildProcess::ChildProcess(const std::vector<std::string> &command, const std::string &logFile, const std::vector<std::string> &variables)
+{
+    std::vector<char *> arguments = pointersTo(command);
     arguments.push_back(nullptr);
+    std::vector<char *> environment = pointersTo(variables);
+    for (char **it = environ; *it; ++it) {
+        environment.push_back(*it);
+    }
+    environment.push_back(nullptr);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    const int result = posix_spawn(&m_pid, arguments[0], &actions, nullptr, arguments.data(), environ);
+    const int result = posix_spawn(&m_pid, arguments[0], &actions, nullptr, arguments.data(), environment.data());
     posix_spawn_file_actions_destroy(&actions);
     if (result != 0) {
         throw std::runtime_error("cannot start process " + command[0]);
--- a/tests/harness/childprocess.h
+++ b/tests/harness/childprocess.h
@@ -12,8 +12,8 @@
 {
 public:
     /// Starts the command and appends its standard output and standard error to the log file. Throws std::runtime_error when
-    /// the process can't be started.
-    ChildProcess(const std::vector<std::string> &command, const std::string &logFile);
+    /// the process can't be started. Its environment is that of the test, after the additional variables (NAME=value).
+    ChildProcess(const std::vector<std::string> &command, const std::string &logFile, const std::vector<std::string> &variables = {});
     ~ChildProcess();
     ChildProcess(const ChildProcess &) = delete;
     ChildProcess &operator=(const ChildProcess &) = delete;
--- a/tests/platform/testinstance.cpp
+++ b/tests/platform/testinstance.cpp
@@ -255,9 +255,10 @@
     std::this_thread::sleep_for(after);
 }
 
-TestArchive::TestArchive(const KvStandIn &store, int number)
+TestArchive::TestArchive(const KvStandIn &store, int number, std::vector<std::string> variables)
     : m_number(number)
-    , m_folder(std::filesystem::temp_directory_path() / fmt::format("flamingo-archive-{}-{}", getpid(), number))
+    , m_variables(std::move(variables))
+    , m_folder(folder(number))
 {
     std::filesystem::create_directories(m_folder);
     std::ofstream(m_folder / "boot.toml") << fmt::format(R"(node-name = "{0}"
@@ -272,12 +273,22 @@
 )",
                                                          name(),
                                                          number,
-                                                         (m_folder / "disk").string(),
+                                                         diskFolder(number).string(),
                                                          store.address().text(),
                                                          address(number));
     start();
 }
 
+std::filesystem::path TestArchive::folder(int number)
+{
+    return std::filesystem::temp_directory_path() / fmt::format("flamingo-archive-{}-{}", getpid(), number);
+}
+
+std::filesystem::path TestArchive::diskFolder(int number)
+{
+    return folder(number) / "disk";
+}
+
 std::string TestArchive::address(int number)
 {
     constexpr int Subnet = 2;
@@ -294,19 +305,20 @@
 {
     m_process = std::make_unique<ChildProcess>(
         std::vector<std::string>{std::string(BINARY_FOLDER) + "/src/flamingo-archive", "--settings", (m_folder / "boot.toml").string()},
-        (m_folder / "log").string());
+        (m_folder / "log").string(),
+        m_variables);
 }
 
 void TestArchive::wipeDisk() const
 {
-    std::filesystem::remove_all(m_folder / "disk");
+    std::filesystem::remove_all(diskFolder(m_number));
 }
 
 void TestArchive::spoilFirstRecord() const
 {
     // Behind the record's length and checksum.
     constexpr std::streamoff FirstByte = 20;
-    for (const auto &file : std::filesystem::directory_iterator(m_folder / "disk")) {
+    for (const auto &file : std::filesystem::directory_iterator(diskFolder(m_number))) {
         if (file.file_size() > FirstByte) {
             std::fstream segment(file.path(), std::ios::in | std::ios::out | std::ios::binary);
             segment.seekp(FirstByte);
--- a/tests/platform/testinstance.h
+++ b/tests/platform/testinstance.h
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace flamingo
 {
@@ -93,9 +94,16 @@
 class TestArchive
 {
 public:
-    TestArchive(const KvStandIn &store, int number);
+    /// The process gets the additional environment variables (NAME=value).
+    TestArchive(const KvStandIn &store, int number, std::vector<std::string> variables = {});
     ~TestArchive();
 
+    /// The folder of the archive with this number; it is deleted with the archive.
+    static std::filesystem::path folder(int number);
+
+    /// The part of the folder that stands for the archive's disk.
+    static std::filesystem::path diskFolder(int number);
+
     /// Where the archive with this number listens.
     static std::string address(int number);
 
@@ -112,6 +120,7 @@
 
 private:
     int m_number;
+    std::vector<std::string> m_variables;
     std::filesystem::path m_folder;
     std::unique_ptr<ChildProcess> m_process;
 };
