--- a/src/persistence/replicatedturnstore.cpp
+++ b/src/persistence/replicatedturnstore.cpp
@@ -131,7 +131,7 @@
 
 bool ReplicatedTurnStore::hasEnoughArchives() const
 {
-    const std::vector<MemberRecord> archives = m_members.rankedListedArchives({}, std::chrono::steady_clock::now());
+    const std::vector<MemberRecord> archives = withDistinctAddresses(m_members.rankedListedArchives({}, std::chrono::steady_clock::now()));
     std::set<DomainId> domains;
     for (const MemberRecord &archive : archives) {
         domains.insert(archive.domain);
