--- a/src/archive/archivedaemon.cpp
+++ b/src/archive/archivedaemon.cpp
@@ -276,12 +276,13 @@
     }
     const SocketAddress address{m_settings.ip, m_settings.firstInternalPort};
     const MemberRecord member{m_settings.instance, m_settings.domain, address, m_incarnation, MemberRecord::Role::Archive};
-    m_store.commit(m_registration.registrationTransaction(member, m_settings.instance.value()), [this](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
-        if (!result && !m_isDraining) {
-            logChange("registration-failed", "reason=\"{}\"", result.error().detail);
-            m_loop.timers().at(std::chrono::steady_clock::now() + RetryDelay, [this](Instant) { registerMember(); });
-        }
-    });
+    m_store.commit(m_registration.registrationTransaction(member, m_settings.instance.value()),
+                   [this](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
+                       if (!result && !m_isDraining) {
+                           logChange("registration-failed", "reason=\"{}\"", result.error().detail);
+                           m_loop.timers().at(std::chrono::steady_clock::now() + RetryDelay, [this](Instant) { registerMember(); });
+                       }
+                   });
 }
 
 // Other members may have presumed this archive dead while it couldn't reach the store; it then registers again.
