--- a/tests/platform/restartbudgettest.cpp
+++ b/tests/platform/restartbudgettest.cpp
@@ -20,7 +20,7 @@
 constexpr int Budget = Turns * MaxTokensOfTurn;
 constexpr int Machines = 3;
 constexpr int Programs = 40;
-/// What the leads waited between the restart of all instances and the first program.
+/// Instances that were restarted have registered and asked each other after this time.
 constexpr Milliseconds SettleTime{5000};
 
 void respondWithTurn(ScriptedEndpoint::Connection &connection, const ReceivedRequest &request)
@@ -121,7 +121,7 @@
         return served;
     }
 
-    /// Runs these turns of all programs, a program after the other on a thread each. Returns the numbers of turns served.
+    /// Runs these turns of all programs, one program after the other. Returns how many turns of each were served.
     std::vector<int> runAll(int firstTurn, int lastTurn)
     {
         std::vector<int> served;
