--- a/tests/platform/unansweredtest.cpp
+++ b/tests/platform/unansweredtest.cpp
@@ -294,7 +294,7 @@
 }
 
 // Guards against answers that a slow reader gets in part, and against requests that are taken from a kept connection and dropped.
-TEST_CASE_METHOD(OneInstance, "A planned stop leaves no request of slow readers and of kept connections without an answer", "[platform][stop]")
+TEST_CASE_METHOD(OneInstance, "A planned stop leaves no request of slow readers and of kept connections without an answer", "[platform][stop][closing-port]")
 {
     constexpr int CallerCount = 16;
     constexpr int CrossingCount = 40;
@@ -343,7 +343,9 @@
 }
 
 // Guards against requests on connections that the machine has accepted just before the instance closes its port.
-TEST_CASE_METHOD(OneInstance, "Requests on new connections are answered up to the moment at which an instance takes no more of them", "[platform][stop]")
+TEST_CASE_METHOD(OneInstance,
+                 "Requests on new connections are answered up to the moment at which an instance takes no more of them",
+                 "[platform][stop][closing-port]")
 {
     constexpr int CallerCount = 32;
     constexpr Milliseconds LeadTime{400};
