--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -23,6 +23,9 @@
 /// A client of the API, identified by its key.
 using CallerId = StrongId<struct CallerTag, std::string>;
 
+/// A workspace: a customer's part of the deployment, with keys and limits of its own.
+using WorkspaceId = StrongId<struct WorkspaceTag, std::string>;
+
 /// An agent program's definition in the configuration.
 using AgentId = StrongId<struct AgentTag, std::string>;
 
--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -111,7 +111,9 @@
                           {[this] { return m_registryWatcher.seenVersions(); }, [this](const RegistryVersions &it) { m_registryWatcher.onPeerVersions(it); }},
                           [this](bool isIsolated) { onIsolationChanged(isIsolated); })
     , m_responseBuffers(memoryShare(m_settings, ResponseMemoryDivisor, MaxResponseBufferBytes))
+    , m_admission(m_routes, m_drainSchedule)
     , m_proxyContext{m_loop.timers(),
+                     m_admission,
                      m_routes,
                      m_endpointDirectory,
                      m_dispatchQueue,
@@ -120,7 +122,6 @@
                      m_replicatedTurnStore,
                      m_responseBuffers,
                      m_isolationDetector,
-                     m_drainSchedule,
                      m_metrics}
     , m_signals(m_loop.context(), SIGTERM, SIGINT, SIGHUP)
     , m_garbageCollector(m_store, {})
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -18,6 +18,7 @@
 #include "persistence/platformturnstore.h"
 #include "persistence/replicatedturnstore.h"
 #include "platform/bootsettingsfile.h"
+#include "serving/admission.h"
 #include "serving/drainschedule.h"
 #include "serving/grantmarks.h"
 #include "serving/provisionalgrantpolicy.h"
@@ -93,6 +94,7 @@
     IsolationDetector m_isolationDetector;
     BufferQuota m_responseBuffers;
     DrainSchedule m_drainSchedule;
+    Admission m_admission;
     ProxyContext m_proxyContext;
     ActiveRequests m_activeRequests;
     asio::signal_set m_signals;
--- a/src/instance/proxiedrequest.cpp
+++ b/src/instance/proxiedrequest.cpp
@@ -18,10 +18,6 @@
 constexpr Milliseconds EndpointConnectTimeout{400};
 /// The caller gets a response this long before its deadline, so that it still arrives in time.
 constexpr Milliseconds ResponseMargin{15};
-constexpr Milliseconds DefaultRetryAfter{300};
-constexpr Milliseconds StoreRetryAfter{500};
-/// The load balancer routes new connections to other instances by then.
-constexpr Milliseconds StoppingRetryAfter{0};
 /// The load balancer routes callers to other instances after two failed readiness checks, one second apart.
 constexpr Milliseconds IsolatedRetryAfter{2000};
 /// A repeatable request is sent to another endpoint after this many latency objectives without a byte of the response.
@@ -45,132 +41,75 @@
     , m_request(std::move(request))
     , m_metadata(platform::decodeRequest(m_request.head))
     , m_stream(m_context.responseBuffers)
+    , m_reservation(m_context.homeClient)
 {
 }
 
 void ProxiedRequest::start()
 {
     m_connection->setDisconnectHandler([self = shared_from_this()] { self->onCallerDisconnected(); });
-    if (!m_context.routes.isLoaded()) {
-        refuse(503, "no-configuration", DefaultRetryAfter);
+    auto admitted = m_context.admission.admit(m_metadata, m_request.arrivedAt, std::chrono::steady_clock::now());
+    if (!admitted) {
+        refuse(admitted.error());
         return;
     }
-    const Route *route = m_context.routes.find(m_metadata.host, m_metadata.path);
-    if (!route) {
-        refuse(404, "no-route");
-        return;
-    }
-    if (m_metadata.id.value().empty()) {
-        refuse(400, "no-attempt-id");
-        return;
-    }
-    // Such a budget couldn't be enforced.
-    if (m_metadata.hasUnreadableBudget) {
-        refuse(400, "unreadable-budget");
-        return;
-    }
-    m_route = *route;
-    m_retries = RetryPolicy(m_route.mayRepeat(), static_cast<std::size_t>(m_route.maxAttempts));
-    if (m_route.isStateful) {
+    m_admitted = std::move(*admitted);
+    m_retries = RetryPolicy(m_admitted.route.mayRepeat(), static_cast<std::size_t>(m_admitted.route.maxAttempts));
+    if (m_admitted.route.isStateful) {
         m_stream.setKeepsOutput();
     }
-    const std::string &poolKey = m_metadata.session ? m_metadata.session->value() : m_metadata.id.value();
-    m_pool = choosePool(m_route, stableHash(poolKey, 0));
-    const PoolInfo *pool = m_context.routes.pool(m_pool);
-    m_tokensPerEvent = pool ? pool->tokensPerEvent : 1;
-    Milliseconds timeout = m_route.timeout.count() > 0 ? m_route.timeout : Milliseconds(60000);
-    timeout = std::min(timeout, m_metadata.timeLeft.value_or(timeout));
-    m_deadline = m_request.arrivedAt + timeout;
-    if (!m_context.drainSchedule.mayAccept(std::chrono::steady_clock::now(), m_deadline)) {
-        refuse(503, "stopping", StoppingRetryAfter);
-        return;
-    }
-    m_deadlineTimer = m_context.timers.at(m_deadline - ResponseMargin, [self = weak_from_this()](Instant) {
+    m_deadlineTimer = m_context.timers.at(m_admitted.deadline - ResponseMargin, [self = weak_from_this()](Instant) {
         if (const auto it = self.lock()) {
             it->m_deadlineTimer = 0;
             it->onDeadline();
         }
     });
-    admit();
+    reserveTurn();
 }
 
 // Turns with a budget or a history ask the program's home first; everything else is queued at once.
-void ProxiedRequest::admit()
+void ProxiedRequest::reserveTurn()
 {
     m_forwardedBody = m_request.body;
-    const bool hasBudget = m_metadata.tokenBudget && m_metadata.program && m_metadata.maxOutputTokens;
-    const bool needsHistory = m_route.isStateful && m_metadata.previousTurn;
-    if (!hasBudget && !needsHistory) {
+    if (!TurnReservation::isNeeded(m_metadata, m_admitted.route.isStateful)) {
         enqueue();
         return;
     }
-    BeginTurnRequest request;
-    request.program = affinityKey();
-    request.session = m_metadata.session;
-    if (hasBudget) {
-        request.budget = m_metadata.tokenBudget;
-        request.maxTokens = *m_metadata.maxOutputTokens;
-    }
-    if (needsHistory) {
-        request.previousTurn = m_metadata.previousTurn;
-    }
-    m_context.homeClient.beginTurn(request, [self = shared_from_this(), reservedTokens = request.maxTokens](BeginTurnResponse response) {
-        if (response.verdict == BudgetVerdict::Reserved) {
-            self->m_home = response.home;
-            self->m_reservedTokens = reservedTokens;
-        }
-        self->onHomeResponse(std::move(response));
+    m_reservation.begin(affinityKey(), m_metadata, m_admitted.route.isStateful, [self = shared_from_this()](tl::expected<TurnChain, Refusal> history) {
+        self->onTurnReserved(std::move(history));
     });
 }
 
-void ProxiedRequest::onHomeResponse(BeginTurnResponse response)
+void ProxiedRequest::onTurnReserved(tl::expected<TurnChain, Refusal> history)
 {
-    m_cachedPrefix = response.cachedPrefix;
     if (m_isFinished) {
-        reportTurnEnd(Tokens(0), nullptr);
-        return;
-    }
-    if (response.verdict == BudgetVerdict::Exhausted) {
-        refuse(402, "budget-spent");
-    } else if (response.verdict != BudgetVerdict::Reserved) {
-        refuse(503, "budget-unsure", response.retryAfter.count() > 0 ? response.retryAfter : StoreRetryAfter);
-    } else if (response.history.status == TurnLookup::Status::Absent) {
-        logChange("turn-unknown", "id={} previous={} home={}", m_metadata.id.value(), m_metadata.previousTurn->value(), response.home.value());
-        refuse(404, "no-such-turn");
-    } else if (response.history.status == TurnLookup::Status::Unknown) {
-        refuse(503, "history-unsure", StoreRetryAfter);
+        m_reservation.end(Tokens(0), nullptr);
+    } else if (!history) {
+        refuse(history.error());
     } else {
-        m_history = std::move(response.history);
+        m_history = std::move(*history);
         m_historyLoadedAt = std::chrono::steady_clock::now();
         m_forwardedBody = std::exchange(m_history.text, {}) + m_request.body;
         enqueue();
     }
 }
 
-void ProxiedRequest::reportTurnEnd(Tokens usedTokens, TurnRecordPtr turnRecord)
-{
-    if (m_home) {
-        m_context.homeClient.endTurn(*m_home, {affinityKey(), m_metadata.session, m_reservedTokens, usedTokens, m_cachedPrefix, std::move(turnRecord)});
-        m_home.reset();
-    }
-}
-
 void ProxiedRequest::enqueue()
 {
     DispatchRequest request;
     request.program = affinityKey();
-    request.pool = m_pool;
-    request.priority = priorityClass(m_route.priority);
+    request.pool = m_admitted.pool;
+    request.priority = priorityClass(m_admitted.route.priority);
     request.arrivedAt = m_request.arrivedAt;
-    request.deadline = m_deadline;
+    request.deadline = m_admitted.deadline;
     request.promptTokens = m_metadata.unsharedTokens();
     request.expectedAnswerTokens = Tokens(m_metadata.maxOutputTokens.value_or(Tokens(0)).value() / ExpectedOutputDivisor);
-    request.isRepeatable = m_route.mayRepeat();
+    request.isRepeatable = m_admitted.route.mayRepeat();
     request.isRetry = m_attemptCount > 0;
     request.failedEndpoints = m_dispatchRequest.failedEndpoints;
-    if (m_cachedPrefix) {
-        request.prefixEndpoint = m_cachedPrefix->endpoint;
-        request.cachedPrefixTokens = m_cachedPrefix->tokens;
+    if (const auto &prefix = m_reservation.cachedPrefix()) {
+        request.prefixEndpoint = prefix->endpoint;
+        request.cachedPrefixTokens = prefix->tokens;
     }
     m_dispatchRequest = request;
     DispatchQueue::Handlers handlers;
@@ -207,7 +146,7 @@
     attemptMetadata.expectedEndpoint = endpoint.id;
     attemptMetadata.timeLeft = timeLeft(now);
     if (m_metadata.promptTokens) {
-        attemptMetadata.priority = std::min(MostUrgentEnginePriority + 2 * std::max(0, m_route.priority), LeastUrgentEnginePriority);
+        attemptMetadata.priority = std::min(MostUrgentEnginePriority + 2 * std::max(0, m_admitted.route.priority), LeastUrgentEnginePriority);
     }
     if (!m_stream.lastEventId().empty()) {
         attemptMetadata.lastEventId = m_stream.lastEventId();
@@ -216,13 +155,13 @@
     request.address = endpoint.address;
     request.head = platform::encodeRequest(m_request.head, attemptMetadata);
     request.body = m_forwardedBody;
-    request.maxIdleTime = m_route.mayRepeat() ? MaxIdleForRepeatable : MaxIdleForNonRepeatable;
+    request.maxIdleTime = m_admitted.route.mayRepeat() ? MaxIdleForRepeatable : MaxIdleForNonRepeatable;
     request.connectTimeout = EndpointConnectTimeout;
     request.sendBy = now + EndpointConnectTimeout;
     request.responseId = m_metadata.id.value();
     request.responseIdField = platform::attemptIdField();
     request.usedConnections = m_usedConnections;
-    request.maxBodyBytes = m_route.kind == CallKind::Stream ? UnlimitedBodyBytes : BufferQuota::MaxResponseBytes;
+    request.maxBodyBytes = m_admitted.route.kind == CallKind::Stream ? UnlimitedBodyBytes : BufferQuota::MaxResponseBytes;
     return request;
 }
 
@@ -233,7 +172,7 @@
         return;
     }
     const Instant now = std::chrono::steady_clock::now();
-    if (now >= m_deadline - ResponseMargin) {
+    if (now >= m_admitted.deadline - ResponseMargin) {
         // The process was paused, and the deadline's timer has yet to run.
         m_context.dispatchQueue.onFailed(m_dispatchRequest, endpoint.id, false);
         onDeadline();
@@ -267,7 +206,7 @@
     m_attempt->call = m_context.endpointConnections.send(buildRequest(endpoint, now), std::move(handlers));
     m_usedConnections.push_back(m_attempt->call.connection());
     if (m_retries.mayRunElsewhere()) {
-        const Milliseconds overdue = std::max(MinOverdueTime, m_route.latencyObjective * OverdueObjectiveFactor);
+        const Milliseconds overdue = std::max(MinOverdueTime, m_admitted.route.latencyObjective * OverdueObjectiveFactor);
         m_attempt->overdueTimer = m_context.timers.at(now + overdue, [weak = weak_from_this(), number = m_attemptCount](Instant) {
             if (const auto it = weak.lock()) {
                 it->onAttemptOverdue(number);
@@ -358,12 +297,12 @@
 
 ResponseExpectation ProxiedRequest::expectation() const
 {
-    return {m_route.kind == CallKind::Stream, m_attempt->isResumption};
+    return {m_admitted.route.kind == CallKind::Stream, m_attempt->isResumption};
 }
 
 bool ProxiedRequest::isStreaming() const
 {
-    return m_route.kind == CallKind::Stream && isSuccessStatus(m_attempt->responseHead.status);
+    return m_admitted.route.kind == CallKind::Stream && isSuccessStatus(m_attempt->responseHead.status);
 }
 
 void ProxiedRequest::finishResponse()
@@ -384,10 +323,10 @@
     }
     m_connection->write(m_attempt->eventSplitter.incompleteEvent());
     if (m_metadata.promptTokens) {
-        m_cachedPrefix = CachedPrefix{m_attempt->endpoint.id, m_metadata.unsharedTokens() + generatedTokens()};
+        m_reservation.setCachedPrefix({m_attempt->endpoint.id, m_metadata.unsharedTokens() + generatedTokens()});
     }
     endAttempt(false);
-    if (!m_route.isStateful) {
+    if (!m_admitted.route.isStateful) {
         m_connection->finishStream();
         finish("answered", 200);
         return;
@@ -396,9 +335,9 @@
     record->id = m_metadata.id;
     record->input = std::move(m_request.body);
     record->output = m_stream.takeOutput();
-    record->retention = m_route.retention;
+    record->retention = m_admitted.route.retention;
     record->continueFrom(m_history, std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - m_historyLoadedAt));
-    reportTurnEnd(generatedTokens(), record);
+    m_reservation.end(generatedTokens(), record);
     m_context.turnStore.save(record, [self = shared_from_this()](bool isSaved) {
         if (self->m_isFinished) {
             return;
@@ -430,7 +369,7 @@
     if (mayQueueAgain) {
         enqueue();
     } else if (!m_retries.mayHaveRun() && !m_stream.hasStarted()) {
-        refuse(503, "rejected-everywhere", m_context.dispatchQueue.retryAfter(m_pool));
+        refuse(503, "rejected-everywhere", m_context.dispatchQueue.retryAfter(m_admitted.pool));
     } else {
         onAttemptFailed("too many rejections", false);
     }
@@ -498,7 +437,7 @@
         return;
     }
     for (const EndpointEntry &entry : m_context.endpointDirectory.all()) {
-        if (entry.pool == m_pool && entry.id != last) {
+        if (entry.pool == m_admitted.pool && entry.id != last) {
             m_dispatchRequest.failedEndpoints.insert(entry.id);
         }
     }
@@ -585,10 +524,15 @@
     observation.timeToFirstToken = std::chrono::duration_cast<Milliseconds>(*attempt.firstByteAt - attempt.sentAt);
     observation.totalTime = std::chrono::duration_cast<Milliseconds>(now - attempt.sentAt);
     // The generation rate is measured between the first event and the last, so the first one counts as a single token.
-    observation.generatedTokens = Tokens(attempt.eventCount == 0 ? 0 : 1 + (attempt.eventCount - 1) * m_tokensPerEvent);
+    observation.generatedTokens = Tokens(attempt.eventCount == 0 ? 0 : 1 + (attempt.eventCount - 1) * m_admitted.tokensPerEvent);
     m_context.dispatchQueue.onFinished(m_dispatchRequest, attempt.endpoint.id, observation);
 }
 
+void ProxiedRequest::refuse(const Refusal &refusal)
+{
+    refuse(refusal.status, refusal.reason, refusal.retryAfter);
+}
+
 void ProxiedRequest::refuse(int status, const char *reason, std::optional<Milliseconds> retryAfter)
 {
     if (retryAfter && m_context.isolationDetector.isIsolated()) {
@@ -613,7 +557,7 @@
     if (m_queuedCallId) {
         m_context.dispatchQueue.remove(*m_queuedCallId);
     }
-    reportTurnEnd(generatedTokens(), nullptr);
+    m_reservation.end(generatedTokens(), nullptr);
     const auto total = toMilliseconds(now - m_request.arrivedAt);
     m_context.metrics.observe("flamingo_request_milliseconds", static_cast<double>(total));
     m_context.metrics.add("flamingo_requests_total", fmt::format("outcome=\"{}\"", outcome));
@@ -621,7 +565,7 @@
               "id={} program={} route={} version={} outcome={} status={} total_ms={} attempts={} events={}",
               m_metadata.id.value(),
               m_metadata.program ? m_metadata.program->value() : "-",
-              m_route.id.value(),
+              m_admitted.route.id.value(),
               m_context.routes.configuration().version.value(),
               outcome,
               status,
@@ -633,13 +577,13 @@
 
 Milliseconds ProxiedRequest::timeLeft(Instant now) const
 {
-    const auto left = std::chrono::duration_cast<Milliseconds>(m_deadline - now);
+    const auto left = std::chrono::duration_cast<Milliseconds>(m_admitted.deadline - now);
     return std::max(Milliseconds(1), left);
 }
 
 Tokens ProxiedRequest::generatedTokens() const
 {
-    return Tokens(m_stream.forwardedEvents() * m_tokensPerEvent);
+    return Tokens(m_stream.forwardedEvents() * m_admitted.tokensPerEvent);
 }
 
 // Turns of one program share their prompts, so they should go to the endpoint of the program's last turn.
--- a/src/instance/proxiedrequest.h
+++ b/src/instance/proxiedrequest.h
@@ -10,8 +10,9 @@
 #include "instance/dispatchqueue.h"
 #include "instance/homeservice.h"
 #include "instance/isolationdetector.h"
+#include "instance/turnreservation.h"
 #include "platform/headercodec.h"
-#include "serving/drainschedule.h"
+#include "serving/admission.h"
 #include "serving/responseverdict.h"
 #include "serving/retrypolicy.h"
 #include "serving/routetable.h"
@@ -28,6 +29,7 @@
 /// The components of an instance that its requests share.
 struct ProxyContext {
     TimerService &timers;
+    const Admission &admission;
     RouteTable &routes;
     EndpointDirectory &endpointDirectory;
     DispatchQueue &dispatchQueue;
@@ -36,7 +38,6 @@
     TurnStore &turnStore;
     BufferQuota &responseBuffers;
     const IsolationDetector &isolationDetector;
-    const DrainSchedule &drainSchedule;
     Metrics &metrics;
 };
 
@@ -57,9 +58,8 @@
     void end();
 
 private:
-    void admit();
-    void onHomeResponse(BeginTurnResponse response);
-    void reportTurnEnd(Tokens usedTokens, TurnRecordPtr turnRecord);
+    void reserveTurn();
+    void onTurnReserved(tl::expected<TurnChain, Refusal> history);
     void enqueue();
     void onNotQueued(const Error &error);
     void sendTo(const EndpointEntry &endpoint, const std::string &reason);
@@ -83,6 +83,7 @@
     void onCallerDisconnected();
 
     void endAttempt(bool isEndpointFault);
+    void refuse(const Refusal &refusal);
     void refuse(int status, const char *reason, std::optional<Milliseconds> retryAfter = std::nullopt);
     void finish(const char *outcome, int status);
     ResponseExpectation expectation() const;
@@ -96,10 +97,7 @@
     ServerConnectionPtr m_connection;
     ServerRequest m_request;
     RequestMetadata m_metadata;
-    Route m_route;
-    PoolId m_pool;
-    std::int64_t m_tokensPerEvent = 1;
-    Instant m_deadline;
+    AdmittedRequest m_admitted;
     TimerService::TimerId m_deadlineTimer = 0;
     std::string m_forwardedBody;
     TurnChain m_history; ///< Of a stateful turn that continues another one. Its text is in m_forwardedBody.
@@ -110,9 +108,7 @@
     std::optional<Attempt> m_attempt;
     std::vector<ConnectionRef> m_usedConnections; ///< Connections that have carried the request.
     RetryPolicy m_retries;
-    std::optional<InstanceId> m_home; ///< The program's home, until the end of the turn has been reported to it.
-    Tokens m_reservedTokens;
-    std::optional<CachedPrefix> m_cachedPrefix; ///< Where the session's prompt is cached, before and after this turn.
+    TurnReservation m_reservation;
     std::uint64_t m_attemptCount = 0;
     bool m_isFinished = false;
 };
--- /dev/null
+++ b/src/serving/admission.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "core/time.h"
+#include "serving/requestmetadata.h"
+#include "serving/route.h"
+#include "serving/workspace.h"
+
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <optional>
+
+namespace flamingo
+{
+
+class DrainSchedule;
+class RouteTable;
+
+/// The answer to a request that is not processed. The request has not run and never will.
+struct Refusal {
+    int status = 0;
+    const char *reason = ""; ///< For logs and metrics.
+    std::optional<Milliseconds> retryAfter;
+};
+
+/// What is known of a request once it has been accepted.
+struct AdmittedRequest {
+    Route route;
+    PoolId pool;
+    std::int64_t tokensPerEvent = 1; ///< Of the pool's streams.
+    Instant deadline;
+    std::optional<Workspace> workspace; ///< Set where the caller has identified itself.
+};
+
+/// Decides whether a request is accepted, before it waits for anything. It does no I/O.
+class Admission
+{
+public:
+    Admission(const RouteTable &routes, const DrainSchedule &drainSchedule);
+
+    /// Checks a request that arrived at the given time against the configuration in force.
+    tl::expected<AdmittedRequest, Refusal> admit(const RequestMetadata &metadata, Instant arrivedAt, Instant now) const;
+
+private:
+    const RouteTable &m_routes;
+    const DrainSchedule &m_drainSchedule;
+};
+
+/// For how long a caller waits before it tries again, where nothing better is known.
+constexpr Milliseconds DefaultRetryAfter{300};
+
+/// A stopping instance's callers may retry at once, since the load balancer routes new connections to other instances.
+constexpr Milliseconds StoppingRetryAfter{0};
+
+} // namespace flamingo
