Measure the age of the confirmed configuration, for revocations that fail closed

ConfigurationAge holds when a store call was sent that later showed that the configuration is the newest; calls through readers carry the reader's age as of the arrival of the poll.

--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -63,6 +63,7 @@
     , m_budgetStore(m_store)
     , m_turnStore(m_store, m_incarnation, m_settings.storeValueBytes)
     , m_members(m_settings.instance, m_settings.domain)
+    , m_configurationAge(m_settings.revocationBound)
     , m_dispatchQueue(policyRules(), m_settings.domain, m_endpointDirectory)
     , m_provisionalGrantPolicy(m_members, suspendAwareNow())
     , m_registration(ownMemberRecord(), m_store, m_loop.timers(), m_members, m_provisionalGrantPolicy, registrationHooks())
@@ -98,6 +99,7 @@
                         m_routes,
                         m_endpointDirectory,
                         m_members,
+                        m_configurationAge,
                         {[this] { m_dispatchQueue.refreshEndpoints(); },
                          [this] { onMembersChanged(); },
                          [this](Instant confirmedAt) { m_provisionalGrantPolicy.onListRead(confirmedAt); }})
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -75,6 +75,7 @@
     RouteTable m_routes;
     EndpointDirectory m_endpointDirectory;
     MemberDirectory m_members;
+    ConfigurationAge m_configurationAge;
     DispatchQueue m_dispatchQueue;
     ProvisionalGrantPolicy m_provisionalGrantPolicy;
     InstanceRegistration m_registration;
--- a/src/instance/registryfeed.cpp
+++ b/src/instance/registryfeed.cpp
@@ -57,6 +57,20 @@
     pending.timer = m_timers.at(now() + std::min(poll.wait, MaxWait), [this, number](Instant) { onTimeout(number); });
 }
 
+void RegistryFeed::answerPolls(const std::string &prefix)
+{
+    const RegistryLog &log = m_logs[prefix];
+    for (auto it = m_pendingPolls.begin(); it != m_pendingPolls.end();) {
+        if (it->second.poll.prefix != prefix) {
+            ++it;
+            continue;
+        }
+        m_timers.cancel(it->second.timer);
+        it->second.onUpdate(log.respondNow(it->second.poll, suspendAwareNow()));
+        it = m_pendingPolls.erase(it);
+    }
+}
+
 void RegistryFeed::onTimeout(PollNumber number)
 {
     const auto node = m_pendingPolls.extract(number);
--- a/src/instance/registryfeed.h
+++ b/src/instance/registryfeed.h
@@ -28,6 +28,9 @@
     void append(const std::string &prefix, const platform::StoreChanges &changes, Instant confirmedAt);
     void setStoreUnavailable(const std::string &prefix, bool isUnavailable);
 
+    /// Answers all waiting polls, also those for which there is nothing new.
+    void answerPolls(const std::string &prefix);
+
     /// Answers a poll, at the latest when its waiting time is over. The handler is called once.
     void poll(const RegistryPoll &poll, UpdateHandler onUpdate);
 
--- a/src/instance/registrymessages.cpp
+++ b/src/instance/registrymessages.cpp
@@ -53,6 +53,9 @@
                  {"age-ms", age.count()},
                  {"revision", revision},
                  {"items", Json::array()}};
+    if (confirmationAge) {
+        json["confirmed-ms"] = confirmationAge->count();
+    }
     for (const platform::StoreItem &item : items) {
         json["items"].push_back(encodeItem(item));
     }
@@ -68,6 +71,9 @@
         update.isStoreUnavailable = json.at("store-unavailable").get<bool>();
         update.age = Milliseconds(json.at("age-ms").get<std::int64_t>());
         update.revision = json.at("revision").get<platform::Revision>();
+        if (json.contains("confirmed-ms")) {
+            update.confirmationAge = Milliseconds(json.at("confirmed-ms").get<std::int64_t>());
+        }
         for (const Json &item : json.at("items")) {
             update.items.push_back(decodeItem(item));
         }
--- a/src/instance/registrymessages.h
+++ b/src/instance/registrymessages.h
@@ -27,6 +27,9 @@
     bool isListing = false; ///< The items are all keys, since the reader doesn't know all changes since the revision of the poll.
     bool isStoreUnavailable = false; ///< The reader gets no response from the store.
     Milliseconds age{0}; ///< Since the store last confirmed that the reader is up to date.
+    /// Of the configuration: from the sending of the store call that last confirmed it to the arrival of the poll. It is negative when
+    /// the call was sent while the poll waited; absent for other prefixes.
+    std::optional<Milliseconds> confirmationAge;
     platform::Revision revision = 0; ///< All changes up to this one are in the response or were in earlier ones.
     std::vector<platform::StoreItem> items;
 
--- a/src/instance/registrywatcher.cpp
+++ b/src/instance/registrywatcher.cpp
@@ -55,6 +55,7 @@
                                  RouteTable &routes,
                                  EndpointDirectory &endpointDirectory,
                                  MemberDirectory &members,
+                                 ConfigurationAge &configurationAge,
                                  Hooks hooks)
     : m_store(store)
     , m_peers(peers)
@@ -64,6 +65,7 @@
     , m_routes(routes)
     , m_endpointDirectory(endpointDirectory)
     , m_members(members)
+    , m_configurationAge(configurationAge)
     , m_hooks(std::move(hooks))
     , m_replica(routes, endpointDirectory, members, {m_hooks.onEndpointsChanged, [this] { onMembersChanged(); }})
     , m_random(static_cast<unsigned>(stableHash(members.self().value())))
@@ -99,6 +101,7 @@
     if (afterKey.empty()) {
         watched.listedItems.clear();
         watched.listRevision = 0;
+        watched.listedAt = suspendAwareNow();
     }
     m_store.list(watched.prefix, afterKey, [this, &watched, callNumber](tl::expected<platform::StorePage, platform::StoreFailure> page) {
         if (callNumber != watched.callNumber) {
@@ -126,6 +129,7 @@
     const bool isFirst = !watched.isLoaded;
     const std::vector<platform::StoreItem> items = std::exchange(watched.listedItems, {});
     applyListing(watched, items, watched.listRevision, suspendAwareNow());
+    confirmConfiguration(watched, watched.listedAt);
     const Milliseconds firstDelay = &watched == &m_watchedMembers ? FirstMemberWatchDelay : FirstWatchDelay;
     scheduleWatch(watched, isFirst ? firstDelay : Milliseconds(0));
 }
@@ -148,6 +152,18 @@
     }
 }
 
+// Polls that wait here are answered, so that the instances that send them learn at once that the configuration is confirmed.
+void RegistryWatcher::confirmConfiguration(const WatchedPrefix &watched, Instant sentAt)
+{
+    if (&watched != &m_watchedConfiguration) {
+        return;
+    }
+    m_configurationAge.confirm(sentAt);
+    if (m_configurationAge.longestWait()) {
+        m_feed.answerPolls(watched.prefix);
+    }
+}
+
 Milliseconds RegistryWatcher::watchTimeout(const WatchedPrefix &watched)
 {
     if (&watched == &m_watchedMembers) {
@@ -156,6 +172,9 @@
     if (watched.isStoreUnavailable) {
         return StoreCheckWait;
     }
+    if (const auto longestWait = m_configurationAge.longestWait(); longestWait && &watched == &m_watchedConfiguration) {
+        return std::min(*longestWait, MinWatchTimeout);
+    }
     const auto readers = static_cast<int>(m_readers.readerCount());
     // When a call has failed or this instance misses a change, the watch may have got lost as well.
     const bool mayBeLost = watched.consecutiveFailures > 0 || isBehindPeers(watched);
@@ -191,7 +210,7 @@
     RegistryPoll poll;
     poll.prefix = watched.prefix;
     poll.after = watched.watchRevision;
-    const Milliseconds wait = &watched == &m_watchedMembers ? MemberPollWait : PollWait;
+    const Milliseconds wait = &watched == &m_watchedMembers ? MemberPollWait : std::min(PollWait, m_configurationAge.longestWait().value_or(PollWait));
     poll.wait = watched.hasReaderFailed ? Milliseconds(0) : wait;
     poll.isStoreUnavailable = watched.isStoreUnavailable;
     InternalRequest request;
@@ -241,18 +260,28 @@
         } else {
             applyChanges(watched, {update.items, update.revision}, polledAt - update.age);
         }
+        if (update.confirmationAge) {
+            confirmConfiguration(watched, polledAt - *update.confirmationAge);
+        }
     }
     watch(watched);
 }
 
 void RegistryWatcher::onPoll(const RegistryPoll &poll, RegistryFeed::UpdateHandler onUpdate)
 {
-    if (m_readers.isReader()) {
-        m_feed.poll(poll, std::move(onUpdate));
+    if (!m_readers.isReader()) {
+        // The sender's member list differs from this instance's.
+        onUpdate({});
         return;
     }
-    // The sender's member list differs from this instance's.
-    onUpdate({});
+    const Instant arrivedAt = suspendAwareNow();
+    m_feed.poll(poll, [this, arrivedAt, prefix = poll.prefix, onUpdate = std::move(onUpdate)](RegistryUpdate update) {
+        const auto confirmedAt = m_configurationAge.confirmedAt();
+        if (prefix == m_watchedConfiguration.prefix && confirmedAt) {
+            update.confirmationAge = std::chrono::duration_cast<Milliseconds>(arrivedAt - *confirmedAt);
+        }
+        onUpdate(update);
+    });
 }
 
 void RegistryWatcher::applyChanges(WatchedPrefix &watched, const platform::StoreChanges &changes, Instant confirmedAt)
@@ -271,10 +300,11 @@
 void RegistryWatcher::watchStore(WatchedPrefix &watched)
 {
     const std::uint64_t callNumber = ++watched.callNumber;
+    const Instant sentAt = suspendAwareNow();
     m_store.watch(watched.prefix,
                   watched.watchRevision,
                   watchTimeout(watched),
-                  [this, &watched, callNumber](tl::expected<platform::StoreChanges, platform::StoreFailure> changes) {
+                  [this, &watched, callNumber, sentAt](tl::expected<platform::StoreChanges, platform::StoreFailure> changes) {
                       if (callNumber != watched.callNumber) {
                           return;
                       }
@@ -287,6 +317,7 @@
                       }
                       onResponse(watched);
                       applyChanges(watched, *changes, suspendAwareNow());
+                      confirmConfiguration(watched, sentAt);
                       scheduleWatch(watched, changes->items.empty() ? Milliseconds(0) : watched.coalescingDelay);
                   });
 }
--- a/src/instance/registrywatcher.h
+++ b/src/instance/registrywatcher.h
@@ -6,6 +6,7 @@
 #include "instance/registryreplica.h"
 #include "platform/platformstore.h"
 #include "platform/recordcodec.h"
+#include "serving/configurationage.h"
 #include "serving/endpointdirectory.h"
 #include "serving/memberdirectory.h"
 #include "serving/registryreaders.h"
@@ -45,6 +46,7 @@
                     RouteTable &routes,
                     EndpointDirectory &endpointDirectory,
                     MemberDirectory &members,
+                    ConfigurationAge &configurationAge,
                     Hooks hooks);
 
     void start();
@@ -79,6 +81,7 @@
         bool isReaderBypassed = false; ///< The next call goes to the store itself.
         int consecutiveFailures = 0;
         std::vector<platform::StoreItem> listedItems; ///< Items of the listing in progress.
+        Instant listedAt{}; ///< When the first call of the listing in progress was sent, by suspendAwareNow().
         platform::Revision listRevision = 0; ///< Of the first page of the listing in progress.
     };
 
@@ -92,6 +95,7 @@
     bool bypassesReader(WatchedPrefix &watched);
     void bypassUnavailableReader();
     void applyChanges(WatchedPrefix &watched, const platform::StoreChanges &changes, Instant confirmedAt);
+    void confirmConfiguration(const WatchedPrefix &watched, Instant sentAt);
     void setStoreUnavailable(WatchedPrefix &watched, const std::string &reason);
     void scheduleWatch(WatchedPrefix &watched, Milliseconds delay);
     Milliseconds watchTimeout(const WatchedPrefix &watched);
@@ -111,6 +115,7 @@
     RouteTable &m_routes;
     EndpointDirectory &m_endpointDirectory;
     MemberDirectory &m_members;
+    ConfigurationAge &m_configurationAge;
     Hooks m_hooks;
     RegistryReplica m_replica;
     WatchedPrefix m_watchedConfiguration;
