Workspaces: keys in the configuration, 401 decisions, X-Tenant, priority

Cause: a deployment identifies callers by keys of workspaces, and the endpoint has to be told the workspace by the system alone.

recordcodec decodes tenants and the routes' public; keys are digested there. WorkspaceDirectory, owned by RouteTable, is replaced with the configuration's version. Admission checks the key after configuration and route. headercodec digests the caller's key, drops Authorization and X-Tenant where workspaces are configured, and sets X-Tenant. A workspace's priority goes before the route's, for the dispatcher and for engines. Programs, budgets and prompts' prefixes are keyed by workspace (programKey); objects are not, since endpoints have handled them for any workspace. A 401 carries WWW-Authenticate. DispatchRequest gets workspace and isContinuation.

Ruled out: refusing a whole version for one malformed tenant (the keys that it removes would stay valid), and a 401 for keys of such a tenant (it ends programs): while an entry can't be read or two workspaces list one key, an unknown key gets 503. The text of a JSON parse error quotes the input, so only its position is logged.

--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -361,6 +361,8 @@
     m_metrics.setGauge("flamingo_history_bytes", {}, static_cast<double>(m_turnCache.sizeBytes()));
     m_metrics.setGauge("flamingo_programs", {}, static_cast<double>(m_budgets.programCount()));
     m_metrics.setGauge("flamingo_configuration_version", {}, static_cast<double>(m_routes.configuration().version.value()));
+    m_metrics.setGauge("flamingo_workspaces", {}, static_cast<double>(m_routes.workspaces().workspaceCount()));
+    m_metrics.setGauge("flamingo_workspace_keys", {}, static_cast<double>(m_routes.workspaces().keyCount()));
     m_metrics.setGauge("flamingo_requests_waiting", {}, static_cast<double>(m_dispatchQueue.waitingCount()));
     connection->respond(StatusOk, {}, m_metrics.render());
 }
--- a/src/instance/proxiedrequest.cpp
+++ b/src/instance/proxiedrequest.cpp
@@ -75,9 +75,8 @@
         enqueue();
         return;
     }
-    m_reservation.begin(affinityKey(), m_metadata, m_admitted.route.isStateful, [self = shared_from_this()](tl::expected<TurnChain, Refusal> history) {
-        self->onTurnReserved(std::move(history));
-    });
+    m_reservation.begin(
+        m_admitted, m_metadata, [self = shared_from_this()](tl::expected<TurnChain, Refusal> history) { self->onTurnReserved(std::move(history)); });
 }
 
 void ProxiedRequest::onTurnReserved(tl::expected<TurnChain, Refusal> history)
@@ -97,9 +96,10 @@
 void ProxiedRequest::enqueue()
 {
     DispatchRequest request;
-    request.program = affinityKey();
+    request.program = m_admitted.program;
+    request.workspace = workspaceId(m_admitted);
     request.pool = m_admitted.pool;
-    request.priority = priorityClass(m_admitted.route.priority);
+    request.priority = priorityClass(m_admitted.priority);
     request.arrivedAt = m_request.arrivedAt;
     request.deadline = m_admitted.deadline;
     request.promptTokens = m_metadata.unsharedTokens();
@@ -107,6 +107,7 @@
     request.isRepeatable = m_admitted.route.mayRepeat();
     request.isRetry = m_attemptCount > 0;
     request.failedEndpoints = m_dispatchRequest.failedEndpoints;
+    request.isContinuation = m_metadata.continuesProgram() || m_reservation.cachedPrefix();
     if (const auto &prefix = m_reservation.cachedPrefix()) {
         request.prefixEndpoint = prefix->endpoint;
         request.cachedPrefixTokens = prefix->tokens;
@@ -145,8 +146,11 @@
     platform::AttemptMetadata attemptMetadata;
     attemptMetadata.expectedEndpoint = endpoint.id;
     attemptMetadata.timeLeft = timeLeft(now);
+    attemptMetadata.workspace = workspaceId(m_admitted);
+    // Where workspaces have come into force since the request was accepted, its credentials are hidden as well.
+    attemptMetadata.hidesCredentials = m_admitted.hidesCredentials || m_context.routes.workspaces().isConfigured();
     if (m_metadata.promptTokens) {
-        attemptMetadata.priority = std::min(MostUrgentEnginePriority + 2 * std::max(0, m_admitted.route.priority), LeastUrgentEnginePriority);
+        attemptMetadata.priority = std::min(MostUrgentEnginePriority + 2 * std::max(0, m_admitted.priority), LeastUrgentEnginePriority);
     }
     if (!m_stream.lastEventId().empty()) {
         attemptMetadata.lastEventId = m_stream.lastEventId();
@@ -540,7 +544,7 @@
     }
     m_context.metrics.add("flamingo_requests_refused_total", fmt::format("reason=\"{}\"", reason));
     const std::optional<RequestId> id = m_metadata.id.value().empty() ? std::nullopt : std::optional<RequestId>(m_metadata.id);
-    m_connection->respond(status, platform::errorFields(id, retryAfter), {});
+    m_connection->respond(status, platform::errorFields(status, id, retryAfter), {});
     finish(reason, status);
 }
 
@@ -562,9 +566,10 @@
     m_context.metrics.observe("flamingo_request_milliseconds", static_cast<double>(total));
     m_context.metrics.add("flamingo_requests_total", fmt::format("outcome=\"{}\"", outcome));
     logChange("request-done",
-              "id={} program={} route={} version={} outcome={} status={} total_ms={} attempts={} events={}",
+              "id={} program={} workspace={} route={} version={} outcome={} status={} total_ms={} attempts={} events={}",
               m_metadata.id.value(),
               m_metadata.program ? m_metadata.program->value() : "-",
+              m_admitted.workspace ? m_admitted.workspace->id.value() : "-",
               m_admitted.route.id.value(),
               m_context.routes.configuration().version.value(),
               outcome,
@@ -586,13 +591,4 @@
     return Tokens(m_stream.forwardedEvents() * m_admitted.tokensPerEvent);
 }
 
-// Turns of one program share their prompts, so they should go to the endpoint of the program's last turn.
-ProgramId ProxiedRequest::affinityKey() const
-{
-    if (m_metadata.program) {
-        return *m_metadata.program;
-    }
-    return ProgramId(m_metadata.affinityKey.empty() ? m_metadata.id.value() : m_metadata.affinityKey);
-}
-
 } // namespace flamingo
--- a/src/instance/proxiedrequest.h
+++ b/src/instance/proxiedrequest.h
@@ -91,7 +91,6 @@
     bool mayRetry() const;
     Milliseconds timeLeft(Instant now) const;
     Tokens generatedTokens() const;
-    ProgramId affinityKey() const;
 
     ProxyContext &m_context;
     ServerConnectionPtr m_connection;
--- a/src/instance/registryreplica.cpp
+++ b/src/instance/registryreplica.cpp
@@ -95,7 +95,13 @@
     }
     const ConfigurationVersion version = configuration->version;
     if (m_routes.install(std::move(*configuration))) {
-        logChange("configuration-applied", "version={} routes={}", version.value(), m_routes.configuration().routes.size());
+        const WorkspaceDirectory &workspaces = m_routes.workspaces();
+        logChange("configuration-applied",
+                  "version={} routes={} workspaces={} keys={}",
+                  version.value(),
+                  m_routes.configuration().routes.size(),
+                  workspaces.workspaceCount(),
+                  workspaces.keyCount());
     }
 }
 
--- a/src/instance/turnreservation.cpp
+++ b/src/instance/turnreservation.cpp
@@ -45,21 +45,18 @@
     return hasBudget(metadata) || (isStateful && metadata.previousTurn);
 }
 
-void TurnReservation::begin(const ProgramId &program,
-                            const RequestMetadata &metadata,
-                            bool isStateful,
-                            std::function<void(tl::expected<TurnChain, Refusal>)> onReserved)
+void TurnReservation::begin(const AdmittedRequest &admitted, const RequestMetadata &metadata, std::function<void(tl::expected<TurnChain, Refusal>)> onReserved)
 {
-    m_program = program;
+    m_program = admitted.program;
     m_session = metadata.session;
     BeginTurnRequest request;
-    request.program = program;
+    request.program = admitted.program;
     request.session = metadata.session;
     if (hasBudget(metadata)) {
         request.budget = metadata.tokenBudget;
         request.maxTokens = *metadata.maxOutputTokens;
     }
-    if (isStateful) {
+    if (admitted.route.isStateful) {
         request.previousTurn = metadata.previousTurn;
     }
     m_reservedTokens = request.maxTokens;
--- a/src/instance/turnreservation.h
+++ b/src/instance/turnreservation.h
@@ -30,7 +30,7 @@
 
     /// Asks the home for the turn's budget and history. The history is empty for a turn that continues no other. The handler is called
     /// once, possibly before this returns; the caller keeps this object alive until then.
-    void begin(const ProgramId &program, const RequestMetadata &metadata, bool isStateful, std::function<void(tl::expected<TurnChain, Refusal>)> onReserved);
+    void begin(const AdmittedRequest &admitted, const RequestMetadata &metadata, std::function<void(tl::expected<TurnChain, Refusal>)> onReserved);
 
     /// Reports the end of the turn to the home, once; without effect if there is no reservation.
     void end(Tokens usedTokens, TurnRecordPtr turnRecord);
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -38,6 +38,8 @@
     std::optional<EndpointId> prefixEndpoint; ///< Has the prompt prefix cached. Overrides what onPrefixCached() recorded.
     Tokens cachedPrefixTokens; ///< Length of the prefix at that endpoint.
     std::set<EndpointId> failedEndpoints; ///< Tried again only if there is no other endpoint.
+    std::optional<WorkspaceId> workspace; ///< Of the caller, where the configuration has workspaces.
+    bool isContinuation = false; ///< The call continues a program that has had a turn or a call.
 };
 
 /// The decision to send a call to an endpoint.
--- a/src/serving/admission.cpp
+++ b/src/serving/admission.cpp
@@ -2,6 +2,7 @@
 
 #include "core/digest.h"
 #include "serving/drainschedule.h"
+#include "serving/programkey.h"
 #include "serving/routetable.h"
 
 #include <algorithm>
@@ -12,6 +13,7 @@
 namespace
 {
 constexpr int StatusBadRequest = 400;
+constexpr int StatusUnauthorized = 401;
 constexpr int StatusNotFound = 404;
 constexpr int StatusUnavailable = 503;
 /// For routes without a time limit.
@@ -21,8 +23,35 @@
 {
     return tl::make_unexpected(Refusal{status, reason, retryAfter});
 }
+
+/// The workspace of a caller; nothing on a public route without a key.
+tl::expected<std::optional<Workspace>, Refusal> identify(const WorkspaceDirectory &workspaces, const Route &route, const std::optional<KeyDigest> &key)
+{
+    if (!workspaces.isConfigured()) {
+        return std::nullopt;
+    }
+    if (!key && !route.isPublic) {
+        return refusal(StatusUnauthorized, "missing-key");
+    }
+    if (!key) {
+        return std::nullopt;
+    }
+    if (const Workspace *workspace = workspaces.find(*key)) {
+        return *workspace;
+    }
+    // A 401 ends the caller's program, so it is given only where the key is known to be wrong.
+    if (!workspaces.isComplete()) {
+        return refusal(StatusUnavailable, "workspaces-unreadable", DefaultRetryAfter);
+    }
+    return refusal(StatusUnauthorized, "unknown-key");
+}
 } // namespace
 
+std::optional<WorkspaceId> workspaceId(const AdmittedRequest &request)
+{
+    return request.workspace ? std::optional<WorkspaceId>(request.workspace->id) : std::nullopt;
+}
+
 Admission::Admission(const RouteTable &routes, const DrainSchedule &drainSchedule)
     : m_routes(routes)
     , m_drainSchedule(drainSchedule)
@@ -38,6 +67,10 @@
     if (!route) {
         return refusal(StatusNotFound, "no-route");
     }
+    auto workspace = identify(m_routes.workspaces(), *route, metadata.key);
+    if (!workspace) {
+        return tl::make_unexpected(workspace.error());
+    }
     if (metadata.id.value().empty()) {
         return refusal(StatusBadRequest, "no-attempt-id");
     }
@@ -47,6 +80,10 @@
     }
     AdmittedRequest admitted;
     admitted.route = *route;
+    admitted.workspace = std::move(*workspace);
+    admitted.hidesCredentials = m_routes.workspaces().isConfigured();
+    admitted.priority = admitted.workspace ? admitted.workspace->priority.value_or(route->priority) : route->priority;
+    admitted.program = programKey(metadata, admitted.workspace);
     const std::string &poolKey = metadata.session ? metadata.session->value() : metadata.id.value();
     admitted.pool = choosePool(*route, stableHash(poolKey, 0));
     const PoolInfo *pool = m_routes.pool(admitted.pool);
--- a/src/serving/admission.h
+++ b/src/serving/admission.h
@@ -30,8 +30,15 @@
     std::int64_t tokensPerEvent = 1; ///< Of the pool's streams.
     Instant deadline;
     std::optional<Workspace> workspace; ///< Set where the caller has identified itself.
+    bool hidesCredentials = false; ///< The configuration has workspaces, so the endpoint gets neither the caller's key nor its X-Tenant.
+    int priority = 0; ///< The workspace's, or else the route's; 0 is the most urgent.
+    /// The key under which homes and the dispatcher know the program, which differs between workspaces; compare programKey().
+    ProgramId program;
 };
 
+/// The id of the request's workspace, where it has one.
+std::optional<WorkspaceId> workspaceId(const AdmittedRequest &request);
+
 /// Decides whether a request is accepted, before it waits for anything. It does no I/O.
 class Admission
 {
--- a/src/serving/requestmetadata.h
+++ b/src/serving/requestmetadata.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "policy/endpointstate.h"
+#include "serving/workspace.h"
 
 #include <algorithm>
 #include <optional>
@@ -52,6 +53,14 @@
         return tokens;
     }
 
+    /// Whether the request continues a program that has had a turn or a call, as far as the request alone tells: it names the turn
+    /// before or resumes a stream, or it is a program's call without a prompt, which a turn has asked for.
+    bool continuesProgram() const
+    {
+        return previousTurn || lastEventId || (program && !promptTokens);
+    }
+
+    std::optional<KeyDigest> key; ///< Of the key with which the caller identifies itself.
     std::string affinityKey; ///< The object that the request is about; empty when the request names none.
 };
 
--- a/src/serving/route.h
+++ b/src/serving/route.h
@@ -2,9 +2,11 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "serving/workspace.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +45,7 @@
     int maxAttempts = 1; ///< Number of endpoints that one attempt of a caller may be sent to.
     bool isResumable = false;
     bool isStateful = false; ///< Turns are stored, and their history is sent along with the next one.
+    bool isPublic = false; ///< Needs no key where the configuration has workspaces.
     bool isSticky = false; ///< Requests for an object are cheaper at an endpoint that has handled it before.
     Milliseconds retention{0}; ///< How long turns are kept.
 
@@ -75,6 +78,7 @@
     std::vector<Route> routes;
     std::map<PoolId, PoolInfo> pools;
     CallerLimits limits;
+    std::optional<WorkspaceConfiguration> workspaces; ///< Not set in a deployment without workspaces.
 };
 
 } // namespace flamingo
--- a/src/serving/routetable.cpp
+++ b/src/serving/routetable.cpp
@@ -25,6 +25,8 @@
     if (m_isLoaded && configuration.version <= m_configuration.version) {
         return false;
     }
+    m_workspaces = configuration.workspaces ? WorkspaceDirectory(std::move(*configuration.workspaces)) : WorkspaceDirectory();
+    configuration.workspaces.reset();
     m_configuration = std::move(configuration);
     m_isLoaded = true;
     m_routesByHost.clear();
@@ -79,6 +81,11 @@
     return m_configuration;
 }
 
+const WorkspaceDirectory &RouteTable::workspaces() const
+{
+    return m_workspaces;
+}
+
 const PoolId &choosePool(const Route &route, std::uint64_t randomNumber)
 {
     std::uint64_t total = 0;
--- a/src/serving/routetable.h
+++ b/src/serving/routetable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "serving/route.h"
+#include "serving/workspacedirectory.h"
 
 #include <optional>
 #include <string_view>
@@ -9,7 +10,7 @@
 namespace flamingo
 {
 
-/// The configuration in force, with a lookup of routes. It is never replaced by an older one.
+/// The configuration in force, with lookups of routes and of workspaces. It is never replaced by an older one.
 class RouteTable
 {
 public:
@@ -28,10 +29,14 @@
 
     const PoolInfo *pool(const PoolId &id) const;
 
+    /// The configuration; its workspaces are in workspaces().
     const ServingConfiguration &configuration() const;
 
+    const WorkspaceDirectory &workspaces() const;
+
 private:
     ServingConfiguration m_configuration;
+    WorkspaceDirectory m_workspaces;
     bool m_isLoaded = false;
     std::unordered_map<std::string, std::vector<std::size_t>> m_routesByHost; ///< Indexes of routes; the longest prefix first.
 };
--- a/tests/unit/decoderfuzztest.cpp
+++ b/tests/unit/decoderfuzztest.cpp
@@ -43,7 +43,8 @@
         "priority":1,"max-attempts":2,"resumable":true,"stateful":true,"sticky":true,"retention-s":60.0,"split":[{"service":"s","weight":2}]},
         {"name":"q","host":"h","prefix":"/b/","type":"idempotent","service":"s"}],
         "services":[{"name":"s","health-path":"/h","max-conns":3,"backend":{"slots":2,"chunk-tokens":4}}],
-        "limits":{"max-header-bytes":1,"max-body-bytes":2,"header-timeout-ms":3,"idle-timeout-ms":4}})");
+        "limits":{"max-header-bytes":1,"max-body-bytes":2,"header-timeout-ms":3,"idle-timeout-ms":4},
+        "tenants":[{"name":"w","api-keys":["k"],"priority":1,"rate-per-s":2.5,"burst":3}]})");
 }
 
 std::vector<Decoder> decoders()
