Refuse keys where the configuration may be outdated

Admission refuses requests with a key (503, configuration-unconfirmed) once the configuration was last confirmed 0.9 of bounds.revoke-ms ago, and a request is checked again before it is sent, since the process may have been paused. An unknown key isn't answered with 401 by then either.

--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -113,7 +113,7 @@
                           {[this] { return m_registryWatcher.seenVersions(); }, [this](const RegistryVersions &it) { m_registryWatcher.onPeerVersions(it); }},
                           [this](bool isIsolated) { onIsolationChanged(isIsolated); })
     , m_responseBuffers(memoryShare(m_settings, ResponseMemoryDivisor, MaxResponseBufferBytes))
-    , m_admission(m_routes, m_drainSchedule)
+    , m_admission(m_routes, m_drainSchedule, m_configurationAge)
     , m_proxyContext{m_loop.timers(),
                      m_admission,
                      m_routes,
@@ -363,6 +363,8 @@
     m_metrics.setGauge("flamingo_history_bytes", {}, static_cast<double>(m_turnCache.sizeBytes()));
     m_metrics.setGauge("flamingo_programs", {}, static_cast<double>(m_budgets.programCount()));
     m_metrics.setGauge("flamingo_configuration_version", {}, static_cast<double>(m_routes.configuration().version.value()));
+    m_metrics.setGauge("flamingo_workspaces", {}, static_cast<double>(m_routes.workspaces().workspaceCount()));
+    m_metrics.setGauge("flamingo_workspace_keys", {}, static_cast<double>(m_routes.workspaces().keyCount()));
     m_metrics.setGauge("flamingo_requests_waiting", {}, static_cast<double>(m_dispatchQueue.waitingCount()));
     connection->respond(StatusOk, {}, m_metrics.render());
 }
--- a/src/serving/admission.h
+++ b/src/serving/admission.h
@@ -13,6 +13,7 @@
 namespace flamingo
 {
 
+class ConfigurationAge;
 class DrainSchedule;
 class RouteTable;
 
@@ -30,20 +31,32 @@
     std::int64_t tokensPerEvent = 1; ///< Of the pool's streams.
     Instant deadline;
     std::optional<Workspace> workspace; ///< Set where the caller has identified itself.
+    bool hidesCredentials = false; ///< The configuration has workspaces, so the endpoint gets neither the caller's key nor its X-Tenant.
+    int priority = 0; ///< The workspace's, or else the route's; 0 is the most urgent.
+    /// The key under which homes and the dispatcher know the program, which differs between workspaces; compare programKey().
+    ProgramId program;
 };
 
+/// The id of the request's workspace, where it has one.
+std::optional<WorkspaceId> workspaceId(const AdmittedRequest &request);
+
 /// Decides whether a request is accepted, before it waits for anything. It does no I/O.
 class Admission
 {
 public:
-    Admission(const RouteTable &routes, const DrainSchedule &drainSchedule);
+    Admission(const RouteTable &routes, const DrainSchedule &drainSchedule, const ConfigurationAge &configurationAge);
+
+    /// Checks a request that arrived at the given time against the configuration in force. suspendAwareNow tells how old that is.
+    tl::expected<AdmittedRequest, Refusal> admit(const RequestMetadata &metadata, Instant arrivedAt, Instant now, Instant suspendAwareNow) const;
 
-    /// Checks a request that arrived at the given time against the configuration in force.
-    tl::expected<AdmittedRequest, Refusal> admit(const RequestMetadata &metadata, Instant arrivedAt, Instant now) const;
+    /// The refusal of an accepted request whose key may have been taken away since, without this instance knowing of it. To be checked
+    /// before the request is sent, since the process may have been paused.
+    std::optional<Refusal> recheck(const AdmittedRequest &request, Instant suspendAwareNow) const;
 
 private:
     const RouteTable &m_routes;
     const DrainSchedule &m_drainSchedule;
+    const ConfigurationAge &m_configurationAge;
 };
 
 /// For how long a caller waits before it tries again, where nothing better is known.
