Turns belong to the workspace that made them

Cause: a caller could continue another workspace's turn by naming it.

A turn's record names its workspace, BeginTurnRequest names the caller's, and the home compares them where cached and stored turns meet. All turns of a history are compared, since another workspace may use an earlier turn's id later. Records without a workspace are encoded and decoded as before and belong to none.

--- a/src/instance/homeservice.cpp
+++ b/src/instance/homeservice.cpp
@@ -64,6 +64,9 @@
     if (previousTurn) {
         json["previous"] = *previousTurn;
     }
+    if (workspace) {
+        json["workspace"] = *workspace;
+    }
     return toCbor(json);
 }
 
@@ -82,6 +85,9 @@
         if (json.contains("previous")) {
             request.previousTurn = json.at("previous").get<RequestId>();
         }
+        if (json.contains("workspace")) {
+            request.workspace = json.at("workspace").get<WorkspaceId>();
+        }
         return request;
     });
 }
@@ -174,7 +180,7 @@
             onResponse(std::move(response));
             return;
         }
-        m_turnCache.loadChain(*request.previousTurn, std::chrono::steady_clock::now(), [response, onResponse](TurnChain chain) mutable {
+        m_turnCache.loadChain(*request.previousTurn, request.workspace, std::chrono::steady_clock::now(), [response, onResponse](TurnChain chain) mutable {
             response.history = std::move(chain);
             onResponse(std::move(response));
         });
--- a/src/instance/homeservice.h
+++ b/src/instance/homeservice.h
@@ -33,6 +33,7 @@
     /// forwarded again.
     bool isForwarded = false;
     std::optional<RequestId> previousTurn; ///< The turn that this one continues.
+    std::optional<WorkspaceId> workspace; ///< Of the caller; a previous turn of another one is absent.
     RegistryVersions registryVersions; ///< Seen by the sender.
 
     std::string encode() const;
--- a/src/instance/proxiedrequest.cpp
+++ b/src/instance/proxiedrequest.cpp
@@ -340,6 +340,7 @@
     record->input = std::move(m_request.body);
     record->output = m_stream.takeOutput();
     record->retention = m_admitted.route.retention;
+    record->workspace = workspaceId(m_admitted);
     record->continueFrom(m_history, std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - m_historyLoadedAt));
     m_reservation.end(generatedTokens(), record);
     m_context.turnStore.save(record, [self = shared_from_this()](bool isSaved) {
--- a/src/instance/turnreservation.cpp
+++ b/src/instance/turnreservation.cpp
@@ -52,6 +52,7 @@
     BeginTurnRequest request;
     request.program = admitted.program;
     request.session = metadata.session;
+    request.workspace = workspaceId(admitted);
     if (hasBudget(metadata)) {
         request.budget = metadata.tokenBudget;
         request.maxTokens = *metadata.maxOutputTokens;
--- a/src/serving/turncache.cpp
+++ b/src/serving/turncache.cpp
@@ -1,5 +1,7 @@
 #include "serving/turncache.h"
 
+#include "core/log.h"
+
 #include <algorithm>
 
 namespace flamingo
@@ -19,6 +21,7 @@
 /// A chain that is being assembled from cached turns and store lookups.
 struct TurnCache::ChainLoad {
     RequestId lastTurn;
+    std::optional<WorkspaceId> workspace; ///< Of the caller.
     Instant startedAt;
     std::map<RequestId, TurnRecordPtr> turns;
     std::size_t pending = 0;
@@ -33,10 +36,11 @@
 {
 }
 
-void TurnCache::loadChain(const RequestId &previous, Instant now, std::function<void(TurnChain)> onChain)
+void TurnCache::loadChain(const RequestId &previous, const std::optional<WorkspaceId> &workspace, Instant now, std::function<void(TurnChain)> onChain)
 {
     auto load = std::make_shared<ChainLoad>();
     load->lastTurn = previous;
+    load->workspace = workspace;
     load->startedAt = now;
     load->onChain = std::move(onChain);
     if (const TurnRecordPtr turn = find(previous)) {
@@ -59,8 +63,13 @@
 // The last turn lists all its ancestors, so that those that are not cached can be looked up concurrently.
 void TurnCache::loadAncestors(const std::shared_ptr<ChainLoad> &load)
 {
+    const TurnRecord &lastTurn = *load->turns.at(load->lastTurn);
+    if (lastTurn.workspace != load->workspace) {
+        finish(*load);
+        return;
+    }
     std::vector<RequestId> missing;
-    for (const RequestId &id : load->turns.at(load->lastTurn)->ancestors) {
+    for (const RequestId &id : lastTurn.ancestors) {
         if (const TurnRecordPtr turn = find(id)) {
             load->turns.emplace(id, turn);
         } else {
@@ -90,6 +99,12 @@
 
 void TurnCache::finish(ChainLoad &load) const
 {
+    // All turns of a chain belong to one workspace, unless another one's has been stored under the same id since.
+    const auto isForeign = [&](const auto &it) { return it.second->workspace != load.workspace; };
+    if (load.status == TurnLookup::Status::Found && std::any_of(load.turns.begin(), load.turns.end(), isForeign)) {
+        logChange("turn-of-other-workspace", "turn={} workspace={}", load.lastTurn.value(), load.workspace ? load.workspace->value() : "-");
+        load.status = TurnLookup::Status::Absent;
+    }
     TurnChain chain;
     chain.status = load.status;
     if (chain.status == TurnLookup::Status::Found) {
--- a/src/serving/turncache.h
+++ b/src/serving/turncache.h
@@ -53,9 +53,9 @@
 public:
     TurnCache(TurnStore &store, std::size_t maxBytes);
 
-    /// Loads the given turn and its ancestors. The status is Absent only when the given turn is absent; a missing ancestor
-    /// gives Unknown.
-    void loadChain(const RequestId &previous, Instant now, std::function<void(TurnChain)> onChain);
+    /// Loads the given turn and its ancestors for a caller of the workspace. The status is Absent only when the given turn is absent or
+    /// belongs to another workspace or to none; a missing ancestor gives Unknown.
+    void loadChain(const RequestId &previous, const std::optional<WorkspaceId> &workspace, Instant now, std::function<void(TurnChain)> onChain);
 
     /// Caches a turn that has just ended, and is stored already or is being stored. The oldest turns are evicted beyond the memory
     /// limit.
--- a/src/serving/turnrecord.cpp
+++ b/src/serving/turnrecord.cpp
@@ -14,12 +14,15 @@
 
 std::string TurnRecord::encode() const
 {
-    const Json json = {{"before", ancestors},
-                       {"in", toBinary(input)},
-                       {"out", toBinary(output)},
-                       {"keep", retention.count()},
-                       {"age", sinceRenewal.count()},
-                       {"renews", renewsConversation}};
+    Json json = {{"before", ancestors},
+                 {"in", toBinary(input)},
+                 {"out", toBinary(output)},
+                 {"keep", retention.count()},
+                 {"age", sinceRenewal.count()},
+                 {"renews", renewsConversation}};
+    if (workspace) {
+        json["workspace"] = *workspace;
+    }
     return toCbor(json);
 }
 
@@ -54,6 +57,9 @@
         // Records of earlier versions lack these; their conversations are renewed by the next turn.
         turn.sinceRenewal = Milliseconds(json.value("age", turn.retention.count()));
         turn.renewsConversation = json.value("renews", false);
+        if (json.contains("workspace")) {
+            turn.workspace = json.at("workspace").get<WorkspaceId>();
+        }
         return turn;
     });
 }
--- a/src/serving/turnrecord.h
+++ b/src/serving/turnrecord.h
@@ -24,6 +24,7 @@
     Milliseconds sinceRenewal{0};
     /// Storing this turn also renews the conversation, so that its earlier turns are kept on.
     bool renewsConversation = false;
+    std::optional<WorkspaceId> workspace; ///< That the turn belongs to. Without one it belongs to none, as do records of earlier versions.
 
     /// The first turn of the conversation, which all its turns have in common.
     RequestId conversation() const;
--- a/tests/platform/persistencetest.cpp
+++ b/tests/platform/persistencetest.cpp
@@ -247,7 +247,7 @@
         };
         asio::post(loop.loop.context(), [&] {
             keeper.removeExpired(std::chrono::steady_clock::now());
-            continues ? cache.loadChain(ids.back(), std::chrono::steady_clock::now(), save) : save({});
+            continues ? cache.loadChain(ids.back(), std::nullopt, std::chrono::steady_clock::now(), save) : save({});
         });
         return isSaved.get_future().get();
     };
--- a/tests/unit/decoderfuzztest.cpp
+++ b/tests/unit/decoderfuzztest.cpp
@@ -62,9 +62,11 @@
     turn.id = RequestId("t");
     turn.ancestors = {RequestId("a")};
     turn.input = "in";
+    turn.workspace = WorkspaceId("w");
     BeginTurnRequest begin;
     begin.previousTurn = RequestId("a");
     begin.budget = Tokens(3);
+    begin.workspace = WorkspaceId("w");
     BeginTurnResponse begun;
     begun.history.sinceRenewal = Milliseconds(3);
     begun.cachedPrefix = CachedPrefix{EndpointId("e"), Tokens(2)};
--- a/tests/unit/servingtest.cpp
+++ b/tests/unit/servingtest.cpp
@@ -58,7 +58,7 @@
 TurnChain loadedChain(TurnCache &cache, const std::string &id)
 {
     TurnChain chain;
-    cache.loadChain(RequestId(id), Start, [&](TurnChain it) { chain = std::move(it); });
+    cache.loadChain(RequestId(id), std::nullopt, Start, [&](TurnChain it) { chain = std::move(it); });
     return chain;
 }
 } // namespace
@@ -1111,7 +1111,7 @@
     TurnCache cache(store, 100000);
     const auto chainAt = [&](const std::string &id, Instant now) {
         TurnChain chain;
-        cache.loadChain(RequestId(id), now, [&](TurnChain it) { chain = std::move(it); });
+        cache.loadChain(RequestId(id), std::nullopt, now, [&](TurnChain it) { chain = std::move(it); });
         return chain;
     };
     store.save(turn("a", {}, "one"), [](bool) {});
--- a/tests/unit/workspacetest.cpp
+++ b/tests/unit/workspacetest.cpp
@@ -1,12 +1,16 @@
+#include "core/codec.h"
 #include "core/crypto.h"
 #include "core/time.h"
 #include "http/messageparser.h"
+#include "instance/homeservice.h"
 #include "platform/headercodec.h"
 #include "platform/recordcodec.h"
 #include "serving/admission.h"
 #include "serving/drainschedule.h"
 #include "serving/programkey.h"
 #include "serving/routetable.h"
+#include "serving/turncache.h"
+#include "unit/inmemorybudgetstore.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -19,8 +23,6 @@
 {
 using Json = nlohmann::json;
 
-const Instant Start{Milliseconds(1000000)};
-
 /// A configuration with a route that needs a key and a public one, and the given tenants.
 Json configurationJson(int version, const Json &tenants)
 {
@@ -36,6 +38,46 @@
     return {{"name", name}, {"api-keys", std::move(keys)}};
 }
 
+/// Turns as the store and archives hold them, encoded.
+class EncodedTurnStore : public TurnStore
+{
+public:
+    void save(const TurnRecordPtr &turn, std::function<void(bool)> onSaved) override
+    {
+        turns[turn->id] = turn->encode();
+        onSaved(true);
+    }
+
+    void load(const RequestId &id, std::function<void(TurnLookup)> onLoaded) override
+    {
+        const auto it = turns.find(id);
+        const auto turn = it == turns.end() ? std::nullopt : TurnRecord::decode(id, it->second);
+        onLoaded(turn ? TurnLookup{TurnLookup::Status::Found, std::make_shared<const TurnRecord>(*turn)} : TurnLookup{TurnLookup::Status::Absent, nullptr});
+    }
+
+    std::map<RequestId, std::string> turns;
+};
+
+TurnRecordPtr turnOf(const std::optional<WorkspaceId> &workspace, const std::string &id, const std::string &previous = {})
+{
+    TurnRecord turn;
+    turn.id = RequestId(id);
+    if (!previous.empty()) {
+        turn.ancestors = {RequestId(previous)};
+    }
+    turn.input = "text";
+    turn.workspace = workspace;
+    return std::make_shared<const TurnRecord>(turn);
+}
+
+TurnLookup::Status statusOf(TurnCache &cache, const std::string &id, const std::optional<WorkspaceId> &workspace)
+{
+    TurnChain chain;
+    cache.loadChain(RequestId(id), workspace, Start, [&](TurnChain it) { chain = std::move(it); });
+    CHECK(chain.text.empty() == (chain.status != TurnLookup::Status::Found));
+    return chain.status;
+}
+
 struct Fixture {
     explicit Fixture(const Json &tenants)
     {
@@ -276,3 +318,74 @@
     std::string_view rest = bytes;
     CHECK(parser.feed(rest) == MessageParser::Event::Error);
 }
+
+// Guards against a workspace that reads another one's history by naming its turn.
+TEST_CASE("A turn exists for its own workspace only, cached or stored", "[serving][workspaces]")
+{
+    const std::vector<std::optional<WorkspaceId>> workspaces = {WorkspaceId("acme"), WorkspaceId("birds"), std::nullopt};
+    for (const bool isCached : {true, false}) {
+        for (const auto &owner : workspaces) {
+            EncodedTurnStore store;
+            TurnCache cache(store, isCached ? 100000 : 0);
+            store.save(turnOf(owner, "a"), [](bool) {});
+            store.save(turnOf(owner, "b", "a"), [](bool) {});
+            if (isCached) {
+                cache.add(turnOf(owner, "a"), Start);
+                cache.add(turnOf(owner, "b", "a"), Start);
+                store.turns.clear();
+            }
+            for (const auto &caller : workspaces) {
+                INFO((owner ? owner->value() : "none") << ' ' << (caller ? caller->value() : "none") << ' ' << isCached);
+                CHECK((statusOf(cache, "b", caller) == TurnLookup::Status::Found) == (caller == owner));
+                CHECK((statusOf(cache, "b", caller) == TurnLookup::Status::Absent) == (caller != owner));
+            }
+        }
+    }
+}
+
+// Guards against a workspace that continues from a turn whose id another one uses later.
+TEST_CASE("A history with an earlier turn of another workspace is absent", "[serving][workspaces]")
+{
+    EncodedTurnStore store;
+    TurnCache cache(store, 0);
+    store.save(turnOf(WorkspaceId("birds"), "b", "a"), [](bool) {});
+    store.save(turnOf(WorkspaceId("acme"), "a"), [](bool) {});
+    CHECK(statusOf(cache, "b", WorkspaceId("birds")) == TurnLookup::Status::Absent);
+}
+
+// Guards against records of earlier versions that can't be decoded any more, or that a workspace takes over.
+TEST_CASE("A turn's record without a workspace is as before and belongs to none", "[serving][workspaces]")
+{
+    const auto record = fromCbor(turnOf(std::nullopt, "a")->encode());
+    REQUIRE(record);
+    CHECK_FALSE(record->contains("workspace"));
+    CHECK_FALSE(TurnRecord::decode(RequestId("a"), toCbor(*record))->workspace);
+    CHECK(TurnRecord::decode(RequestId("a"), turnOf(WorkspaceId("acme"), "a")->encode())->workspace == WorkspaceId("acme"));
+}
+
+// Guards against a home that doesn't learn from which workspace a turn comes.
+TEST_CASE("A home is told the caller's workspace", "[serving][workspaces]")
+{
+    BeginTurnRequest request;
+    request.program = ProgramId("p");
+    request.previousTurn = RequestId("a");
+    CHECK_FALSE(BeginTurnRequest::decode(request.encode())->workspace);
+    request.workspace = WorkspaceId("acme");
+    CHECK(BeginTurnRequest::decode(request.encode())->workspace == request.workspace);
+}
+
+// Guards against work that loses its place, since it is taken for the beginning of a program.
+TEST_CASE("A request that names the turn before, resumes a stream or is a program's tool call continues a program", "[serving][workspaces]")
+{
+    RequestMetadata request;
+    CHECK_FALSE(request.continuesProgram());
+    request.program = ProgramId("p");
+    CHECK(request.continuesProgram());
+    request.promptTokens = Tokens(10);
+    CHECK_FALSE(request.continuesProgram());
+    request.previousTurn = RequestId("t");
+    CHECK(request.continuesProgram());
+    request.previousTurn.reset();
+    request.lastEventId = "3";
+    CHECK(request.continuesProgram());
+}
