--- a/src/instance/dispatchqueue.cpp
+++ b/src/instance/dispatchqueue.cpp
@@ -34,6 +34,12 @@
     refuseUnservable();
 }
 
+void DispatchQueue::setUnreachableDomains(std::set<DomainId> domains)
+{
+    m_dispatcher.setUnreachableDomains(std::move(domains));
+    dispatchWaiting();
+}
+
 void DispatchQueue::markLeaving(const EndpointId &endpoint)
 {
     m_dispatcher.markLeaving(endpoint);
--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -109,7 +109,8 @@
                           m_peerConnections,
                           {[this] { return m_store.lastDirectResponseAt(); }, [this] { probeStore(); }},
                           {[this] { return m_registryWatcher.seenVersions(); }, [this](const RegistryVersions &it) { m_registryWatcher.onPeerVersions(it); }},
-                          [this](bool isIsolated) { onIsolationChanged(isIsolated); })
+                          {[this](bool isIsolated) { onIsolationChanged(isIsolated); },
+                           [this](const std::set<DomainId> &unreachable) { m_dispatchQueue.setUnreachableDomains(unreachable); }})
     , m_responseBuffers(memoryShare(m_settings, ResponseMemoryDivisor, MaxResponseBufferBytes))
     , m_admission(m_routes, m_drainSchedule)
     , m_proxyContext{m_loop.timers(),
--- a/src/instance/isolationdetector.cpp
+++ b/src/instance/isolationdetector.cpp
@@ -4,6 +4,8 @@
 #include "http/internalrequest.h"
 
 #include <algorithm>
+#include <map>
+#include <set>
 
 namespace flamingo
 {
@@ -29,14 +31,14 @@
                                      ConnectionPool &peerConnections,
                                      StoreHooks store,
                                      VersionHooks versions,
-                                     std::function<void(bool)> onChange)
+                                     ChangeHooks changes)
     : m_context(context)
     , m_timers(timers)
     , m_members(members)
     , m_peerConnections(peerConnections)
     , m_store(std::move(store))
     , m_versions(std::move(versions))
-    , m_onChange(std::move(onChange))
+    , m_changes(std::move(changes))
 {
 }
 
@@ -56,6 +58,7 @@
     const MemberRecord *member = m_members.find(from);
     if (member && member->domain != m_members.ownDomain()) {
         m_lastPeerResponseAt = std::chrono::steady_clock::now();
+        m_domains.recordResponse(member->domain, m_lastPeerResponseAt);
     }
 }
 
@@ -76,6 +79,27 @@
         }
     }
     setIsolated(now - std::max(m_lastPeerResponseAt, m_store.lastResponseAt()) > IsolationTimeout);
+    checkDomains(members, now);
+}
+
+void IsolationDetector::checkDomains(const std::vector<MemberRecord> &members, Instant now)
+{
+    std::map<DomainId, std::vector<const MemberRecord *>> membersOf;
+    std::set<DomainId> domains;
+    for (const MemberRecord &member : members) {
+        membersOf[member.domain].push_back(&member);
+        domains.insert(member.domain);
+    }
+    for (const DomainId &domain : m_domains.takeDomainsToPing(domains, now)) {
+        const auto &candidates = membersOf.at(domain);
+        ping(*candidates[m_nextPingIndex++ % candidates.size()]);
+    }
+    if (m_domains.update(now)) {
+        const std::set<DomainId> &unreachable = m_domains.unreachableDomains();
+        logChange("domains-reachable", "unreachable={}", unreachable.size());
+        m_members.setUnreachableDomains(unreachable);
+        m_changes.onUnreachableDomainsChanged(unreachable);
+    }
 }
 
 void IsolationDetector::ping(const MemberRecord &member)
@@ -86,12 +110,13 @@
     request.target = PingPath;
     request.body = m_versions.ownVersions().encode();
     request.connectTimeout = PingConnectTimeout;
-    sendInternalRequest(m_context, m_peerConnections, std::move(request), [this](const std::optional<InternalResponse> &response) {
+    sendInternalRequest(m_context, m_peerConnections, std::move(request), [this, domain = member.domain](const std::optional<InternalResponse> &response) {
         // Failures need no handling; only the time since the last response counts.
         if (!response) {
             return;
         }
         m_lastPeerResponseAt = std::chrono::steady_clock::now();
+        m_domains.recordResponse(domain, m_lastPeerResponseAt);
         if (const auto versions = response->body.empty() ? std::nullopt : RegistryVersions::decode(response->body)) {
             m_versions.onPeerVersions(*versions);
         }
@@ -106,7 +131,7 @@
     m_isIsolated = isIsolated;
     m_members.setDomainIsolated(isIsolated);
     logChange(isIsolated ? "isolated" : "reconnected", "instances_in_other_domains={}", m_members.instancesInOtherDomains().size());
-    m_onChange(isIsolated);
+    m_changes.onIsolationChanged(isIsolated);
 }
 
 } // namespace flamingo
--- a/src/instance/isolationdetector.h
+++ b/src/instance/isolationdetector.h
@@ -2,6 +2,7 @@
 
 #include "core/timerservice.h"
 #include "http/connectionpool.h"
+#include "serving/domainreachability.h"
 #include "serving/memberdirectory.h"
 #include "serving/registryversions.h"
 
@@ -13,7 +14,8 @@
 /// Detects whether this instance is isolated: it reaches neither the store nor any instance in another failure domain. An
 /// isolated instance has its callers sent elsewhere. If only the store is unreachable, all instances are affected alike
 /// and callers are best served where they are, so that doesn't count as isolated. Its pings carry the registry versions, so
-/// that instances exchange them even when no caller's request makes them talk.
+/// that instances exchange them even when no caller's request makes them talk. It also tells which other failure domains can't be
+/// reached.
 class IsolationDetector
 {
 public:
@@ -31,14 +33,18 @@
         std::function<void(const RegistryVersions &)> onPeerVersions;
     };
 
-    /// onChange is called with the new state whenever it changes.
+    struct ChangeHooks {
+        std::function<void(bool isIsolated)> onIsolationChanged;
+        std::function<void(const std::set<DomainId> &unreachable)> onUnreachableDomainsChanged;
+    };
+
     IsolationDetector(asio::io_context &context,
                       TimerService &timers,
                       MemberDirectory &members,
                       ConnectionPool &peerConnections,
                       StoreHooks store,
                       VersionHooks versions,
-                      std::function<void(bool)> onChange);
+                      ChangeHooks changes);
 
     void start();
     bool isIsolated() const;
@@ -48,6 +54,7 @@
 
 private:
     void check(Instant now);
+    void checkDomains(const std::vector<MemberRecord> &members, Instant now);
     void ping(const MemberRecord &member);
     void setIsolated(bool isIsolated);
 
@@ -57,7 +64,8 @@
     ConnectionPool &m_peerConnections;
     StoreHooks m_store;
     VersionHooks m_versions;
-    std::function<void(bool)> m_onChange;
+    ChangeHooks m_changes;
+    DomainReachability m_domains;
     Instant m_lastPeerResponseAt{}; ///< From an instance in another failure domain.
     Instant m_lastPingAt{};
     std::size_t m_nextPingIndex = 0;
--- a/src/policy/dispatcher.cpp
+++ b/src/policy/dispatcher.cpp
@@ -30,6 +30,8 @@
 /// A stream is moved only if that saves at least this much.
 constexpr double MinMoveGainMs = 400.0;
 constexpr double CrossDomainCostMs = 3.0;
+/// More than any other cost of an endpoint that has not failed.
+constexpr double UnreachableDomainCostMs = 1e5;
 /// Differences in cost up to this one are noise.
 constexpr double EqualCostMs = 1.0;
 constexpr double DefaultServiceTimeMs = 200.0;
@@ -69,6 +71,11 @@
     }
 }
 
+void Dispatcher::setUnreachableDomains(std::set<DomainId> domains)
+{
+    m_unreachableDomains = std::move(domains);
+}
+
 std::size_t Dispatcher::queueLimit(PriorityClass priority) const
 {
     if (!m_rules.refusesEarly) {
@@ -251,6 +258,7 @@
     costMs += pool.meanServiceTimeMs * 0.25 * state.runningCalls() / std::max(1.0, state.concurrencyLimit(m_rules));
     costMs += !hasNoCachedPrefix ? 0 : pool.meanServiceTimeMs * CrowdingCostShare * state.callsOfOtherDispatchers(now) / std::max(1, endpoint.info.slots);
     costMs += endpoint.info.domain == m_ownDomain ? 0 : CrossDomainCostMs;
+    costMs += m_unreachableDomains.count(endpoint.info.domain) == 0 ? 0 : UnreachableDomainCostMs;
     return costMs;
 }
 
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -69,6 +69,9 @@
     /// Marks an endpoint as leaving before the configuration does.
     void markLeaving(const EndpointId &endpoint);
 
+    /// Sets the failure domains that can't be reached. Their endpoints are used only where there are no others.
+    void setUnreachableDomains(std::set<DomainId> domains);
+
     /// Queues a call or refuses it with NoEndpoint, Overloaded or DeadlineUnreachable. A refused call has not run.
     Result<void> enqueue(DispatchRequest &call, Instant now);
 
@@ -164,6 +167,7 @@
 
     PolicyRules m_rules;
     DomainId m_ownDomain;
+    std::set<DomainId> m_unreachableDomains;
     std::map<EndpointId, Endpoint> m_endpoints;
     std::map<PoolId, Pool> m_pools;
     std::unordered_map<ProgramId, CachedPrefix> m_cachedPrefixes;
--- a/src/serving/memberdirectory.cpp
+++ b/src/serving/memberdirectory.cpp
@@ -108,9 +108,15 @@
     m_isDomainIsolated = isIsolated;
 }
 
+void MemberDirectory::setUnreachableDomains(std::set<DomainId> domains)
+{
+    m_unreachableDomains = std::move(domains);
+}
+
 bool MemberDirectory::isReachable(const Entry &entry, Instant now) const
 {
-    return !entry.record.isPresumedDead && now >= entry.retryAt && (!m_isDomainIsolated || entry.record.domain == m_ownDomain);
+    const bool isDomainReachable = (!m_isDomainIsolated || entry.record.domain == m_ownDomain) && m_unreachableDomains.count(entry.record.domain) == 0;
+    return !entry.record.isPresumedDead && now >= entry.retryAt && isDomainReachable;
 }
 
 bool MemberDirectory::isReachable(const InstanceId &id, Instant now) const
--- a/src/serving/memberdirectory.h
+++ b/src/serving/memberdirectory.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -67,6 +68,9 @@
     /// Sets whether this failure domain is cut off from all others.
     void setDomainIsolated(bool isIsolated);
 
+    /// Sets the failure domains that can't be reached; their members count as unreachable.
+    void setUnreachableDomains(std::set<DomainId> domains);
+
     /// Reachable instances in the order in which they are preferred as the program's home. This instance counts as reachable.
     std::vector<InstanceId> rankedHomes(const ProgramId &program, Instant now) const;
 
@@ -129,6 +133,7 @@
     bool m_isLoaded = false;
     bool m_isDraining = false;
     bool m_isDomainIsolated = false;
+    std::set<DomainId> m_unreachableDomains;
     std::map<InstanceId, Entry> m_members;
     std::map<InstanceId, Instant> m_removedAt; ///< When instances were removed from the list, for those removed lately.
 };
