--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -3,6 +3,8 @@
 #include "core/error.h"
 #include "core/ids.h"
 #include "core/time.h"
+#include "policy/callorder.h"
+#include "policy/endpointchoice.h"
 #include "policy/endpointstate.h"
 #include "policy/policyrules.h"
 #include "programs/records.h"
@@ -32,6 +34,8 @@
     Instant deadline;
     Tokens promptTokens; ///< Prompt length, cached part included.
     Tokens expectedAnswerTokens; ///< Expected length of the answer.
+    std::optional<WorkspaceId> workspace;
+    bool isContinuation = false; ///< Continues a program that has had a turn or a call.
     bool isRepeatable = true;
     bool isRetry = false; ///< Exempt from the queue limit and the deadline check, since it was accepted before.
     bool isLong = false; ///< Set by Dispatcher::enqueue().
@@ -47,15 +51,6 @@
     std::string reason; ///< Shown to operators who ask for the program's decisions.
 };
 
-/// An endpoint as configured.
-struct EndpointInfo {
-    EndpointId id;
-    PoolId pool;
-    DomainId domain;
-    int slots = 1;
-    bool isLeaving = false;
-};
-
 /// Orders queued calls, limits their concurrency, chooses endpoints and refuses calls. It does no I/O and reads no clock; the
 /// time is passed in.
 class Dispatcher
@@ -120,52 +115,29 @@
     const EndpointState *endpointState(const EndpointId &endpoint) const;
 
 private:
-    struct Endpoint {
-        EndpointInfo info;
-        EndpointState state;
-    };
     struct Pool {
-        std::vector<EndpointId> endpoints;
+        EndpointPool endpointPool;
         std::vector<DispatchRequest> queue;
-        std::size_t nextRoundRobinIndex = 0;
-        double medianMsPerToken = 0; ///< Median of the endpoints.
-        double meanServiceTimeMs = 0;
     };
     struct CachedPrefix {
         EndpointId endpoint;
         Tokens tokens;
     };
-    struct EndpointChoice {
-        std::optional<EndpointId> endpoint;
-        bool waitsForAffinity = false;
-        std::string reason;
-    };
-
-    std::optional<EndpointId>
-    chooseAmongEqual(const DispatchRequest &call, const std::vector<std::pair<double, EndpointId>> &candidates, double lowestCostMs) const;
 
-    /// The endpoint that has the call's prefix cached, as far as is known.
-    std::optional<EndpointId> knownPrefixEndpoint(const DispatchRequest &call) const;
-    Tokens cachedPrefixTokens(const DispatchRequest &call, const EndpointId &endpoint) const;
-    double rank(const DispatchRequest &call, Instant now) const;
+    PoolEndpoint *findEndpoint(const EndpointId &id);
+    KnownPrefix knownPrefix(const DispatchRequest &call) const;
     bool isLong(const DispatchRequest &call, const Pool &pool) const;
     /// Takes a slot at another endpoint than the given one and charges the hedge budget.
     std::optional<EndpointId> takeSlotElsewhere(const DispatchRequest &call, const EndpointId &from, Pool &pool, Instant now);
-    bool isBeingProbed(const Endpoint &endpoint, const Pool &pool, Instant now) const;
     bool mayTakeSlot(const DispatchRequest &call, const Pool &pool) const;
-    EndpointChoice chooseEndpoint(const DispatchRequest &call, Pool &pool, Instant now) const;
-    EndpointChoice chooseRoundRobin(const DispatchRequest &call, Pool &pool, Instant now) const;
-    double estimatedCostMs(const DispatchRequest &call, const Endpoint &endpoint, const Pool &pool, Instant now) const;
     void dispatchPool(Pool &pool, Instant now, std::vector<DispatchDecision> &decisions);
-    void updatePoolStatistics(Pool &pool, Instant now) const;
     double expectedWaitMs(const DispatchRequest &call, const Pool &pool) const;
     std::size_t queueLimit(PriorityClass priority) const;
-    bool hasUsableEndpoint(const Pool &pool) const;
 
     PolicyRules m_rules;
-    DomainId m_ownDomain;
-    std::map<EndpointId, Endpoint> m_endpoints;
+    EndpointChooser m_chooser;
     std::map<PoolId, Pool> m_pools;
+    std::map<EndpointId, PoolId> m_poolOfEndpoint;
     std::unordered_map<ProgramId, CachedPrefix> m_cachedPrefixes;
     double m_hedgeBudget = 1;
 };
--- /dev/null
+++ b/src/policy/endpointchoice.cpp
@@ -0,0 +1,200 @@
+#include "policy/endpointchoice.h"
+
+#include "core/digest.h"
+#include "policy/dispatcher.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace flamingo
+{
+
+namespace
+{
+constexpr double SlowEndpointFactor = 1.6;
+/// Relative differences in time per token below this are treated as noise.
+constexpr double TokenTimeNoiseShare = 0.12;
+/// Assumed slowdown, as a share of the pool's mean service time, when other dispatchers have as many calls at an endpoint as it
+/// has slots.
+constexpr double CrowdingCostShare = 0.5;
+/// A slow endpoint that was last observed this long ago is probed.
+constexpr Milliseconds ProbeInterval{2000};
+constexpr double CrossDomainCostMs = 3.0;
+/// Differences in cost up to this one are noise.
+constexpr double EqualCostMs = 1.0;
+constexpr double DefaultServiceTimeMs = 200.0;
+
+// Many dispatchers that know nothing of each other see the same costs. If each took the first of the cheapest endpoints, all would take
+// the same one. A hash spreads the programs, and sends the calls of one program to the same endpoint whichever dispatcher has them.
+std::optional<EndpointId> chooseAmongEqual(const DispatchRequest &call, const std::vector<std::pair<double, EndpointId>> &candidates, double lowestCostMs)
+{
+    std::optional<EndpointId> best;
+    std::uint64_t highestWeight = 0;
+    for (const auto &[costMs, id] : candidates) {
+        if (costMs > lowestCostMs + EqualCostMs) {
+            continue;
+        }
+        const std::uint64_t weight = stableHash(id.value(), stableHash(call.program.value()));
+        if (!best || weight > highestWeight) {
+            best = id;
+            highestWeight = weight;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+PoolEndpoint *EndpointPool::find(const EndpointId &id)
+{
+    const auto it = std::find_if(endpoints.begin(), endpoints.end(), [&](const PoolEndpoint &endpoint) { return endpoint.info.id == id; });
+    return it == endpoints.end() ? nullptr : &*it;
+}
+
+bool EndpointPool::hasUsableEndpoint() const
+{
+    return std::any_of(endpoints.begin(), endpoints.end(), [](const PoolEndpoint &endpoint) { return !endpoint.info.isLeaving; });
+}
+
+bool EndpointPool::hasFreeSlot(const PolicyRules &rules) const
+{
+    return std::any_of(endpoints.begin(), endpoints.end(), [&](const PoolEndpoint &endpoint) { return endpoint.state.hasFreeSlot(rules); });
+}
+
+void EndpointPool::updateStatistics(Instant now)
+{
+    std::vector<double> tokenTimes;
+    double totalServiceTimeMs = 0;
+    int observed = 0;
+    for (const PoolEndpoint &endpoint : endpoints) {
+        const EndpointState &state = endpoint.state;
+        const double msPerToken = state.msPerToken(now, medianMsPerToken);
+        if (msPerToken > 0) {
+            tokenTimes.push_back(msPerToken);
+        }
+        if (state.serviceTimeMs() > 0) {
+            totalServiceTimeMs += state.serviceTimeMs();
+            ++observed;
+        }
+    }
+    if (!tokenTimes.empty()) {
+        // The lower of two middle values, so that in a pool of two the slower endpoint stands out from the median.
+        const auto middle = tokenTimes.begin() + static_cast<std::ptrdiff_t>((tokenTimes.size() - 1) / 2);
+        std::nth_element(tokenTimes.begin(), middle, tokenTimes.end());
+        medianMsPerToken = *middle;
+    }
+    meanServiceTimeMs = observed > 0 ? totalServiceTimeMs / observed : DefaultServiceTimeMs;
+}
+
+bool isSlowEndpoint(double msPerToken, const EndpointPool &pool)
+{
+    return msPerToken > SlowEndpointFactor * pool.medianMsPerToken;
+}
+
+EndpointChooser::EndpointChooser(PolicyRules rules, DomainId ownDomain)
+    : m_rules(rules)
+    , m_ownDomain(std::move(ownDomain))
+{
+}
+
+// When the last observation of a slow endpoint is older than ProbeInterval, the endpoint gets one call at a time until a new
+// observation shows its present speed.
+bool EndpointChooser::isBeingProbed(const PoolEndpoint &endpoint, const EndpointPool &pool, Instant now) const
+{
+    const bool wasSlow = pool.medianMsPerToken > 0 && isSlowEndpoint(endpoint.state.msPerToken(endpoint.state.lastObservedAt(), pool.medianMsPerToken), pool);
+    const bool isStale = now - endpoint.state.lastObservedAt() > ProbeInterval;
+    return m_rules.avoidsSlowEndpoints && wasSlow && isStale && endpoint.state.runningCalls() > 0;
+}
+
+double EndpointChooser::estimatedCostMs(const DispatchRequest &call,
+                                        const KnownPrefix &prefix,
+                                        const PoolEndpoint &endpoint,
+                                        const EndpointPool &pool,
+                                        Instant now) const
+{
+    const EndpointState &state = endpoint.state;
+    const Tokens cached = m_rules.usesPrefixAffinity && prefix.endpoint == endpoint.info.id ? prefix.tokens : Tokens(0);
+    const auto prefillTokens = static_cast<double>((call.promptTokens - cached).value());
+    // Small differences in speed are noise and don't justify giving up a cached prefix.
+    const double observedMsPerToken = state.msPerToken(now, pool.medianMsPerToken);
+    const bool isSlow = m_rules.avoidsSlowEndpoints && isSlowEndpoint(observedMsPerToken, pool);
+    // A call without a cached prefix loses nothing by going to a slightly faster or less loaded endpoint.
+    const bool hasNoCachedPrefix = m_rules.avoidsSlowEndpoints && !prefix.endpoint;
+    const bool usesObservedTokenTime =
+        isSlow || (hasNoCachedPrefix && std::abs(observedMsPerToken - pool.medianMsPerToken) > TokenTimeNoiseShare * pool.medianMsPerToken);
+    const double msPerToken =
+        (usesObservedTokenTime ? observedMsPerToken : pool.medianMsPerToken) * (hasNoCachedPrefix ? state.loadEstimate().reportedSlowdown(now) : 1.0);
+    const double slowdown = pool.medianMsPerToken > 0 ? msPerToken / pool.medianMsPerToken : 1.0;
+    double costMs = state.prefillMsPerToken() * prefillTokens * slowdown;
+    costMs += msPerToken * static_cast<double>(call.expectedAnswerTokens.value());
+    costMs += isSlow ? state.startDelayMs() : 0;
+    costMs += pool.meanServiceTimeMs * 0.25 * state.runningCalls() / std::max(1.0, state.concurrencyLimit(m_rules));
+    costMs += !hasNoCachedPrefix
+                  ? 0
+                  : pool.meanServiceTimeMs * CrowdingCostShare * state.loadEstimate().callsOfOtherDispatchers(now) / std::max(1, endpoint.info.slots);
+    costMs += endpoint.info.domain == m_ownDomain ? 0 : CrossDomainCostMs;
+    return costMs;
+}
+
+EndpointChoice EndpointChooser::chooseRoundRobin(const DispatchRequest &call, EndpointPool &pool, Instant now) const
+{
+    for (const bool allowFailed : {false, true}) {
+        for (std::size_t n = 0; n < pool.endpoints.size(); ++n) {
+            const std::size_t index = (pool.nextRoundRobinIndex + n) % pool.endpoints.size();
+            const PoolEndpoint &endpoint = pool.endpoints[index];
+            const bool hasFailed = call.failedEndpoints.count(endpoint.info.id) != 0;
+            if (endpoint.info.isLeaving || !endpoint.state.isUsable(now) || !endpoint.state.hasFreeSlot(m_rules) || (hasFailed && !allowFailed)) {
+                continue;
+            }
+            pool.nextRoundRobinIndex = index + 1;
+            return {endpoint.info.id, false, "round-robin"};
+        }
+    }
+    return {};
+}
+
+EndpointChoice EndpointChooser::choose(const DispatchRequest &call, const KnownPrefix &prefix, EndpointPool &pool, Instant now) const
+{
+    if (!m_rules.usesPrefixAffinity && !m_rules.avoidsSlowEndpoints) {
+        return chooseRoundRobin(call, pool, now);
+    }
+    EndpointChoice best;
+    double lowestCostMs = std::numeric_limits<double>::max();
+    std::vector<std::pair<double, EndpointId>> candidates;
+    for (const PoolEndpoint &endpoint : pool.endpoints) {
+        const EndpointId &id = endpoint.info.id;
+        if (endpoint.info.isLeaving || !endpoint.state.isUsable(now) || isBeingProbed(endpoint, pool, now)) {
+            continue;
+        }
+        constexpr double FailedEndpointCostMs = 1e6;
+        double totalCostMs = estimatedCostMs(call, prefix, endpoint, pool, now) + (call.failedEndpoints.count(id) != 0 ? FailedEndpointCostMs : 0);
+        const bool hasFreeSlot = endpoint.state.hasFreeSlot(m_rules);
+        if (!hasFreeSlot) {
+            const bool isPrefixEndpoint = m_rules.usesPrefixAffinity && prefix.endpoint == id;
+            const bool mayWait = now - call.arrivedAt < m_rules.maxAffinityWait && call.priority != PriorityClass::Urgent;
+            if (!isPrefixEndpoint || !mayWait) {
+                continue;
+            }
+            totalCostMs += endpoint.state.serviceTimeMs() / std::max(1.0, endpoint.state.concurrencyLimit(m_rules));
+        }
+        if (hasFreeSlot) {
+            candidates.emplace_back(totalCostMs, id);
+        }
+        if (totalCostMs < lowestCostMs) {
+            lowestCostMs = totalCostMs;
+            best.waitsForAffinity = !hasFreeSlot;
+        }
+    }
+    if (!best.waitsForAffinity) {
+        best.endpoint = chooseAmongEqual(call, candidates, lowestCostMs);
+    }
+    if (best.endpoint) {
+        best.reason = fmt::format("lowest cost {:.1f} ms", lowestCostMs);
+    }
+    return best;
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/src/policy/endpointchoice.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "policy/endpointstate.h"
+#include "policy/policyrules.h"
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace flamingo
+{
+
+struct DispatchRequest;
+
+/// An endpoint as configured.
+struct EndpointInfo {
+    EndpointId id;
+    PoolId pool;
+    DomainId domain;
+    int slots = 1;
+    bool isLeaving = false;
+};
+
+struct PoolEndpoint {
+    EndpointInfo info;
+    EndpointState state;
+};
+
+/// The endpoints of a pool, and what is derived from all of them.
+struct EndpointPool {
+    std::vector<PoolEndpoint> endpoints;
+    std::size_t nextRoundRobinIndex = 0;
+    double medianMsPerToken = 0; ///< Median of the endpoints.
+    double meanServiceTimeMs = 0;
+
+    /// Returns null for an endpoint of another pool.
+    PoolEndpoint *find(const EndpointId &id);
+
+    /// Whether any endpoint takes new calls.
+    bool hasUsableEndpoint() const;
+    bool hasFreeSlot(const PolicyRules &rules) const;
+    void updateStatistics(Instant now);
+};
+
+/// Whether the endpoint's measured speed is far below that of its pool.
+bool isSlowEndpoint(double msPerToken, const EndpointPool &pool);
+
+/// The part of a call's prompt that an endpoint has cached, as far as is known.
+struct KnownPrefix {
+    std::optional<EndpointId> endpoint;
+    Tokens tokens;
+};
+
+struct EndpointChoice {
+    std::optional<EndpointId> endpoint;
+    bool waitsForAffinity = false;
+    std::string reason;
+};
+
+/// Chooses endpoints by the estimated cost of the call there.
+class EndpointChooser
+{
+public:
+    EndpointChooser(PolicyRules rules, DomainId ownDomain);
+
+    EndpointChoice choose(const DispatchRequest &call, const KnownPrefix &prefix, EndpointPool &pool, Instant now) const;
+
+private:
+    EndpointChoice chooseRoundRobin(const DispatchRequest &call, EndpointPool &pool, Instant now) const;
+    bool isBeingProbed(const PoolEndpoint &endpoint, const EndpointPool &pool, Instant now) const;
+    double estimatedCostMs(const DispatchRequest &call, const KnownPrefix &prefix, const PoolEndpoint &endpoint, const EndpointPool &pool, Instant now) const;
+
+    PolicyRules m_rules;
+    DomainId m_ownDomain;
+};
+
+} // namespace flamingo
--- a/src/policy/endpointstate.cpp
+++ b/src/policy/endpointstate.cpp
@@ -19,8 +19,6 @@
 constexpr Milliseconds InitialBackoff{200};
 constexpr int MaxBackoffDoublings = 5;
 constexpr std::chrono::duration<double> ObservationDecayTime{4.0};
-/// A load report is outdated after a few hundred milliseconds.
-constexpr std::chrono::duration<double> LoadReportDecayTime{0.4};
 
 double smooth(double old, double sample)
 {
@@ -89,21 +87,12 @@
 
 void EndpointState::observeLoad(const EndpointLoad &load, Instant now)
 {
-    m_callsOfOtherDispatchers = std::max(0, load.runningCalls + load.waitingCalls - m_runningCalls);
-    m_reportedSlowdown = std::max(1.0, load.durationPercent / 100.0);
-    m_loadReportedAt = now;
+    m_loadEstimate.onReport(load, m_runningCalls, now);
 }
 
-double EndpointState::callsOfOtherDispatchers(Instant now) const
+const LoadEstimate &EndpointState::loadEstimate() const
 {
-    const std::chrono::duration<double> age = now - m_loadReportedAt;
-    return m_callsOfOtherDispatchers * std::exp(-age.count() / LoadReportDecayTime.count());
-}
-
-double EndpointState::reportedSlowdown(Instant now) const
-{
-    const std::chrono::duration<double> age = now - m_loadReportedAt;
-    return 1 + (m_reportedSlowdown - 1) * std::exp(-age.count() / LoadReportDecayTime.count());
+    return m_loadEstimate;
 }
 
 void EndpointState::observeFailure(Instant now)
--- a/src/policy/endpointstate.h
+++ b/src/policy/endpointstate.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "policy/loadestimate.h"
 #include "policy/policyrules.h"
 
 namespace flamingo
@@ -15,14 +16,6 @@
     Tokens generatedTokens;
 };
 
-/// Load that an endpoint reports with an answer. The report lags, but it includes the calls of other dispatchers.
-struct EndpointLoad {
-    int runningCalls = 0;
-    int waitingCalls = 0;
-    int slots = 0;
-    int durationPercent = 100; ///< Current duration of work in percent of its normal duration.
-};
-
 /// One endpoint as one dispatcher sees it: its calls there, its concurrency limit and the measured speed.
 /// The limit and the speed come from the dispatcher's own calls, since load reports lag and the calls of other dispatchers
 /// are not visible otherwise. A load report only adds short-lived corrections.
@@ -46,11 +39,7 @@
     /// Records a load report.
     void observeLoad(const EndpointLoad &load, Instant now);
 
-    /// Calls of other dispatchers according to the last load report, decaying to 0 with its age.
-    double callsOfOtherDispatchers(Instant now) const;
-
-    /// Factor by which work takes longer than normal according to the last load report, decaying to 1 with its age.
-    double reportedSlowdown(Instant now) const;
+    const LoadEstimate &loadEstimate() const;
 
     /// Records a failed attempt. The endpoint is not used for a time that doubles with each consecutive failure, up to a limit.
     void observeFailure(Instant now);
@@ -97,9 +86,7 @@
     int m_consecutiveFailures = 0;
     Instant m_usableFrom{};
     Instant m_lastObservedAt{};
-    double m_callsOfOtherDispatchers = 0;
-    double m_reportedSlowdown = 1;
-    Instant m_loadReportedAt{};
+    LoadEstimate m_loadEstimate;
 };
 
 } // namespace flamingo
