Spread load evenly from old reports (rule even-load)

Cause: an instance hears of an engine only every few seconds, and the weight of a report decayed to 'nobody else is there' within 0.4 s. Endpoints not heard of looked idle, and calls of programs with a cached prompt left the reports out altogether. Change, where a pool has more dispatchers than endpoints or the call has a workspace: the calls of others are those of the report without the own ones at the time it was made; with age (in mean service times) they tend to the pool's mean. All calls pay for a crowded endpoint, reading a cached prompt again costs ten times its duration, another failure domain must have half a call less, and equal candidates are chosen by a hash of call and instance. Instances learn their number from the member list; the initial concurrency limits are unchanged. To switch it off: PolicyRules::disable("even-load"), or rules.spreadsEvenly = false in policyRules() of src/instance/instancedaemon.cpp. The reason in request-sent names the expected calls when the rule is in effect. Platform tests were not run on this commit.

--- a/src/instance/dispatchqueue.cpp
+++ b/src/instance/dispatchqueue.cpp
@@ -1,5 +1,7 @@
 #include "instance/dispatchqueue.h"
 
+#include "core/digest.h"
+
 #include <utility>
 
 namespace flamingo
@@ -34,6 +36,11 @@
     refuseUnservable();
 }
 
+void DispatchQueue::setInstances(std::size_t count, const InstanceId &self)
+{
+    m_dispatcher.setDispatchers(count, stableHash(self.value()));
+}
+
 void DispatchQueue::markLeaving(const EndpointId &endpoint)
 {
     m_dispatcher.markLeaving(endpoint);
--- a/src/instance/dispatchqueue.h
+++ b/src/instance/dispatchqueue.h
@@ -28,6 +28,9 @@
     /// endpoints that take new ones.
     void refreshEndpoints();
 
+    /// Sets how many instances share the endpoints. The own instance's id makes its choices differ from those of the others.
+    void setInstances(std::size_t count, const InstanceId &self);
+
     /// The endpoint takes no new requests from now on. Requests that wait for it alone are refused with the next timer.
     void markLeaving(const EndpointId &endpoint);
 
--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -188,6 +188,7 @@
 void InstanceDaemon::onMembersChanged()
 {
     refreshStoreFallbacks();
+    m_dispatchQueue.setInstances(m_members.otherInstances().size() + 1, m_settings.instance);
     m_registration.onMembersChanged();
 }
 
--- a/src/policy/dispatcher.cpp
+++ b/src/policy/dispatcher.cpp
@@ -49,6 +49,11 @@
     return it == m_poolOfEndpoint.end() ? nullptr : m_pools.at(it->second).endpointPool.find(id);
 }
 
+void Dispatcher::setDispatchers(std::size_t count, std::uint64_t seed)
+{
+    m_chooser.setDispatchers(count, seed);
+}
+
 void Dispatcher::markLeaving(const EndpointId &endpoint)
 {
     if (PoolEndpoint *it = findEndpoint(endpoint)) {
@@ -174,7 +179,7 @@
         }
         const EndpointChoice choice = m_chooser.choose(call, knownPrefix(call), endpoints, now);
         if (choice.endpoint) {
-            pool.endpointPool.find(*choice.endpoint)->state.beginCall(call.isLong);
+            pool.endpointPool.find(*choice.endpoint)->state.beginCall(call.isLong, now);
             decisions.push_back({call.id, *choice.endpoint, choice.reason});
             takenIndexes.insert(n);
         } else if (!choice.waitsForAffinity) {
@@ -218,7 +223,7 @@
         return std::nullopt;
     }
     m_hedgeBudget -= 1;
-    pool.endpointPool.find(*choice.endpoint)->state.beginCall(call.isLong);
+    pool.endpointPool.find(*choice.endpoint)->state.beginCall(call.isLong, now);
     return choice.endpoint;
 }
 
@@ -284,7 +289,7 @@
         return;
     }
     it->state.observeCall(observation, now);
-    it->state.endCall(call.isLong);
+    it->state.endCall(call.isLong, now);
 }
 
 void Dispatcher::onAttemptFailed(const DispatchRequest &call, const EndpointId &endpoint, bool isEndpointFault, Instant now)
@@ -296,7 +301,7 @@
     if (isEndpointFault) {
         it->state.observeFailure(now);
     }
-    it->state.endCall(call.isLong);
+    it->state.endCall(call.isLong, now);
 }
 
 void Dispatcher::onPrefixCached(const ProgramId &program, const EndpointId &endpoint, Tokens tokens)
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -61,6 +61,11 @@
     /// Replaces the endpoints. The state of those that remain is kept. dispatcherCount is the number of processes that share them.
     void setEndpoints(const std::vector<EndpointInfo> &endpoints, int dispatcherCount);
 
+    /// Sets how many dispatchers share the endpoints, and a seed that is this dispatcher's own, by which it chooses differently from others
+    /// that have the same view. The rules for many dispatchers take effect only once this is known. Unlike dispatcherCount above, it doesn't
+    /// change concurrency limits.
+    void setDispatchers(std::size_t count, std::uint64_t seed);
+
     /// Marks an endpoint as leaving before the configuration does.
     void markLeaving(const EndpointId &endpoint);
 
--- a/src/policy/endpointchoice.cpp
+++ b/src/policy/endpointchoice.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace flamingo
 {
@@ -27,9 +28,39 @@
 constexpr double EqualCostMs = 1.0;
 constexpr double DefaultServiceTimeMs = 200.0;
 
+/// Cost of a further call at an endpoint, in mean service times for as many calls as it has slots. It contains what the call costs the
+/// others there: slower tokens, and cached parts that are evicted for its memory.
+constexpr double EvenCrowdingCostShare = 3.0;
+/// Reading a prompt again costs this many times its own duration, since the endpoint's other calls wait meanwhile and lose cached parts.
+constexpr double ReadAgainCostFactor = 10.0;
+/// Share of the usual difference in speed that enters the cost. With all of it the fast endpoints get far more calls than the mean.
+constexpr double UsualSpeedWeight = 0.2;
+/// An endpoint of another failure domain is taken if it is estimated to have this many calls fewer: less than that is uncertain, while
+/// the network delay is certain.
+constexpr double CrossDomainCalls = 0.5;
+/// The pool's mean load changes more slowly than the load of one endpoint.
+constexpr int MeanLoadDecayFactor = 10;
+constexpr double MinReportWeight = 1e-3;
+
+/// What a report says is lost as the calls that it counted end.
+Milliseconds loadDecayTime(const EndpointPool &pool)
+{
+    return std::max(Milliseconds(1), Milliseconds(static_cast<std::int64_t>(pool.meanServiceTimeMs)));
+}
+
+/// Returns the lower of two middle values, so that in a pool of two the slower endpoint stands out from the median. The values must not
+/// be empty.
+double lowerMedian(std::vector<double> values)
+{
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
 // Many dispatchers that know nothing of each other see the same costs. If each took the first of the cheapest endpoints, all would take
-// the same one. A hash spreads the programs, and sends the calls of one program to the same endpoint whichever dispatcher has them.
-std::optional<EndpointId> chooseAmongEqual(const DispatchRequest &call, const std::vector<std::pair<double, EndpointId>> &candidates, double lowestCostMs)
+// the same one. A hash spreads the programs, and sends the calls of one program to the same endpoint whichever dispatcher has them, unless
+// the seed differs between dispatchers.
+std::optional<EndpointId> chooseAmongEqual(std::uint64_t seed, const std::vector<std::pair<double, EndpointId>> &candidates, double lowestCostMs)
 {
     std::optional<EndpointId> best;
     std::uint64_t highestWeight = 0;
@@ -37,7 +68,7 @@
         if (costMs > lowestCostMs + EqualCostMs) {
             continue;
         }
-        const std::uint64_t weight = stableHash(id.value(), stableHash(call.program.value()));
+        const std::uint64_t weight = stableHash(id.value(), seed);
         if (!best || weight > highestWeight) {
             best = id;
             highestWeight = weight;
@@ -67,6 +98,7 @@
 void EndpointPool::updateStatistics(Instant now)
 {
     std::vector<double> tokenTimes;
+    std::vector<double> usualTokenTimes;
     double totalServiceTimeMs = 0;
     int observed = 0;
     for (const PoolEndpoint &endpoint : endpoints) {
@@ -75,18 +107,42 @@
         if (msPerToken > 0) {
             tokenTimes.push_back(msPerToken);
         }
+        if (state.usualMsPerToken() > 0) {
+            usualTokenTimes.push_back(state.usualMsPerToken());
+        }
         if (state.serviceTimeMs() > 0) {
             totalServiceTimeMs += state.serviceTimeMs();
             ++observed;
         }
     }
     if (!tokenTimes.empty()) {
-        // The lower of two middle values, so that in a pool of two the slower endpoint stands out from the median.
-        const auto middle = tokenTimes.begin() + static_cast<std::ptrdiff_t>((tokenTimes.size() - 1) / 2);
-        std::nth_element(tokenTimes.begin(), middle, tokenTimes.end());
-        medianMsPerToken = *middle;
+        medianMsPerToken = lowerMedian(std::move(tokenTimes));
+    }
+    if (!usualTokenTimes.empty()) {
+        medianUsualMsPerToken = lowerMedian(std::move(usualTokenTimes));
     }
     meanServiceTimeMs = observed > 0 ? totalServiceTimeMs / observed : DefaultServiceTimeMs;
+    updateMeanLoad(now);
+}
+
+void EndpointPool::updateMeanLoad(Instant now)
+{
+    double totalCalls = 0;
+    double totalWeight = 0;
+    for (const PoolEndpoint &endpoint : endpoints) {
+        const LoadEstimate &estimate = endpoint.state.loadEstimate();
+        const double weight = estimate.reportWeight(now, MeanLoadDecayFactor * loadDecayTime(*this));
+        totalCalls += weight * estimate.reportedCallsOfOthers();
+        totalWeight += weight;
+    }
+    if (totalWeight > MinReportWeight) {
+        meanCallsOfOthers = totalCalls / totalWeight;
+    }
+}
+
+double EndpointPool::expectedCalls(const PoolEndpoint &endpoint, Instant now) const
+{
+    return endpoint.state.loadEstimate().expectedCallsOfOthers(now, meanCallsOfOthers, loadDecayTime(*this)) + endpoint.state.runningCalls();
 }
 
 bool isSlowEndpoint(double msPerToken, const EndpointPool &pool)
@@ -139,6 +195,45 @@
     return costMs;
 }
 
+void EndpointChooser::setDispatchers(std::size_t count, std::uint64_t seed)
+{
+    m_dispatcherCount = count;
+    m_seed = seed;
+}
+
+bool EndpointChooser::spreadsEvenly(const DispatchRequest &call, const EndpointPool &pool) const
+{
+    return m_rules.spreadsEvenly && (m_dispatcherCount > pool.endpoints.size() || call.workspace);
+}
+
+double
+EndpointChooser::evenCostMs(const DispatchRequest &call, const KnownPrefix &prefix, const PoolEndpoint &endpoint, const EndpointPool &pool, Instant now) const
+{
+    const EndpointState &state = endpoint.state;
+    const auto answerTokens = static_cast<double>(call.expectedAnswerTokens.value());
+    const double observedMsPerToken = state.msPerToken(now, pool.medianMsPerToken);
+    const bool isSlow = m_rules.avoidsSlowEndpoints && isSlowEndpoint(observedMsPerToken, pool);
+    // Smaller differences in speed are mostly differences in load at an earlier time, which the reports tell better.
+    double msPerToken = isSlow ? observedMsPerToken : pool.medianMsPerToken;
+    double readingFactor = ReadAgainCostFactor;
+    double usualCostMs = 0;
+    if (!prefix.endpoint) {
+        readingFactor = 1;
+        msPerToken *= state.loadEstimate().reportedSlowdown(now);
+        usualCostMs = state.usualMsPerToken() > 0 ? UsualSpeedWeight * (state.usualMsPerToken() - pool.medianUsualMsPerToken) * answerTokens : 0;
+    }
+    const Tokens cached = m_rules.usesPrefixAffinity && prefix.endpoint == endpoint.info.id ? prefix.tokens : Tokens(0);
+    const auto uncachedTokens = static_cast<double>((call.promptTokens - cached).value());
+    const double slowdown = pool.medianMsPerToken > 0 ? msPerToken / pool.medianMsPerToken : 1.0;
+    const double callCostMs = pool.meanServiceTimeMs * EvenCrowdingCostShare / std::max(1, endpoint.info.slots);
+    double costMs = readingFactor * state.prefillMsPerToken() * uncachedTokens * slowdown;
+    costMs += msPerToken * answerTokens + usualCostMs;
+    costMs += isSlow ? state.startDelayMs() : 0;
+    costMs += callCostMs * pool.expectedCalls(endpoint, now);
+    costMs += endpoint.info.domain == m_ownDomain ? 0 : CrossDomainCostMs + CrossDomainCalls * callCostMs;
+    return costMs;
+}
+
 EndpointChoice EndpointChooser::chooseRoundRobin(const DispatchRequest &call, EndpointPool &pool, Instant now) const
 {
     for (const bool allowFailed : {false, true}) {
@@ -161,6 +256,7 @@
     if (!m_rules.usesPrefixAffinity && !m_rules.avoidsSlowEndpoints) {
         return chooseRoundRobin(call, pool, now);
     }
+    const bool isEven = spreadsEvenly(call, pool);
     EndpointChoice best;
     double lowestCostMs = std::numeric_limits<double>::max();
     std::vector<std::pair<double, EndpointId>> candidates;
@@ -170,7 +266,8 @@
             continue;
         }
         constexpr double FailedEndpointCostMs = 1e6;
-        double totalCostMs = estimatedCostMs(call, prefix, endpoint, pool, now) + (call.failedEndpoints.count(id) != 0 ? FailedEndpointCostMs : 0);
+        double totalCostMs = (isEven ? evenCostMs(call, prefix, endpoint, pool, now) : estimatedCostMs(call, prefix, endpoint, pool, now))
+                             + (call.failedEndpoints.count(id) != 0 ? FailedEndpointCostMs : 0);
         const bool hasFreeSlot = endpoint.state.hasFreeSlot(m_rules);
         if (!hasFreeSlot) {
             const bool isPrefixEndpoint = m_rules.usesPrefixAffinity && prefix.endpoint == id;
@@ -189,10 +286,15 @@
         }
     }
     if (!best.waitsForAffinity) {
-        best.endpoint = chooseAmongEqual(call, candidates, lowestCostMs);
+        best.endpoint =
+            chooseAmongEqual(isEven ? stableHash(call.program.value(), m_seed + call.id.value()) : stableHash(call.program.value()), candidates, lowestCostMs);
     }
     if (best.endpoint) {
         best.reason = fmt::format("lowest cost {:.1f} ms", lowestCostMs);
+        if (isEven) {
+            best.reason +=
+                fmt::format(", expected calls {:.1f}, mean of others' {:.1f}", pool.expectedCalls(*pool.find(*best.endpoint), now), pool.meanCallsOfOthers);
+        }
     }
     return best;
 }
--- a/src/policy/endpointchoice.h
+++ b/src/policy/endpointchoice.h
@@ -35,6 +35,8 @@
     std::size_t nextRoundRobinIndex = 0;
     double medianMsPerToken = 0; ///< Median of the endpoints.
     double meanServiceTimeMs = 0;
+    double medianUsualMsPerToken = 0; ///< Without decay, so that it tells lastingly slow endpoints from busy ones.
+    double meanCallsOfOthers = 0; ///< Calls of other dispatchers at an endpoint, as far as reports tell.
 
     /// Returns null for an endpoint of another pool.
     PoolEndpoint *find(const EndpointId &id);
@@ -43,6 +45,12 @@
     bool hasUsableEndpoint() const;
     bool hasFreeSlot(const PolicyRules &rules) const;
     void updateStatistics(Instant now);
+
+    /// Calls that the endpoint is expected to have now: the own ones and those of other dispatchers.
+    double expectedCalls(const PoolEndpoint &endpoint, Instant now) const;
+
+private:
+    void updateMeanLoad(Instant now);
 };
 
 /// Whether the endpoint's measured speed is far below that of its pool.
@@ -66,6 +74,12 @@
 public:
     EndpointChooser(PolicyRules rules, DomainId ownDomain);
 
+    /// See Dispatcher::setDispatchers().
+    void setDispatchers(std::size_t count, std::uint64_t seed);
+
+    /// Whether the load of the endpoints is estimated and spread for this call.
+    bool spreadsEvenly(const DispatchRequest &call, const EndpointPool &pool) const;
+
     EndpointChoice choose(const DispatchRequest &call, const KnownPrefix &prefix, EndpointPool &pool, Instant now) const;
 
 private:
@@ -73,8 +87,12 @@
     bool isBeingProbed(const PoolEndpoint &endpoint, const EndpointPool &pool, Instant now) const;
     double estimatedCostMs(const DispatchRequest &call, const KnownPrefix &prefix, const PoolEndpoint &endpoint, const EndpointPool &pool, Instant now) const;
 
+    double evenCostMs(const DispatchRequest &call, const KnownPrefix &prefix, const PoolEndpoint &endpoint, const EndpointPool &pool, Instant now) const;
+
     PolicyRules m_rules;
     DomainId m_ownDomain;
+    std::size_t m_dispatcherCount = 0;
+    std::uint64_t m_seed = 0;
 };
 
 } // namespace flamingo
--- a/src/policy/endpointstate.cpp
+++ b/src/policy/endpointstate.cpp
@@ -40,17 +40,19 @@
     m_concurrencyLimit = std::clamp(m_concurrencyLimit, MinConcurrencyLimit, static_cast<double>(slots));
 }
 
-void EndpointState::beginCall(bool isLong)
+void EndpointState::beginCall(bool isLong, Instant now)
 {
     ++m_runningCalls;
     m_runningLongCalls += isLong ? 1 : 0;
+    m_loadEstimate.onOwnCallsChanged(m_runningCalls, now);
 }
 
-void EndpointState::endCall(bool isLong)
+void EndpointState::endCall(bool isLong, Instant now)
 {
     // An endpoint that was replaced under the same id starts at 0, while calls to the old one still end.
     m_runningCalls = std::max(0, m_runningCalls - 1);
     m_runningLongCalls = std::max(0, m_runningLongCalls - (isLong ? 1 : 0));
+    m_loadEstimate.onOwnCallsChanged(m_runningCalls, now);
 }
 
 void EndpointState::observeCall(const CallObservation &observation, Instant now)
@@ -63,7 +65,9 @@
     const double prefillMs = m_prefillMsPerToken * static_cast<double>(observation.uncachedPromptTokens.value());
     const double delayMs = std::max(0.0, firstTokenMs - prefillMs);
     if (observation.generatedTokens > Tokens(1)) {
-        m_msPerToken = smooth(m_msPerToken, (totalMs - firstTokenMs) / static_cast<double>(observation.generatedTokens.value() - 1));
+        const double msPerToken = (totalMs - firstTokenMs) / static_cast<double>(observation.generatedTokens.value() - 1);
+        m_msPerToken = smooth(m_msPerToken, msPerToken);
+        m_usualMsPerToken = smooth(m_usualMsPerToken, msPerToken);
     }
     if (observation.uncachedPromptTokens > Tokens(0)) {
         const double prefillSampleMs = std::max(0.0, firstTokenMs - m_lowestStartDelayMs) / static_cast<double>(observation.uncachedPromptTokens.value());
@@ -149,6 +153,11 @@
     return reference + (m_msPerToken - reference) * weight;
 }
 
+double EndpointState::usualMsPerToken() const
+{
+    return m_usualMsPerToken;
+}
+
 double EndpointState::prefillMsPerToken() const
 {
     return m_prefillMsPerToken;
--- a/src/policy/endpointstate.h
+++ b/src/policy/endpointstate.h
@@ -27,8 +27,8 @@
     /// Changes the number of slots and the number of dispatchers that share them.
     void setCapacity(int slots, int dispatcherCount);
 
-    void beginCall(bool isLong);
-    void endCall(bool isLong);
+    void beginCall(bool isLong, Instant now);
+    void endCall(bool isLong, Instant now);
 
     /// Records an answered attempt and adapts the concurrency limit.
     void observeCall(const CallObservation &observation, Instant now);
@@ -63,6 +63,9 @@
     /// decays to the reference, so that a slow endpoint is probed again.
     double msPerToken(Instant now, double reference) const;
 
+    /// Milliseconds per generated token over many calls, without decay; 0 before the first observation.
+    double usualMsPerToken() const;
+
     /// Milliseconds per uncached prompt token, smoothed.
     double prefillMsPerToken() const;
 
@@ -79,6 +82,7 @@
     int m_runningLongCalls = 0;
     double m_concurrencyLimit;
     double m_msPerToken = 0;
+    double m_usualMsPerToken = 0;
     double m_prefillMsPerToken = 0.05;
     double m_serviceTimeMs = 0;
     double m_startDelayMs = 0;
--- a/src/policy/policyrules.cpp
+++ b/src/policy/policyrules.cpp
@@ -18,6 +18,7 @@
     {"avoid-slow", &PolicyRules::avoidsSlowEndpoints},
     {"early-refusal", &PolicyRules::refusesEarly},
     {"moves", &PolicyRules::movesStreams},
+    {"even-load", &PolicyRules::spreadsEvenly},
     {"hedges", &PolicyRules::hedgesCalls},
 };
 } // namespace
--- a/src/policy/policyrules.h
+++ b/src/policy/policyrules.h
@@ -20,6 +20,9 @@
     bool avoidsSlowEndpoints = true; ///< Endpoints that are slower than the rest of their pool get fewer calls.
     bool refusesEarly = true; ///< A call that isn't expected to meet its deadline is refused on arrival; lower classes get shorter queues.
     bool movesStreams = true; ///< A stream on a slow endpoint is resumed on another one.
+    /// Where a pool has more dispatchers than endpoints, or a call belongs to a workspace: the load of endpoints is estimated from old
+    /// reports, and dispatchers with the same view choose differently.
+    bool spreadsEvenly = true;
     bool hedgesCalls = true; ///< A repeatable call whose first token is overdue is also sent to a second endpoint.
 
     std::size_t maxQueueLength = 2000; ///< Maximum queue length of a pool. Batch calls may fill one third of it, normal calls two thirds.
--- a/tests/unit/placementsimulation.cpp
+++ b/tests/unit/placementsimulation.cpp
@@ -1,5 +1,7 @@
 #include "placementsimulation.h"
 
+#include "core/digest.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -22,7 +24,6 @@
 constexpr double TemporarySlowdown = 2.5;
 constexpr int TemporarySlowdownMs = 600;
 constexpr int TemporarySlowdownPeriodMs = 5000;
-constexpr int ReportAgeMs = 200;
 constexpr int DispatchPeriodMs = 40;
 constexpr double MaxStretch = 1.65;
 constexpr double OwnDomainDelayMs = 1;
@@ -36,6 +37,7 @@
     double ownTokens = 0; ///< Prompt without the shared part.
     double newTokens = 0; ///< The part that no earlier turn had.
     int sharedPart = 0;
+    double sharedTokens = SharedTokens;
     int answerTokens = 0;
     double arrivedAt = 0;
     double sentAt = 0;
@@ -77,9 +79,11 @@
     double tokensPerMs = 200;
     double capacityTokens = 320000;
     int slowPhaseMs = -1;
+    int reportAgeMs = 200;
     double busyMs = 0;
     double secondBusyMs = 0;
     double readAgain = 0;
+    double sharedReadAgain = 0;
     int preempted = 0;
 
     void submit(const TurnPtr &turn, double arrivesAt)
@@ -122,7 +126,7 @@
         load.slots = slots;
         load.durationPercent = static_cast<int>(100 * slowdown(now));
         m_history.push_back(load);
-        if (m_history.size() > ReportAgeMs) {
+        if (static_cast<int>(m_history.size()) > std::max(1, reportAgeMs)) {
             m_history.pop_front();
         }
     }
@@ -135,7 +139,7 @@
 
     static double heldTokens(const Turn &turn)
     {
-        return SharedTokens + turn.ownTokens + turn.generated;
+        return turn.sharedTokens + turn.ownTokens + turn.generated;
     }
 
     double runningTokens() const
@@ -184,14 +188,15 @@
         while (!m_waiting.empty() && static_cast<int>(m_running.size()) < slots) {
             const TurnPtr turn = m_waiting.front();
             const double shared = use(sharedName(*turn));
-            const double own = shared > 0 ? std::min(use(turn->request.program.value()), turn->ownTokens) : 0;
+            const double own = shared > 0 || turn->sharedTokens == 0 ? std::min(use(turn->request.program.value()), turn->ownTokens) : 0;
             if (!evict(runningTokens() + heldTokens(*turn))) {
                 return;
             }
             m_waiting.pop_front();
-            turn->prefillLeft = SharedTokens - shared + turn->ownTokens - own + turn->generated;
+            turn->prefillLeft = turn->sharedTokens - shared + turn->ownTokens - own + turn->generated;
             const bool isSharedNew = m_seenShared.insert(turn->sharedPart).second;
             readAgain += std::max(0.0, turn->prefillLeft - (turn->hasBegun ? 0 : turn->newTokens + (isSharedNew ? SharedTokens : 0)));
+            sharedReadAgain += isSharedNew || shared > 0 ? 0 : turn->sharedTokens;
             m_running.push_back(turn);
             if (!turn->hasBegun) {
                 turn->hasBegun = true;
@@ -222,7 +227,7 @@
                 turn->prefillLeft -= chunk;
                 chunkLeft -= chunk;
                 if (turn->prefillLeft == 0) {
-                    cache(sharedName(*turn), SharedTokens);
+                    cache(sharedName(*turn), turn->sharedTokens);
                 }
                 continue;
             }
@@ -331,6 +336,7 @@
         for (int n = 0; n < m_settings.engines; ++n) {
             Engine &engine = m_engines[static_cast<std::size_t>(n)];
             engine.slots = m_settings.slots;
+            engine.reportAgeMs = m_settings.reportAgeMs;
             engine.speed = (n / m_settings.domains) % 3 == 2 ? SlowSpeed : 1.0;
             engine.tokensPerMs = uniform(163, 270);
             engine.capacityTokens = uniform(295734, 352994);
@@ -361,6 +367,9 @@
         for (int n = 0; n < m_settings.dispatchers; ++n) {
             m_dispatchers.push_back(std::make_unique<Dispatcher>(m_settings.rules, domain(n)));
             m_dispatchers.back()->setEndpoints(endpoints, 4);
+            if (m_settings.knowsDispatchers) {
+                m_dispatchers.back()->setDispatchers(static_cast<std::size_t>(m_settings.dispatchers), stableHash(std::to_string(n)));
+            }
             // Callers are spread unevenly.
             m_dispatcherWeights.push_back(uniform(0.5, 1.5));
         }
@@ -389,7 +398,7 @@
         Program program;
         program.id = fmt::format("p{}", m_programs.size());
         program.sharedPart = static_cast<int>(uniform(0, m_settings.sharedParts));
-        program.turnsLeft = static_cast<int>(uniform(4, 8));
+        program.turnsLeft = m_settings.isPlainService ? 1 : static_cast<int>(uniform(4, 8));
         program.startedAt = m_now;
         if (m_settings.workspaces > 0) {
             std::vector<double> weights(static_cast<std::size_t>(m_settings.workspaces), 1.0);
@@ -397,8 +406,8 @@
             program.workspace = std::discrete_distribution<int>(weights.begin(), weights.end())(m_random);
         }
         for (int n = 0; n < program.turnsLeft; ++n) {
-            program.plannedOwn.push_back(uniform(840, 1680));
-            program.plannedAnswer.push_back(static_cast<int>(uniform(60, 200)));
+            program.plannedOwn.push_back(m_settings.isPlainService ? 0 : uniform(840, 1680));
+            program.plannedAnswer.push_back(static_cast<int>(m_settings.isPlainService ? uniform(3, 8) : uniform(60, 200)));
             program.plannedPause.push_back(uniform(50, 400));
             program.idleMs += program.plannedOwn.back() / TokensPerMsOnIdleEngine + DecodeMs * program.plannedAnswer.back() + program.plannedPause.back() + 2;
         }
@@ -418,6 +427,7 @@
         turn->newTokens = program.plannedOwn[turnNumber];
         turn->ownTokens = program.ownTokens + turn->newTokens;
         turn->sharedPart = program.sharedPart;
+        turn->sharedTokens = m_settings.isPlainService ? 0 : SharedTokens;
         turn->answerTokens = program.plannedAnswer[turnNumber];
         turn->arrivedAt = m_now;
         DispatchRequest &request = turn->request;
@@ -427,7 +437,7 @@
         request.arrivedAt = instant(m_now);
         request.deadline = instant(std::min(program.deadline, m_now + 1e6));
         request.promptTokens = Tokens(static_cast<std::int64_t>(turn->ownTokens));
-        request.expectedAnswerTokens = Tokens(130);
+        request.expectedAnswerTokens = Tokens(m_settings.isPlainService ? 0 : 130);
         request.isContinuation = program.turnsDone > 0;
         if (m_settings.workspaces > 0) {
             request.workspace = WorkspaceId(fmt::format("w{}", program.workspace));
@@ -558,6 +568,7 @@
             busiest = std::max(busiest, engine.busyMs);
             sum += engine.busyMs;
             result.tokensReadAgain += engine.readAgain;
+            result.sharedReadAgain += engine.sharedReadAgain;
             result.preempted += engine.preempted;
         }
         const auto engines = static_cast<double>(m_engines.size());
@@ -626,7 +637,8 @@
 
 std::string PlacementResult::summary() const
 {
-    return fmt::format("busiest/mean {:.2f} (by second {:.2f}), running {:.1f}, queue {:.0f} ms (95 %: {:.0f}, at dispatchers {:.0f}), read again {:.2f} M, "
+    return fmt::format("busiest/mean {:.2f} (by second {:.2f}), running {:.1f}, queue {:.0f} ms (95 %: {:.0f}, at dispatchers {:.0f}), read again {:.2f} M "
+                       "(shared parts {:.2f}), "
                        "preempted {}, turns {}, stretch {:.2f} (95 %: {:.2f}), late {:.3f}, other domain {:.2f}, refused {}",
                        busiestToMean,
                        busiestToMeanBySecond,
@@ -635,6 +647,7 @@
                        longQueueMs,
                        meanDispatchWaitMs,
                        tokensReadAgain / 1e6,
+                       sharedReadAgain / 1e6,
                        preempted,
                        turns,
                        meanStretch,
--- a/tests/unit/placementsimulation.h
+++ b/tests/unit/placementsimulation.h
@@ -25,6 +25,8 @@
     double programsPerSecond = 40;
     double waveShare = 0.3; ///< Amplitude of the demand's waves.
     int seconds = 40;
+    bool isPlainService = false; ///< Short calls without a prompt, one a program.
+    int reportAgeMs = 200;
     bool hasDeadlines = false; ///< Programs end at their deadline, finished or not.
     int workspaces = 0;
     double hotWorkspaceFactor = 1; ///< Demand of the first workspace relative to the others.
@@ -41,6 +43,7 @@
     double longQueueMs = 0; ///< 95th percentile of the same.
     double meanDispatchWaitMs = 0; ///< The part of it at the dispatcher.
     double tokensReadAgain = 0; ///< Prompt tokens read that an engine had had in its cache or had read before preemption.
+    double sharedReadAgain = 0; ///< The part of them that belongs to shared parts.
     int preempted = 0;
     int turns = 0;
     double meanStretch = 0; ///< Time of a program relative to its time on idle engines.
