--- a/src/policy/endpointstate.cpp
+++ b/src/policy/endpointstate.cpp
@@ -19,8 +19,6 @@
 constexpr Milliseconds InitialBackoff{200};
 constexpr int MaxBackoffDoublings = 5;
 constexpr std::chrono::duration<double> ObservationDecayTime{4.0};
-/// A load report is outdated after a few hundred milliseconds.
-constexpr std::chrono::duration<double> LoadReportDecayTime{0.4};
 
 double smooth(double old, double sample)
 {
@@ -42,17 +40,19 @@
     m_concurrencyLimit = std::clamp(m_concurrencyLimit, MinConcurrencyLimit, static_cast<double>(slots));
 }
 
-void EndpointState::beginCall(bool isLong)
+void EndpointState::beginCall(bool isLong, Instant now)
 {
     ++m_runningCalls;
     m_runningLongCalls += isLong ? 1 : 0;
+    m_loadEstimate.onOwnCallsChanged(m_runningCalls, now);
 }
 
-void EndpointState::endCall(bool isLong)
+void EndpointState::endCall(bool isLong, Instant now)
 {
     // An endpoint that was replaced under the same id starts at 0, while calls to the old one still end.
     m_runningCalls = std::max(0, m_runningCalls - 1);
     m_runningLongCalls = std::max(0, m_runningLongCalls - (isLong ? 1 : 0));
+    m_loadEstimate.onOwnCallsChanged(m_runningCalls, now);
 }
 
 void EndpointState::observeCall(const CallObservation &observation, Instant now)
@@ -65,7 +65,9 @@
     const double prefillMs = m_prefillMsPerToken * static_cast<double>(observation.uncachedPromptTokens.value());
     const double delayMs = std::max(0.0, firstTokenMs - prefillMs);
     if (observation.generatedTokens > Tokens(1)) {
-        m_msPerToken = smooth(m_msPerToken, (totalMs - firstTokenMs) / static_cast<double>(observation.generatedTokens.value() - 1));
+        const double msPerToken = (totalMs - firstTokenMs) / static_cast<double>(observation.generatedTokens.value() - 1);
+        m_msPerToken = smooth(m_msPerToken, msPerToken);
+        m_usualMsPerToken = smooth(m_usualMsPerToken, msPerToken);
     }
     if (observation.uncachedPromptTokens > Tokens(0)) {
         const double prefillSampleMs = std::max(0.0, firstTokenMs - m_lowestStartDelayMs) / static_cast<double>(observation.uncachedPromptTokens.value());
@@ -89,21 +91,12 @@
 
 void EndpointState::observeLoad(const EndpointLoad &load, Instant now)
 {
-    m_callsOfOtherDispatchers = std::max(0, load.runningCalls + load.waitingCalls - m_runningCalls);
-    m_reportedSlowdown = std::max(1.0, load.durationPercent / 100.0);
-    m_loadReportedAt = now;
+    m_loadEstimate.onReport(load, m_runningCalls, now);
 }
 
-double EndpointState::callsOfOtherDispatchers(Instant now) const
+const LoadEstimate &EndpointState::loadEstimate() const
 {
-    const std::chrono::duration<double> age = now - m_loadReportedAt;
-    return m_callsOfOtherDispatchers * std::exp(-age.count() / LoadReportDecayTime.count());
-}
-
-double EndpointState::reportedSlowdown(Instant now) const
-{
-    const std::chrono::duration<double> age = now - m_loadReportedAt;
-    return 1 + (m_reportedSlowdown - 1) * std::exp(-age.count() / LoadReportDecayTime.count());
+    return m_loadEstimate;
 }
 
 void EndpointState::observeFailure(Instant now)
@@ -160,6 +153,11 @@
     return reference + (m_msPerToken - reference) * weight;
 }
 
+double EndpointState::usualMsPerToken() const
+{
+    return m_usualMsPerToken;
+}
+
 double EndpointState::prefillMsPerToken() const
 {
     return m_prefillMsPerToken;
