--- a/src/instance/dispatchqueue.cpp
+++ b/src/instance/dispatchqueue.cpp
@@ -1,5 +1,7 @@
 #include "instance/dispatchqueue.h"
 
+#include "core/digest.h"
+
 #include <utility>
 
 namespace flamingo
@@ -40,6 +42,11 @@
     dispatchWaiting();
 }
 
+void DispatchQueue::setInstances(std::size_t count, const InstanceId &self)
+{
+    m_dispatcher.setDispatchers(count, stableHash(self.value()));
+}
+
 void DispatchQueue::markLeaving(const EndpointId &endpoint)
 {
     m_dispatcher.markLeaving(endpoint);
