Don't confirm a configuration while the store's newest one can't be read

Cause: a watch that brought an unreadable configuration, or its removal, confirmed the one in force all the same, so that keys which the newer one had taken away were accepted without limit.

RegistryReplica tells whether the store's configuration, as last seen, could be read; a listing without one counts as unreadable. Without a bound for revocations nothing changes. Ruled out: refusing keys at once, since an unreadable version is corrected within moments.

--- a/src/instance/registryreplica.cpp
+++ b/src/instance/registryreplica.cpp
@@ -35,6 +35,17 @@
     }
 }
 
+void RegistryReplica::replaceOperatorKeys(const std::vector<platform::StoreItem> &items)
+{
+    m_isConfigurationReadable = false;
+    apply(items);
+}
+
+bool RegistryReplica::isConfigurationReadable() const
+{
+    return m_isConfigurationReadable;
+}
+
 void RegistryReplica::apply(const std::vector<platform::StoreItem> &items)
 {
     const bool areLogged = items.size() <= MaxLoggedItems;
@@ -90,6 +101,7 @@
 void RegistryReplica::applyConfiguration(const std::string &bytes)
 {
     auto configuration = platform::decodeConfiguration(bytes);
+    m_isConfigurationReadable = configuration.has_value();
     if (!configuration) {
         return;
     }
--- a/src/instance/registryreplica.h
+++ b/src/instance/registryreplica.h
@@ -31,6 +31,13 @@
     /// Replaces the list of endpoints by a full listing.
     void replaceEndpoints(const std::vector<platform::StoreItem> &items);
 
+    /// Applies a full listing of the operator's keys.
+    void replaceOperatorKeys(const std::vector<platform::StoreItem> &items);
+
+    /// Whether the store's configuration, as last seen, could be read. If it is unreadable or has been removed, the one in force is
+    /// outdated.
+    bool isConfigurationReadable() const;
+
 private:
     bool applyEndpoint(const platform::StoreItem &item, bool isLogged);
     void applyMember(const platform::StoreItem &item, bool isLogged);
@@ -40,6 +47,7 @@
     EndpointDirectory &m_endpointDirectory;
     MemberDirectory &m_members;
     Hooks m_hooks;
+    bool m_isConfigurationReadable = false;
 };
 
 } // namespace flamingo
--- a/src/instance/registrywatcher.cpp
+++ b/src/instance/registrywatcher.cpp
@@ -143,6 +143,8 @@
     m_feed.restart(watched.prefix, items, revision, confirmedAt);
     if (&watched == &m_watchedEndpoints) {
         m_replica.replaceEndpoints(items);
+    } else if (&watched == &m_watchedConfiguration) {
+        m_replica.replaceOperatorKeys(items);
     } else {
         m_replica.apply(items);
     }
@@ -152,10 +154,11 @@
     }
 }
 
-// Polls that wait here are answered, so that the instances that send them learn at once that the configuration is confirmed.
+// Polls that wait here are answered, so that the instances that send them learn at once that the configuration is confirmed. A newer
+// configuration that can't be read may have removed keys, so the one in force isn't confirmed while the store has such a one.
 void RegistryWatcher::confirmConfiguration(const WatchedPrefix &watched, Instant sentAt)
 {
-    if (&watched != &m_watchedConfiguration) {
+    if (&watched != &m_watchedConfiguration || !m_replica.isConfigurationReadable()) {
         return;
     }
     m_configurationAge.confirm(sentAt);
--- a/tests/platform/revocationtest.cpp
+++ b/tests/platform/revocationtest.cpp
@@ -101,6 +101,24 @@
     CHECK(instance.send(requestWithKey("old")).status == 401);
 }
 
+// Guards against a view that counts as confirmed although the newest configuration, which may have removed keys, couldn't be read.
+TEST_CASE_METHOD(Revocation, "Keys are refused after the bound while the newest configuration is unreadable or gone", "[platform][revocation]")
+{
+    const bool isRemoved = GENERATE(false, true);
+    const TestInstance &instance = start(1);
+    if (isRemoved) {
+        store.remove("op/config");
+    } else {
+        store.put("op/config", configuration(2, R"("kept")").substr(1));
+    }
+    waitForBound();
+    CHECK(instance.send(requestWithKey("old")).status == 503);
+    CHECK(instance.send(callerRequest("/open/a", "open1")).status == 200);
+    store.put("op/config", configuration(3, R"("kept")"));
+    CHECK(eventually([&] { return instance.send(requestWithKey("kept")).status == 200; }, Bound));
+    CHECK(instance.send(requestWithKey("old")).status == 401);
+}
+
 // Guards against the reader's age being counted from the end of a poll, and against followers that never learn that readers are gone.
 TEST_CASE_METHOD(Revocation, "An instance that isn't a reader accepts no key after the bound when store and readers are silent", "[platform][revocation]")
 {
--- a/tests/unit/configurationagetest.cpp
+++ b/tests/unit/configurationagetest.cpp
@@ -1,5 +1,7 @@
 #include "serving/configurationage.h"
 #include "instance/registryfeed.h"
+#include "instance/registryreplica.h"
+#include "platform/recordcodec.h"
 
 #include <catch2/catch.hpp>
 
@@ -52,6 +54,41 @@
     CHECK(age.mayAcceptKeys(Start + 2 * (*age.longestWait() + SlowCall)));
 }
 
+// Guards against a view that counts as confirmed although the newest configuration, which may have removed keys, couldn't be read.
+TEST_CASE("A configuration that is unreadable, removed or not listed leaves the one in force outdated", "[serving][promises]")
+{
+    RouteTable routes;
+    EndpointDirectory endpoints;
+    MemberDirectory members(InstanceId("self"), DomainId("near"));
+    RegistryReplica replica(routes, endpoints, members, {[] {}, [] {}});
+    const auto configuration = [](const std::string &data, platform::Revision revision) {
+        return platform::StoreItem{platform::ConfigurationKey, data, revision, revision};
+    };
+    const std::string valid = R"({"version":1,"routes":[],"services":[]})";
+    CHECK_FALSE(replica.isConfigurationReadable());
+    replica.replaceOperatorKeys({configuration(valid, 1)});
+    REQUIRE(routes.isLoaded());
+    CHECK(replica.isConfigurationReadable());
+
+    SECTION("Unreadable")
+    {
+        replica.apply({configuration("{", 2)});
+    }
+    SECTION("Removed")
+    {
+        replica.apply({configuration({}, 0)});
+    }
+    SECTION("Not listed")
+    {
+        replica.replaceOperatorKeys({});
+    }
+    CHECK_FALSE(replica.isConfigurationReadable());
+    replica.apply({{std::string(platform::OperatorPrefix) + "other", "x", 3, 3}});
+    CHECK_FALSE(replica.isConfigurationReadable());
+    replica.apply({configuration(valid, 4)});
+    CHECK(replica.isConfigurationReadable());
+}
+
 // Guards against an instance that counts the reader's age from the end of its poll, which may have waited.
 TEST_CASE("The age of a registry update survives encoding, also a negative one", "[serving]")
 {
