Give an unknown key a retry where the configuration may be outdated

Cause: a key that was added while an instance couldn't learn of it got a 401 there, which ends a program although the key is valid.

An unknown key gets 401 only while the configuration was confirmed within 0.6 of the bound, from when on nobody is owed service, or within 15 s without a bound; otherwise 503 (configuration-unconfirmed). Known keys are accepted as before.

--- a/src/serving/admission.cpp
+++ b/src/serving/admission.cpp
@@ -26,7 +26,8 @@
 }
 
 /// The workspace of a caller; nothing on a public route without a key.
-tl::expected<std::optional<Workspace>, Refusal> identify(const WorkspaceDirectory &workspaces, const Route &route, const std::optional<KeyDigest> &key)
+tl::expected<std::optional<Workspace>, Refusal>
+identify(const WorkspaceDirectory &workspaces, bool mayRejectUnknownKeys, const Route &route, const std::optional<KeyDigest> &key)
 {
     if (!workspaces.isConfigured()) {
         return std::nullopt;
@@ -44,6 +45,9 @@
     if (!workspaces.isComplete()) {
         return refusal(StatusUnavailable, "workspaces-unreadable", DefaultRetryAfter);
     }
+    if (!mayRejectUnknownKeys) {
+        return refusal(StatusUnavailable, "configuration-unconfirmed", DefaultRetryAfter);
+    }
     return refusal(StatusUnauthorized, "unknown-key");
 }
 } // namespace
@@ -81,7 +85,7 @@
     if (needsKey && !m_configurationAge.mayAcceptKeys(suspendAwareNow)) {
         return refusal(StatusUnavailable, "configuration-unconfirmed", DefaultRetryAfter);
     }
-    auto workspace = identify(m_routes.workspaces(), *route, metadata.key);
+    auto workspace = identify(m_routes.workspaces(), m_configurationAge.mayRejectUnknownKeys(suspendAwareNow), *route, metadata.key);
     if (!workspace) {
         return tl::make_unexpected(workspace.error());
     }
--- a/src/serving/configurationage.h
+++ b/src/serving/configurationage.h
@@ -26,6 +26,10 @@
     /// Whether keys of the configuration in force may be accepted.
     bool mayAcceptKeys(Instant now) const;
 
+    /// Whether a key that the configuration in force doesn't have is known to be wrong. Where the configuration has not been confirmed for
+    /// longer than it usually takes, the key may have been added since.
+    bool mayRejectUnknownKeys(Instant now) const;
+
     /// The longest that a call may wait for a change, so that the age stays well below the bound; nothing without a bound.
     std::optional<Milliseconds> longestWait() const;
 
--- a/tests/unit/workspacetest.cpp
+++ b/tests/unit/workspacetest.cpp
@@ -82,6 +82,7 @@
 struct Fixture {
     explicit Fixture(const Json &tenants)
     {
+        configurationAge.confirm(Start);
         install(1, tenants);
     }
 
@@ -174,6 +175,31 @@
     CHECK(it.admission.admit(withoutId, Start, Start, Start).error().status == 400);
 }
 
+// Guards against a 401, which ends a program, for a key that was added while this instance couldn't learn of it.
+TEST_CASE("An unknown key gets a retry instead of a 401 where the configuration may be outdated", "[serving][workspaces]")
+{
+    Fixture it(Json::array({tenant("acme", {"k1"})}));
+    const auto statusAfter = [&](Milliseconds age, const std::string &authorization) {
+        const auto admitted = it.admission.admit(Fixture::request("/open/x", authorization), Start, Start, Start + age);
+        return admitted ? 200 : admitted.error().status;
+    };
+    SECTION("Without a bound")
+    {
+        CHECK(statusAfter(Milliseconds(11000), "Token k2") == 401);
+        CHECK(statusAfter(Milliseconds(60000), "Token k2") == 503);
+        CHECK(statusAfter(Milliseconds(60000), "Token k1") == 200);
+    }
+    SECTION("With a bound")
+    {
+        it.configurationAge = ConfigurationAge(Milliseconds(5000));
+        it.configurationAge.confirm(Start);
+        CHECK(statusAfter(Milliseconds(2900), "Token k2") == 401);
+        CHECK(statusAfter(Milliseconds(3100), "Token k2") == 503);
+        CHECK(statusAfter(Milliseconds(3100), "Token k1") == 200);
+    }
+    CHECK(statusAfter(Milliseconds(60000), "") == 200);
+}
+
 // Guards against keys that stay valid, or come back, after a version without them.
 TEST_CASE("Keys are replaced with the configuration's version, which never goes back", "[serving][workspaces]")
 {
