Let no handshake end between the last accept and the close of a port

Cause of platform-closing-port: the kernel goes on establishing connections until the listening socket is closed, and the close resets those that nobody has accepted and handshakes that have begun.

Ruled out: shutdown() of the listening socket (resets as well), a backlog of 0 (lets one connection in), closing at the end of the process (moves the same moment).

The process doesn't end before its port is closed.

--- a/src/http/connectionset.cpp
+++ b/src/http/connectionset.cpp
@@ -36,6 +36,11 @@
     m_listener.close();
 }
 
+bool ConnectionSet::isAccepting() const
+{
+    return m_listener.isOpen();
+}
+
 void ConnectionSet::closeIdle()
 {
     std::vector<ServerConnectionPtr> connections;
--- a/src/http/connectionset.h
+++ b/src/http/connectionset.h
@@ -21,8 +21,12 @@
     /// Sets whether each response from now on closes its connection.
     void setClosing(bool isClosing);
 
+    /// Closes the port. Connections whose handshake has begun are still accepted for a short time.
     void stopAccepting();
 
+    /// Whether connections may still be accepted.
+    bool isAccepting() const;
+
     /// Closes the connections on which no request is arriving or being answered.
     void closeIdle();
 
--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -418,7 +418,7 @@
     }
     m_callerServer->stopAccepting();
     m_callerServer->closeIdle();
-    if (m_callerServer->size() == 0) {
+    if (!m_callerServer->isAccepting() && m_callerServer->size() == 0) {
         m_loop.stop();
     }
 }
