Judge a failure domain by several of its members, and forget it when they leave

Causes: pings of all domains shared one counter, so with two silent domains of an even number of members each domain's pings went to every other member only, in a domain of two always to the same one; if that was down, the whole domain with its endpoints and archives was given up. A domain with one or two instances was given up with them. After the last instances of the other domains had left the member list the check ended early, so that their archives and endpoints were avoided for good. A domain that had responded more than 200 ms before a check, as in a process with little processor time, stayed unreachable since the next ping was counted first.

Pings have a number for each domain; domains with fewer than three instances aren't judged (their members are still avoided one by one after failures); a response makes a domain reachable by itself. The log line names the domains.

--- a/src/instance/isolationdetector.cpp
+++ b/src/instance/isolationdetector.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <string>
 
 namespace flamingo
 {
@@ -65,9 +66,14 @@
 void IsolationDetector::check(Instant now)
 {
     const std::vector<MemberRecord> members = m_members.instancesInOtherDomains();
-    if (members.empty()) {
-        return;
+    if (!members.empty()) {
+        checkIsolation(members, now);
     }
+    checkDomains(members, now);
+}
+
+void IsolationDetector::checkIsolation(const std::vector<MemberRecord> &members, Instant now)
+{
     const auto silence = now - m_lastPeerResponseAt;
     if (silence > PingInterval && now - m_lastPingAt > PingInterval) {
         m_lastPingAt = now;
@@ -79,24 +85,27 @@
         }
     }
     setIsolated(now - std::max(m_lastPeerResponseAt, m_store.lastResponseAt()) > IsolationTimeout);
-    checkDomains(members, now);
 }
 
 void IsolationDetector::checkDomains(const std::vector<MemberRecord> &members, Instant now)
 {
     std::map<DomainId, std::vector<const MemberRecord *>> membersOf;
-    std::set<DomainId> domains;
+    std::map<DomainId, std::size_t> memberCounts;
     for (const MemberRecord &member : members) {
         membersOf[member.domain].push_back(&member);
-        domains.insert(member.domain);
+        ++memberCounts[member.domain];
     }
-    for (const DomainId &domain : m_domains.takeDomainsToPing(domains, now)) {
+    for (const auto &[domain, number] : m_domains.takePings(memberCounts, now)) {
         const auto &candidates = membersOf.at(domain);
-        ping(*candidates[m_nextPingIndex++ % candidates.size()]);
+        ping(*candidates[number % candidates.size()]);
     }
     if (m_domains.update(now)) {
         const std::set<DomainId> &unreachable = m_domains.unreachableDomains();
-        logChange("domains-reachable", "unreachable={}", unreachable.size());
+        std::string names;
+        for (const DomainId &domain : unreachable) {
+            names += (names.empty() ? "" : ",") + domain.value();
+        }
+        logChange("domains-reachable", "unreachable={}", names.empty() ? "-" : names);
         m_members.setUnreachableDomains(unreachable);
         m_changes.onUnreachableDomainsChanged(unreachable);
     }
--- a/src/instance/isolationdetector.h
+++ b/src/instance/isolationdetector.h
@@ -54,6 +54,7 @@
 
 private:
     void check(Instant now);
+    void checkIsolation(const std::vector<MemberRecord> &members, Instant now);
     void checkDomains(const std::vector<MemberRecord> &members, Instant now);
     void ping(const MemberRecord &member);
     void setIsolated(bool isIsolated);
--- a/src/serving/domainreachability.cpp
+++ b/src/serving/domainreachability.cpp
@@ -10,8 +10,8 @@
 /// Regular calls usually show that a domain can be reached. After this long without a response its members are pinged.
 constexpr Milliseconds PingDelay{200};
 constexpr Milliseconds PingInterval{150};
-/// A domain is unreachable when several members have not responded, since a single one may be down.
-constexpr int MinUnansweredPings = 3;
+/// A domain is unreachable when this many members, asked in turn, have not responded, since a single one may be down.
+constexpr std::size_t MinUnansweredPings = 3;
 /// A ping that was sent before this process was paused may have been answered meanwhile, so the last one gets time as well.
 constexpr Milliseconds MinPingTime{100};
 } // namespace
@@ -21,15 +21,23 @@
     Domain &it = m_domains[domain];
     it.lastResponseAt = now;
     it.unansweredPings = 0;
+    it.isUnreachable = false;
 }
 
-std::vector<DomainId> DomainReachability::takeDomainsToPing(const std::set<DomainId> &domains, Instant now)
+std::vector<DomainReachability::Ping> DomainReachability::takePings(const std::map<DomainId, std::size_t> &memberCounts, Instant now)
 {
+    const auto isJudged = [&](const DomainId &id) {
+        const auto it = memberCounts.find(id);
+        return it != memberCounts.end() && it->second >= MinUnansweredPings;
+    };
     for (auto it = m_domains.begin(); it != m_domains.end();) {
-        it = domains.count(it->first) == 0 ? m_domains.erase(it) : std::next(it);
+        it = isJudged(it->first) ? std::next(it) : m_domains.erase(it);
     }
-    std::vector<DomainId> due;
-    for (const DomainId &id : domains) {
+    std::vector<Ping> due;
+    for (const auto &[id, memberCount] : memberCounts) {
+        if (!isJudged(id)) {
+            continue;
+        }
         const auto [it, isNew] = m_domains.try_emplace(id);
         Domain &domain = it->second;
         if (isNew) {
@@ -38,7 +46,7 @@
         if (now - domain.lastResponseAt >= PingDelay && now - domain.lastPingAt >= PingInterval) {
             domain.lastPingAt = now;
             ++domain.unansweredPings;
-            due.push_back(id);
+            due.push_back({id, domain.nextPing++});
         }
     }
     return due;
@@ -47,10 +55,10 @@
 bool DomainReachability::update(Instant now)
 {
     std::set<DomainId> unreachable;
-    for (const auto &[id, domain] : m_domains) {
-        const bool wasUnreachable = m_unreachableDomains.count(id) != 0;
+    for (auto &[id, domain] : m_domains) {
         const bool isSilent = domain.unansweredPings >= MinUnansweredPings && now - domain.lastPingAt >= MinPingTime;
-        if (isSilent || (wasUnreachable && domain.unansweredPings > 0)) {
+        domain.isUnreachable = domain.isUnreachable || isSilent;
+        if (domain.isUnreachable) {
             unreachable.insert(id);
         }
     }
--- a/src/serving/domainreachability.h
+++ b/src/serving/domainreachability.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 
+#include <cstddef>
 #include <map>
 #include <set>
 #include <vector>
@@ -18,9 +19,16 @@
     /// A member of the domain has responded.
     void recordResponse(const DomainId &domain, Instant now);
 
-    /// Which of the domains should be pinged now, because nothing has been heard from them for a while. Domains that are not among the
-    /// given ones are forgotten.
-    std::vector<DomainId> takeDomainsToPing(const std::set<DomainId> &domains, Instant now);
+    /// A ping that is due. Successive pings of a domain have successive numbers, so that they can go to different members.
+    struct Ping {
+        DomainId domain;
+        std::size_t number = 0;
+    };
+
+    /// Which of the domains, given with the numbers of their members, should be pinged now, because nothing has been heard from them for a
+    /// while. Domains that are not given are forgotten, and so are those with few members: they may all be down while the rest of the
+    /// domain can be reached.
+    std::vector<Ping> takePings(const std::map<DomainId, std::size_t> &memberCounts, Instant now);
 
     /// Judges the domains anew. Returns whether one of them has become unreachable or reachable.
     bool update(Instant now);
@@ -32,7 +40,9 @@
     struct Domain {
         Instant lastResponseAt{};
         Instant lastPingAt{};
-        int unansweredPings = 0;
+        std::size_t nextPing = 0; ///< Number of the next ping.
+        std::size_t unansweredPings = 0;
+        bool isUnreachable = false;
     };
 
     std::map<DomainId, Domain> m_domains;
