Move the costs of failure domains out of the dispatcher, and mend names

DomainCosts holds the costs of calls to other domains. sendTo() gives a slot back in one place for requests that have ended or are late. The comments on unreachable domains say what the dispatcher does: their endpoints are used where no other has a free slot.

--- a/src/instance/dispatchqueue.h
+++ b/src/instance/dispatchqueue.h
@@ -28,7 +28,7 @@
     /// endpoints that take new ones.
     void refreshEndpoints();
 
-    /// Sets the failure domains that can't be reached. Their endpoints are used only where there are no others.
+    /// Sets the failure domains that can't be reached. Their endpoints are used only where no other has a free slot.
     void setUnreachableDomains(std::set<DomainId> domains);
 
     /// The endpoint takes no new requests from now on. Requests that wait for it alone are refused with the next timer.
--- a/src/instance/proxiedrequest.cpp
+++ b/src/instance/proxiedrequest.cpp
@@ -27,6 +27,7 @@
 constexpr std::int64_t ExpectedOutputDivisor = 2;
 constexpr int MostUrgentEnginePriority = 3;
 constexpr int LeastUrgentEnginePriority = 9;
+constexpr int StatusBadGateway = 502;
 constexpr std::size_t MaxEventBytes = std::size_t(1024) * 1024;
 
 PriorityClass priorityClass(int routePriority)
@@ -171,21 +172,16 @@
 
 void ProxiedRequest::sendTo(const EndpointEntry &endpoint, const std::string &reason)
 {
-    if (m_isFinished) {
-        m_context.dispatchQueue.onFailed(m_dispatchRequest, endpoint.id, false);
-        return;
-    }
     const Instant now = std::chrono::steady_clock::now();
-    if (now >= m_admitted.deadline - ResponseMargin) {
-        // The process was paused, and the deadline's timer has yet to run.
+    if (m_isFinished || now >= m_admitted.deadline - ResponseMargin) {
+        // The request has ended meanwhile, or the process was paused and the deadline's timer has yet to run.
         m_context.dispatchQueue.onFailed(m_dispatchRequest, endpoint.id, false);
         onDeadline();
         return;
     }
     if (const auto refusal = m_context.admission.recheck(m_admitted, suspendAwareNow())) {
-        constexpr int BadGateway = 502;
         m_context.dispatchQueue.onFailed(m_dispatchRequest, endpoint.id, false);
-        endUnanswered(refusal->reason, BadGateway, refusal->reason, *refusal->retryAfter);
+        endUnanswered(refusal->reason, StatusBadGateway, refusal->reason, *refusal->retryAfter);
         return;
     }
     if (!m_retries.maySendTo(endpoint.id)) {
@@ -477,8 +473,7 @@
 
 void ProxiedRequest::end()
 {
-    constexpr int BadGateway = 502;
-    endUnanswered("stopped", BadGateway, "stopping", StoppingRetryAfter);
+    endUnanswered("stopped", StatusBadGateway, "stopping", StoppingRetryAfter);
 }
 
 // The status of a request that may have run promises nothing; a refusal says that it hasn't.
--- a/src/policy/dispatcher.cpp
+++ b/src/policy/dispatcher.cpp
@@ -29,9 +29,6 @@
 constexpr Milliseconds ProbeInterval{2000};
 /// A stream is moved only if that saves at least this much.
 constexpr double MinMoveGainMs = 400.0;
-constexpr double CrossDomainCostMs = 3.0;
-/// More than any other cost of an endpoint that has not failed.
-constexpr double UnreachableDomainCostMs = 1e5;
 /// Differences in cost up to this one are noise.
 constexpr double EqualCostMs = 1.0;
 constexpr double DefaultServiceTimeMs = 200.0;
@@ -43,7 +40,7 @@
 
 Dispatcher::Dispatcher(PolicyRules rules, DomainId ownDomain)
     : m_rules(rules)
-    , m_ownDomain(std::move(ownDomain))
+    , m_domainCosts(std::move(ownDomain))
 {
 }
 
@@ -71,11 +68,6 @@
     }
 }
 
-void Dispatcher::setUnreachableDomains(std::set<DomainId> domains)
-{
-    m_unreachableDomains = std::move(domains);
-}
-
 std::size_t Dispatcher::queueLimit(PriorityClass priority) const
 {
     if (!m_rules.refusesEarly) {
@@ -257,9 +249,7 @@
     costMs += isSlow ? state.startDelayMs() : 0;
     costMs += pool.meanServiceTimeMs * 0.25 * state.runningCalls() / std::max(1.0, state.concurrencyLimit(m_rules));
     costMs += !hasNoCachedPrefix ? 0 : pool.meanServiceTimeMs * CrowdingCostShare * state.callsOfOtherDispatchers(now) / std::max(1, endpoint.info.slots);
-    costMs += endpoint.info.domain == m_ownDomain ? 0 : CrossDomainCostMs;
-    costMs += m_unreachableDomains.count(endpoint.info.domain) == 0 ? 0 : UnreachableDomainCostMs;
-    return costMs;
+    return costMs + m_domainCosts.costMs(endpoint.info.domain);
 }
 
 Dispatcher::EndpointChoice Dispatcher::chooseRoundRobin(const DispatchRequest &call, Pool &pool, Instant now) const
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -3,6 +3,7 @@
 #include "core/error.h"
 #include "core/ids.h"
 #include "core/time.h"
+#include "policy/domaincosts.h"
 #include "policy/endpointstate.h"
 #include "policy/policyrules.h"
 #include "programs/records.h"
@@ -13,6 +14,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace flamingo
@@ -71,8 +73,11 @@
     /// Marks an endpoint as leaving before the configuration does.
     void markLeaving(const EndpointId &endpoint);
 
-    /// Sets the failure domains that can't be reached. Their endpoints are used only where there are no others.
-    void setUnreachableDomains(std::set<DomainId> domains);
+    /// Sets the failure domains that can't be reached. Their endpoints are used only where no other has a free slot.
+    void setUnreachableDomains(std::set<DomainId> domains)
+    {
+        m_domainCosts.setUnreachableDomains(std::move(domains));
+    }
 
     /// Queues a call or refuses it with NoEndpoint, Overloaded or DeadlineUnreachable. A refused call has not run.
     Result<void> enqueue(DispatchRequest &call, Instant now);
@@ -168,8 +173,7 @@
     bool hasUsableEndpoint(const Pool &pool) const;
 
     PolicyRules m_rules;
-    DomainId m_ownDomain;
-    std::set<DomainId> m_unreachableDomains;
+    DomainCosts m_domainCosts;
     std::map<EndpointId, Endpoint> m_endpoints;
     std::map<PoolId, Pool> m_pools;
     std::unordered_map<ProgramId, CachedPrefix> m_cachedPrefixes;
--- a/src/serving/admission.cpp
+++ b/src/serving/admission.cpp
@@ -81,8 +81,8 @@
     if (!route) {
         return refusal(StatusNotFound, "no-route");
     }
-    const bool needsKey = m_routes.workspaces().isConfigured() && metadata.key;
-    if (needsKey && !m_configurationAge.mayAcceptKeys(suspendAwareNow)) {
+    const bool usesKey = m_routes.workspaces().isConfigured() && metadata.key;
+    if (usesKey && !m_configurationAge.mayAcceptKeys(suspendAwareNow)) {
         return refusal(StatusUnavailable, "configuration-unconfirmed", DefaultRetryAfter);
     }
     auto workspace = identify(m_routes.workspaces(), m_configurationAge.mayRejectUnknownKeys(suspendAwareNow), *route, metadata.key);
