--- a/src/instance/dispatchqueue.h
+++ b/src/instance/dispatchqueue.h
@@ -28,7 +28,7 @@
     /// endpoints that take new ones.
     void refreshEndpoints();
 
-    /// Sets the failure domains that can't be reached. Their endpoints are used only where there are no others.
+    /// Sets the failure domains that can't be reached. Their endpoints are used only where no other has a free slot.
     void setUnreachableDomains(std::set<DomainId> domains);
 
     /// Sets how many instances share the endpoints. The own instance's id makes its choices differ from those of the others.
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -69,7 +69,7 @@
     /// Marks an endpoint as leaving before the configuration does.
     void markLeaving(const EndpointId &endpoint);
 
-    /// Sets the failure domains that can't be reached. Their endpoints are used only where there are no others.
+    /// Sets the failure domains that can't be reached. Their endpoints are used only where no other has a free slot.
     void setUnreachableDomains(std::set<DomainId> domains);
 
     /// Queues a call or refuses it with NoEndpoint, Overloaded or DeadlineUnreachable. A refused call has not run.
