Give back what a home reserves for turns whose senders have given up

Cause of what frozen homes lost: requests to begin a turn wait in a frozen home's sockets. Their senders give up after 900 ms and send the turns elsewhere; the home reads the requests when it wakes up and reserves a turn's maximum for each, which nobody ends (three for one program in a play). That costs turns where the home's grant counts, as after the loss of its witness.

Change: before a home responds it looks whether the sender has disconnected, and gives the reservation back if so. The response wasn't sent then, so the turn can't run.

--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <array>
+#include <cerrno>
 #include <linux/filter.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -252,6 +253,16 @@
     return m_stage == Stage::Responding || (m_stage == Stage::Reading && !isIdle());
 }
 
+bool ServerConnection::hasDisconnected()
+{
+    if (m_stage == Stage::Closed) {
+        return true;
+    }
+    char next = 0;
+    const ssize_t n = ::recv(m_socket.native_handle(), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 std::size_t ServerConnection::unsentBytes() const
 {
     return m_unsentBytes;
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -80,6 +80,9 @@
     /// Whether a request is arriving or being answered.
     bool isBusy() const;
 
+    /// Whether the other side has closed the connection, also if that hasn't been read yet.
+    bool hasDisconnected();
+
     /// The number of bytes that wait to be sent.
     std::size_t unsentBytes() const;
 
--- a/src/instance/homeservice.cpp
+++ b/src/instance/homeservice.cpp
@@ -201,6 +201,14 @@
     }
 }
 
+void HomeService::abandonTurn(const BeginTurnRequest &request, const BeginTurnResponse &response)
+{
+    if (request.budget && response.verdict == BudgetVerdict::Reserved) {
+        m_budgets.settle(request.program, request.maxTokens, Tokens(0), std::chrono::steady_clock::now());
+        logChange("turn-abandoned", "program={} tokens={}", request.program.value(), request.maxTokens.value());
+    }
+}
+
 // A new session begins with the program's prompt so far, so the program's entry is used for it.
 std::optional<CachedPrefix> HomeService::findCachedPrefix(const BeginTurnRequest &request) const
 {
--- a/src/instance/homeservice.h
+++ b/src/instance/homeservice.h
@@ -77,6 +77,9 @@
     void beginTurn(const BeginTurnRequest &request, std::function<void(BeginTurnResponse)> onResponse);
     void endTurn(const EndTurnRequest &request);
 
+    /// Gives back what a turn reserved whose sender didn't get the response, so that nobody runs it.
+    void abandonTurn(const BeginTurnRequest &request, const BeginTurnResponse &response);
+
     /// Forgets cached prefixes that have been unused for longer than maxIdle.
     void expireCachedPrefixes(Milliseconds maxIdle, Instant now);
 
--- a/src/instance/peerapi.cpp
+++ b/src/instance/peerapi.cpp
@@ -62,6 +62,8 @@
     m_isDraining = true;
 }
 
+// A sender that has disconnected has given up and sends the turn elsewhere. That is usual for requests that were waiting while this
+// process was frozen, or that waited long for the store.
 void PeerApi::beginTurn(const ServerConnectionPtr &connection, const std::string &body)
 {
     const auto request = BeginTurnRequest::decode(body);
@@ -70,11 +72,14 @@
         return;
     }
     m_registryWatcher.onPeerVersions(request->registryVersions);
-    m_homeService.beginTurn(*request, [this, weak = std::weak_ptr<ServerConnection>(connection)](BeginTurnResponse response) {
-        if (const auto it = weak.lock()) {
-            response.registryVersions = m_registryWatcher.seenVersions();
-            it->respond(StatusOk, {}, response.encode());
+    m_homeService.beginTurn(*request, [this, begin = *request, weak = std::weak_ptr<ServerConnection>(connection)](BeginTurnResponse response) {
+        const auto it = weak.lock();
+        if (!it || it->hasDisconnected()) {
+            m_homeService.abandonTurn(begin, response);
+            return;
         }
+        response.registryVersions = m_registryWatcher.seenVersions();
+        it->respond(StatusOk, {}, response.encode());
     });
 }
 
--- a/tests/platform/restartbudgettest.cpp
+++ b/tests/platform/restartbudgettest.cpp
@@ -220,3 +220,19 @@
     CHECK(countBelow(duringFreeze, 3) == 0);
     CHECK(countBelow(runAll(5, Turns), Turns - 4 - 1) == 0);
 }
+
+// Guards against turns that a frozen home begins after their senders have given up: they keep tokens of its grant reserved, which the
+// other instances can't have fenced, since the notes of the restarted witness are gone.
+TEST_CASE_METHOD(Fixture, "Programs lose no more than a turn while their home is frozen and its witness is restarted", "[platform][restart][frozen-home]")
+{
+    settle();
+    REQUIRE(countBelow(runAll(1, 1), 1) == 0);
+    instances.front()->process().sendSignal(SIGSTOP);
+    instances[1]->killAndRestart();
+    REQUIRE(instances[1]->awaitReady());
+    firstUsed = 1;
+    const std::vector<int> duringFreeze = runAll(2, 4);
+    instances.front()->process().sendSignal(SIGCONT);
+    CHECK(countBelow(duringFreeze, 3) == 0);
+    CHECK(countBelow(runAll(5, Turns), Turns - 4 - 1) == 0);
+}
