--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -67,6 +67,14 @@
     "An owner without appends learns that it was deposed"
 mutant unread-slot-is-absent src/journal/shardjournal.cpp 's/if \(sequence < m_settings\.ringSize\) \{/if (true) {/' \
     "Repeated takeovers never fill the ring"
+mutant foreign-turn-found src/serving/turncache.cpp 's/it\.second->workspace != load\.workspace/false/; s/lastTurn\.workspace != load->workspace/false/' \
+    "A turn exists for its own workspace only, cached or stored"
+mutant program-shared src/serving/programkey.cpp 's/workspace && !isObject \?/false ?/' \
+    "Programs of different workspaces differ, also with the same id, and are as before without workspaces"
+mutant removed-key-kept src/serving/routetable.cpp 's/m_workspaces = configuration\.workspaces \?/m_workspaces = m_workspaces.isConfigured() ? m_workspaces : configuration.workspaces ?/' \
+    "Keys are replaced with the configuration's version, which never goes back"
+mutant key-passed-on platform/headercodec.cpp 's/out\.fields\.remove\(CredentialsField\);//' \
+    "The endpoint is told the workspace by the system alone, and never gets the key"
 
 echo "mutants: $survivors survive or don't apply"
 [ "$survivors" = 0 ]
--- a/tests/platform/testinstance.cpp
+++ b/tests/platform/testinstance.cpp
@@ -356,6 +356,19 @@
         extraRoutes);
 }
 
+std::string withWorkspaces(const std::string &configuration, const std::map<std::string, std::vector<std::string>> &keysByName)
+{
+    nlohmann::json json = nlohmann::json::parse(configuration);
+    for (nlohmann::json &route : json.at("routes")) {
+        route["public"] = route.at("name") == "r-ask";
+    }
+    json["tenants"] = nlohmann::json::array();
+    for (const auto &[name, keys] : keysByName) {
+        json["tenants"].push_back({{"name", name}, {"api-keys", keys}});
+    }
+    return json.dump();
+}
+
 void registerEndpoint(KvStandIn &store, const std::string &id, const ScriptedEndpoint &endpoint, const std::string &state)
 {
     store.put("servers/" + id,
--- a/tests/platform/testinstance.h
+++ b/tests/platform/testinstance.h
@@ -5,6 +5,7 @@
 #include "standins/kvstandin.h"
 
 #include <filesystem>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -132,6 +133,9 @@
 /// on the pool "app".
 std::string testConfiguration(int version, const std::string &extraRoutes = {});
 
+/// The configuration with workspaces, given as their names with their keys. The route for repeatable calls becomes public.
+std::string withWorkspaces(const std::string &configuration, const std::map<std::string, std::vector<std::string>> &keysByName);
+
 /// Writes an endpoint's entry to the store.
 void registerEndpoint(KvStandIn &store, const std::string &id, const ScriptedEndpoint &endpoint, const std::string &state = "ready");
 
--- a/tests/soak/callerrecord.cpp
+++ b/tests/soak/callerrecord.cpp
@@ -14,7 +14,7 @@
 /// Whether a status guarantees that the request has not run and will not run.
 bool isNotRunStatus(int status)
 {
-    return status == 402 || status == 404 || status == 408 || status == 421 || status == 429 || status == 503;
+    return status == 401 || status == 402 || status == 404 || status == 408 || status == 421 || status == 429 || status == 503;
 }
 
 std::string describeViolation(const SentRequest &request, const std::string &violation)
@@ -35,6 +35,24 @@
     m_requests[request.attemptId] = std::move(request);
 }
 
+void CallerRecord::addKeyRemoval(int keyNumber, Instant at)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_keyRemovals.emplace(keyNumber, at);
+}
+
+bool CallerRecord::isKeyRemoved(const SentRequest &request) const
+{
+    const auto it = request.keyNumber ? m_keyRemovals.find(*request.keyNumber) : m_keyRemovals.end();
+    return it != m_keyRemovals.end() && request.sentAt > it->second + KeyRemovalBound;
+}
+
+std::size_t CallerRecord::countWithRemovedKey() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return static_cast<std::size_t>(std::count_if(m_requests.begin(), m_requests.end(), [this](const auto &it) { return isKeyRemoved(it.second); }));
+}
+
 bool CallerRecord::isCompleted(const SentRequest &request) const
 {
     return request.status == StatusOk && request.isComplete;
@@ -71,6 +89,7 @@
     }
     for (const auto &[attemptId, request] : m_requests) {
         checkExecutions(request, executionsByAttempt[attemptId], violations);
+        checkWorkspace(request, executionsByAttempt[attemptId], violations);
         checkResponse(request, violations);
     }
     checkBudgets(violations);
@@ -97,6 +116,21 @@
     }
 }
 
+void CallerRecord::checkWorkspace(const SentRequest &request,
+                                  const std::vector<const ReceivedRequest *> &executions,
+                                  std::vector<std::string> &violations) const
+{
+    for (const ReceivedRequest *execution : executions) {
+        const std::string workspace = execution->head.fields.value("X-Tenant");
+        if (workspace != request.workspace || execution->head.fields.find("Authorization")) {
+            violations.push_back(describeViolation(request, fmt::format("the endpoint got the workspace \"{}\", or the key", workspace)));
+        }
+    }
+    if (!executions.empty() && isKeyRemoved(request)) {
+        violations.push_back(describeViolation(request, "ran with a key that had been removed"));
+    }
+}
+
 void CallerRecord::checkResponse(const SentRequest &request, std::vector<std::string> &violations) const
 {
     const std::string text = responseText(request.attemptId);
@@ -115,7 +149,7 @@
     std::map<std::string, int> tokensByProgram;
     for (const auto &[attemptId, request] : m_requests) {
         const bool hasReceivedTokens = request.kind == SentRequest::Kind::ResumableStream && request.body.find("data:") != std::string::npos;
-        tokensByProgram[request.programId] += hasReceivedTokens ? TokensPerStream : 0;
+        tokensByProgram[request.workspace + '/' + request.programId] += hasReceivedTokens ? TokensPerStream : 0;
     }
     for (const auto &[programId, n] : tokensByProgram) {
         if (n > TokenBudget + MaxTokensPerStream) {
--- a/tests/soak/callerrecord.h
+++ b/tests/soak/callerrecord.h
@@ -21,7 +21,10 @@
 
     Kind kind = Kind::NonRepeatable;
     std::string attemptId;
-    std::string programId;
+    std::string programId; ///< Programs of two workspaces may have the same id.
+    std::string workspace; ///< Empty in a deployment without workspaces.
+    std::optional<int> keyNumber; ///< Of the caller's key; compare CallerRecord::addKeyRemoval().
+    Instant sentAt;
     std::size_t instance = 0; ///< Index of the instance that it was sent to.
     std::string previousAttemptId; ///< Of a stateful turn, the attempt that it continues from; empty for the first one.
     std::string input;
@@ -39,26 +42,39 @@
     static constexpr int MaxTokensPerStream = 58; ///< The limit that each request declares.
     static constexpr int TokenBudget = 300; ///< Of each program.
 
+    /// How long a key may be accepted after its removal: a fault of the store may hide the new configuration from an instance, a pause
+    /// of the instance may follow, and its watch is sent again after some seconds.
+    static constexpr Milliseconds KeyRemovalBound{15000};
+
     void add(SentRequest request);
 
+    /// Records that the store has taken a configuration without the keys of that number.
+    void addKeyRemoval(int keyNumber, Instant at);
+
     /// Checks the guarantees against all requests that endpoints have received. Returns one line for each violation.
     std::vector<std::string> findViolations(const std::vector<ReceivedRequest> &received) const;
 
     /// The number of requests with a successful and complete response, and the number of all requests.
     std::pair<std::size_t, std::size_t> completedAndTotal() const;
 
+    /// The number of requests with a key that had been removed for longer than the bound.
+    std::size_t countWithRemovedKey() const;
+
     /// The text with which endpoints respond to an attempt.
     static std::string responseText(const std::string &attemptId);
 
 private:
+    bool isKeyRemoved(const SentRequest &request) const;
     bool isCompleted(const SentRequest &request) const;
     std::optional<std::string> expectedBody(const SentRequest &request) const;
     void checkExecutions(const SentRequest &request, const std::vector<const ReceivedRequest *> &executions, std::vector<std::string> &violations) const;
+    void checkWorkspace(const SentRequest &request, const std::vector<const ReceivedRequest *> &executions, std::vector<std::string> &violations) const;
     void checkResponse(const SentRequest &request, std::vector<std::string> &violations) const;
     void checkBudgets(std::vector<std::string> &violations) const;
 
     mutable std::mutex m_mutex;
     std::map<std::string, SentRequest> m_requests; ///< By attempt id.
+    std::map<int, Instant> m_keyRemovals; ///< By the number of the keys.
 };
 
 } // namespace flamingo
--- a/tests/soak/platformsoak.cpp
+++ b/tests/soak/platformsoak.cpp
@@ -26,6 +26,9 @@
 constexpr int TurnsPerProgram = 14; ///< Exceeds the budget, so that some requests are refused.
 constexpr Milliseconds CallerPause{30};
 constexpr Milliseconds RecoveryTimeout{15000};
+constexpr std::array<const char *, 2> Workspaces{"acme", "birds"};
+/// One request in this many uses a key that has been removed.
+constexpr std::uint64_t RemovedKeyPeriod = 10;
 /// Time for the other archive to upload to the store the turns of which it holds the only copy.
 constexpr Milliseconds PauseAfterWipe{5000};
 
@@ -41,10 +44,11 @@
 }
 
 struct TestSystem {
-    TestSystem()
-        : endpoint(respond)
+    explicit TestSystem(bool hasWorkspaces)
+        : hasWorkspaces(hasWorkspaces)
+        , endpoint(respond)
     {
-        store.put("op/config", testConfiguration(1));
+        putConfiguration(1);
         registerEndpoint(store, "i-1", endpoint);
         for (int n = 0; n < ArchiveCount; ++n) {
             archives.push_back(std::make_unique<TestArchive>(store, n + 1));
@@ -54,6 +58,25 @@
         }
     }
 
+    static std::string key(const std::string &workspace, int number)
+    {
+        return fmt::format("{}-key-{}", workspace, number);
+    }
+
+    /// Each version has two keys for each workspace: the newest and the one before.
+    void putConfiguration(int version)
+    {
+        std::map<std::string, std::vector<std::string>> keys;
+        for (const std::string workspace : Workspaces) {
+            keys[workspace] = {key(workspace, version), key(workspace, version - 1)};
+        }
+        const std::string configuration = testConfiguration(version);
+        store.put("op/config", hasWorkspaces ? withWorkspaces(configuration, keys) : configuration);
+        newestKey = version;
+    }
+
+    const bool hasWorkspaces;
+    std::atomic<int> newestKey{0};
     KvStandIn store;
     ScriptedEndpoint endpoint;
     std::vector<std::unique_ptr<TestArchive>> archives;
@@ -65,8 +88,9 @@
 class FaultInjector
 {
 public:
-    FaultInjector(TestSystem &system, std::uint64_t seed)
+    FaultInjector(TestSystem &system, CallerRecord &record, std::uint64_t seed)
         : m_system(system)
+        , m_record(record)
         , m_random(seed)
     {
     }
@@ -82,7 +106,8 @@
         m_system.store.setFault(fault);
         sleepForFaultDuration();
         m_system.store.setFault(KvStandIn::Fault::None);
-        m_system.store.put("op/config", testConfiguration(++m_configurationVersion));
+        m_system.putConfiguration(++m_configurationVersion);
+        m_record.addKeyRemoval(m_configurationVersion - 2, std::chrono::steady_clock::now());
     }
 
     void injectProcessFault()
@@ -141,11 +166,13 @@
     }
 
     TestSystem &m_system;
+    CallerRecord &m_record;
     std::mt19937_64 m_random;
     int m_configurationVersion = 1;
 };
 
-/// Runs programs one after the other, and sends each request to a random instance.
+/// Runs programs one after the other, and sends each request to a random instance. Two callers of different workspaces use the same
+/// program ids.
 class Caller
 {
 public:
@@ -153,6 +180,7 @@
         : m_system(system)
         , m_record(record)
         , m_callerNumber(number)
+        , m_workspace(Workspaces[static_cast<std::size_t>(number) % Workspaces.size()])
         , m_random(seed * 100 + static_cast<std::uint64_t>(number))
     {
     }
@@ -160,7 +188,7 @@
     void run()
     {
         for (int n = 0; !m_system.isStopping; ++n) {
-            m_programId = fmt::format("p{}-{}", m_callerNumber, n);
+            m_programId = fmt::format("p{}-{}", m_system.hasWorkspaces ? m_callerNumber / static_cast<int>(Workspaces.size()) : m_callerNumber, n);
             std::string lastStatefulTurn;
             for (int turn = 0; turn < TurnsPerProgram && !m_system.isStopping; ++turn) {
                 send(SentRequest::Kind::ResumableStream, {});
@@ -176,12 +204,17 @@
     {
         SentRequest request;
         request.kind = kind;
-        request.attemptId = fmt::format("{}-{}", m_programId, ++m_lastAttemptNumber);
+        request.attemptId = fmt::format("{}-{}-{}", m_workspace, m_programId, ++m_lastAttemptNumber);
         request.programId = m_programId;
         request.previousAttemptId = previousAttemptId;
         request.input = "in " + request.attemptId + ' ';
         const char *path = kind == SentRequest::Kind::NonRepeatable ? "/book/a" : kind == SentRequest::Kind::ResumableStream ? "/stream/a" : "/chat/a";
         std::string headerLines = fmt::format("X-Program-Id: {}\r\nX-Session-Id: s\r\n", m_programId);
+        if (m_system.hasWorkspaces) {
+            request.workspace = m_workspace;
+            request.keyNumber = chooseKey();
+            headerLines += fmt::format("X-Tenant: other\r\nAuthorization: Token {}\r\n", TestSystem::key(m_workspace, *request.keyNumber));
+        }
         if (kind == SentRequest::Kind::ResumableStream) {
             headerLines += fmt::format("X-Token-Budget: {}\r\nX-Token-Usage: 110,{}\r\nX-Prompt-Prefix: aa:100,{:x}:10\r\n",
                                        CallerRecord::TokenBudget,
@@ -190,6 +223,7 @@
         }
         headerLines += previousAttemptId.empty() ? std::string() : "X-Previous-Turn: " + previousAttemptId + "\r\n";
         request.instance = m_random() % InstanceCount;
+        request.sentAt = std::chrono::steady_clock::now();
         const CallerResponse response = m_system.instances[request.instance]->send(callerRequest(path, request.attemptId, headerLines, request.input));
         request.status = response.status;
         request.isComplete = response.isComplete;
@@ -199,9 +233,18 @@
     }
 
 private:
+    /// Usually the key before the newest one, which an instance knows that hasn't got the newest configuration yet.
+    int chooseKey()
+    {
+        const int validKey = m_system.newestKey - 1;
+        const bool usesRemovedKey = validKey > 0 && m_random() % RemovedKeyPeriod == 0;
+        return usesRemovedKey ? static_cast<int>(m_random() % static_cast<std::uint64_t>(validKey)) : validKey;
+    }
+
     TestSystem &m_system;
     CallerRecord &m_record;
     int m_callerNumber;
+    std::string m_workspace;
     std::mt19937_64 m_random;
     std::string m_programId = "last";
     int m_lastAttemptNumber = 0;
@@ -236,10 +279,11 @@
     cxxopts::Options options("platform-soak", "Checks all guarantees under random faults, on the platform's interfaces");
     options.add_options()("seconds", "Duration in seconds", cxxopts::value<int>()->default_value("60"));
     options.add_options()("seed", "Seed of the faults and of the callers", cxxopts::value<std::uint64_t>()->default_value("1"));
+    options.add_options()("workspaces", "Callers have keys of workspaces, which change with each fault of the store", cxxopts::value<bool>());
     const auto arguments = options.parse(argc, argv);
     const auto seed = arguments["seed"].as<std::uint64_t>();
     const Instant end = std::chrono::steady_clock::now() + std::chrono::seconds(arguments["seconds"].as<int>());
-    TestSystem system;
+    TestSystem system(arguments.count("workspaces") != 0);
     const bool isStarted = std::all_of(system.instances.begin(), system.instances.end(), [](const auto &it) { return it->awaitReady(); });
     CallerRecord record;
     std::vector<std::thread> callers;
@@ -247,7 +291,7 @@
         callers.emplace_back([&, n] { Caller(system, record, n, seed).run(); });
     }
     const auto injectFaultsUntilEnd = [&](std::uint64_t offset, void (FaultInjector::*injectFault)()) {
-        FaultInjector injector(system, seed + offset);
+        FaultInjector injector(system, record, seed + offset);
         while (std::chrono::steady_clock::now() < end) {
             (injector.*injectFault)();
             std::this_thread::sleep_for(Milliseconds(1000));
@@ -269,7 +313,13 @@
         writeLogs(system, seed);
     }
     const auto [completed, total] = record.completedAndTotal();
-    fmt::print(
-        "soak: seed {}, started {}, recovered {}, {} of {} served, {} promises broken\n", seed, isStarted, isRecovered, completed, total, violations.size());
+    fmt::print("soak: seed {}, started {}, recovered {}, {} of {} served, {} with a removed key, {} promises broken\n",
+               seed,
+               isStarted,
+               isRecovered,
+               completed,
+               total,
+               record.countWithRemovedKey(),
+               violations.size());
     return isStarted && isRecovered && violations.empty() ? 0 : 1;
 }
