Don't quote the store's responses in log lines

Cause: the text of a JSON parse error quotes the token that was read last. In a response that breaks off inside op/config that is the configuration with its keys, which went into store-response-unreadable and, as the failure's detail, into store-lost.

--- a/src/core/codec.cpp
+++ b/src/core/codec.cpp
@@ -89,4 +89,10 @@
     return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+std::string describe(const nlohmann::json::exception &error)
+{
+    const auto *parseError = dynamic_cast<const nlohmann::json::parse_error *>(&error);
+    return parseError ? "not valid JSON at byte " + std::to_string(parseError->byte) : error.what();
+}
+
 } // namespace flamingo
--- a/src/core/codec.h
+++ b/src/core/codec.h
@@ -28,6 +28,10 @@
 /// are replaced by U+FFFD.
 std::string dumpJson(const nlohmann::json &json);
 
+/// What is wrong with a JSON value, for log lines. The text of a parse error quotes the input, which may contain keys of workspaces, so
+/// only its position is told.
+std::string describe(const nlohmann::json::exception &error);
+
 } // namespace flamingo
 
 namespace nlohmann
--- a/tests/unit/workspacetest.cpp
+++ b/tests/unit/workspacetest.cpp
@@ -4,6 +4,7 @@
 #include "http/messageparser.h"
 #include "instance/homeservice.h"
 #include "platform/headercodec.h"
+#include "platform/platformstore.h"
 #include "platform/recordcodec.h"
 #include "serving/admission.h"
 #include "serving/configurationage.h"
@@ -13,6 +14,7 @@
 #include "serving/turncache.h"
 #include "unit/inmemorybudgetstore.h"
 
+#include <asio.hpp>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
@@ -316,6 +318,34 @@
     CHECK(Fixture::request("/a/x", "Token k1").key == KeyDigest(sha256Hex("k1")));
 }
 
+// Guards against keys in log lines: the text of a parse error quotes the input, which for a listing of the configuration contains them.
+TEST_CASE("A response of the store that breaks off inside a configuration isn't quoted", "[serving][workspaces]")
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    const std::string body = R"({"items":[{"key":"op/config","data":"c2VjcmV0)";
+    const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    std::optional<asio::ip::tcp::socket> peer;
+    std::string received;
+    acceptor.async_accept([&](const asio::error_code &, asio::ip::tcp::socket socket) {
+        peer.emplace(std::move(socket));
+        asio::async_read_until(
+            *peer, asio::dynamic_buffer(received), "\r\n\r\n", [&](const asio::error_code &, std::size_t) { asio::write(*peer, asio::buffer(response)); });
+    });
+    Metrics metrics;
+    platform::PlatformStore store(context, {"127.0.0.1", acceptor.local_endpoint().port()}, metrics);
+    std::optional<platform::StoreFailure> failure;
+    store.list(platform::OperatorPrefix, {}, [&](const tl::expected<platform::StorePage, platform::StoreFailure> &page) { failure = page.error(); });
+    const Instant end = std::chrono::steady_clock::now() + Milliseconds(5000);
+    while (!failure && std::chrono::steady_clock::now() < end) {
+        context.run_for(Milliseconds(10));
+    }
+    REQUIRE(failure);
+    CHECK(failure->kind == platform::StoreFailure::Kind::Unknown);
+    CHECK(failure->detail.find("byte") != std::string::npos);
+    CHECK(failure->detail.find("c2VjcmV0") == std::string::npos);
+}
+
 // Guards against workspaces that use up each other's budgets, or name each other's programs.
 TEST_CASE("Programs of different workspaces differ, also with the same id, and are as before without workspaces", "[serving][workspaces]")
 {
