--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -343,8 +343,9 @@
     bounds.memory = &m_callerMemory;
     bounds.maxDescriptors = callerDescriptors(m_settings.maxDescriptors);
     bounds.refusalFields = [](const MessageHead &head) {
+        constexpr int ServiceUnavailable = 503;
         const RequestId id = platform::decodeRequest(head).id;
-        return platform::errorFields(id.value().empty() ? std::nullopt : std::optional<RequestId>(id), DefaultRetryAfter);
+        return platform::errorFields(ServiceUnavailable, id.value().empty() ? std::nullopt : std::optional<RequestId>(id), DefaultRetryAfter);
     };
     bounds.onShed = [this](ShedEvent event) { onShed(event); };
     return bounds;
