--- a/src/serving/incarnationid.cpp
+++ b/src/serving/incarnationid.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <charconv>
 #include <unistd.h>
 
 namespace flamingo
@@ -23,4 +25,15 @@
     return InstanceId(timeAt == std::string::npos ? std::string() : text.substr(0, timeAt));
 }
 
+std::optional<std::int64_t> startTimeMs(const IncarnationId &incarnation)
+{
+    const InstanceId instance = instanceOf(incarnation);
+    const std::string &text = incarnation.value();
+    std::int64_t ms = 0;
+    const char *begin = text.data() + std::min(text.size(), instance.value().size() + 1);
+    const auto result = std::from_chars(begin, text.data() + text.size(), ms, 16);
+    const bool isTime = !instance.value().empty() && result.ec == std::errc() && *result.ptr == ':';
+    return isTime ? std::make_optional(ms) : std::nullopt;
+}
+
 } // namespace flamingo
--- a/src/serving/incarnationid.h
+++ b/src/serving/incarnationid.h
@@ -3,6 +3,8 @@
 #include "core/ids.h"
 #include "core/strongid.h"
 
+#include <cstdint>
+#include <optional>
 #include <string>
 
 namespace flamingo
@@ -17,4 +19,7 @@
 /// The instance that an id of newIncarnationId() belongs to; empty for other ids.
 InstanceId instanceOf(const IncarnationId &incarnation);
 
+/// The wall-clock time in milliseconds at which an id of newIncarnationId() was made; nothing for other ids.
+std::optional<std::int64_t> startTimeMs(const IncarnationId &incarnation);
+
 } // namespace flamingo
--- a/src/serving/memberdirectory.cpp
+++ b/src/serving/memberdirectory.cpp
@@ -169,6 +169,17 @@
     return std::make_pair(homeWeight(program, other), other) > std::make_pair(homeWeight(program, m_self), m_self);
 }
 
+std::optional<InstanceId> MemberDirectory::listedHome(const ProgramId &key) const
+{
+    std::optional<std::pair<std::uint64_t, InstanceId>> best;
+    for (const auto &[id, member] : m_members) {
+        if (member.record.role == MemberRecord::Role::Instance && !member.record.isPresumedDead) {
+            best = std::max(best, std::make_optional(std::make_pair(homeWeight(key, id), id)));
+        }
+    }
+    return best ? std::make_optional(best->second) : std::nullopt;
+}
+
 bool MemberDirectory::isPreferredHome(const ProgramId &program) const
 {
     return std::none_of(m_members.begin(), m_members.end(), [&](const auto &it) {
@@ -221,6 +232,17 @@
     return members;
 }
 
+std::vector<MemberRecord> MemberDirectory::listedInstances() const
+{
+    std::vector<MemberRecord> members;
+    for (const auto &[id, member] : m_members) {
+        if (member.record.role == MemberRecord::Role::Instance) {
+            members.push_back(member.record);
+        }
+    }
+    return members;
+}
+
 std::vector<MemberRecord> MemberDirectory::archives() const
 {
     std::vector<MemberRecord> members;
--- a/src/serving/memberdirectory.h
+++ b/src/serving/memberdirectory.h
@@ -73,6 +73,12 @@
     /// Whether this instance is the program's preferred home among all that are listed, reachable or not.
     bool isPreferredHome(const ProgramId &program) const;
 
+    /// The preferred home among all that are listed and not presumed dead, reachable or not. Instances with the same list agree on it.
+    std::optional<InstanceId> listedHome(const ProgramId &key) const;
+
+    /// Whether the other instance, listed or not, is preferred as home to this one.
+    bool outranksSelf(const ProgramId &program, const InstanceId &other) const;
+
     /// Whether this instance is also preferred over those that were removed from the list lately. When both conditions are
     /// required, two instances whose lists differ only by such removals never both meet them.
     bool isPreferredOverRemoved(const ProgramId &program) const;
@@ -98,6 +104,9 @@
     /// All instances but this one that are not presumed dead.
     std::vector<MemberRecord> otherInstances() const;
 
+    /// All instances, this one included, presumed dead or not.
+    std::vector<MemberRecord> listedInstances() const;
+
     /// Reachable archives in the order in which they are preferred for a turn. The first two are in different failure domains
     /// where possible.
     std::vector<MemberRecord> rankedArchives(const std::string &turn, Instant now) const;
@@ -122,7 +131,6 @@
     static std::vector<MemberRecord> ranked(std::vector<MemberRecord> members, const std::string &key);
     using RankedInstances = std::vector<std::pair<std::uint64_t, InstanceId>>;
     static std::vector<InstanceId> inOrder(RankedInstances ranked);
-    bool outranksSelf(const ProgramId &program, const InstanceId &other) const;
 
     InstanceId m_self;
     DomainId m_ownDomain;
