Enforce quotas of workspaces: client, peer paths, settings, model, docs

QuotaClient owns the ledger and the leases; a request passes it between its admission and its turn's reservation, if its workspace has a limit. Instances answer /quota/lease and /quota/transfer. The registration tells whether an earlier incarnation was listed until now.

--- a/scripts/models.sh
+++ b/scripts/models.sh
@@ -60,3 +60,7 @@
 for variant in STORE_THEN_ARCHIVES ONE_COPY DELETE_BEFORE_UPLOAD; do
     check history fails "$variant"
 done
+check quota holds
+for variant in NO_WAIT_AFTER_CHANGE NO_WAIT_FOR_OLD_LISTS NO_WAIT_AFTER_START KEEP_AFTER_TRANSFER; do
+    check quota fails "$variant"
+done
--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -67,6 +67,13 @@
     , m_provisionalGrantPolicy(m_members, suspendAwareNow())
     , m_registration(ownMemberRecord(), m_store, m_loop.timers(), m_members, m_provisionalGrantPolicy, registrationHooks())
     , m_peerConnections(m_loop.context(), {MaxIdleConnectionsPerPeer, PeerAckTimeout})
+    , m_quotas(
+          {m_loop.context(), m_loop.timers(), m_members, m_peerConnections},
+          m_incarnation,
+          m_settings.quota,
+          m_routes,
+          [](const WorkspaceId &) { return std::nullopt; },
+          m_metrics)
     , m_witnesses(m_loop.context(), m_members, m_peerConnections, m_incarnation, m_metrics)
     , m_budgets(m_incarnation,
                 m_budgetStore,
@@ -100,9 +107,12 @@
                         m_members,
                         {[this] { m_dispatchQueue.refreshEndpoints(); },
                          [this] { onMembersChanged(); },
-                         [this](Instant confirmedAt) { m_provisionalGrantPolicy.onListRead(confirmedAt); }})
+                         [this](Instant confirmedAt) {
+                             m_provisionalGrantPolicy.onListRead(confirmedAt);
+                             m_quotas.onMembersRead(confirmedAt);
+                         }})
     , m_grantSurveyor(m_loop.context(), m_loop.timers(), m_members, m_peerConnections, m_provisionalGrantPolicy, m_budgets)
-    , m_peerApi(m_store, m_homeService, m_registryWatcher, m_grantSurveyor, m_witnesses)
+    , m_peerApi(m_store, m_homeService, m_registryWatcher, m_grantSurveyor, m_witnesses, m_quotas)
     , m_isolationDetector(m_loop.context(),
                           m_loop.timers(),
                           m_members,
@@ -114,6 +124,7 @@
     , m_admission(m_routes, m_drainSchedule)
     , m_proxyContext{m_loop.timers(),
                      m_admission,
+                     m_quotas,
                      m_routes,
                      m_endpointDirectory,
                      m_dispatchQueue,
@@ -136,7 +147,10 @@
 
 InstanceRegistration::Hooks InstanceDaemon::registrationHooks()
 {
-    return {[this] { return m_grantMarks.history(); }, [this](GrantHistory history, bool hasEnded) { onEarlierIncarnation(std::move(history), hasEnded); }};
+    return {[this] { return m_grantMarks.history(); },
+            [this](GrantHistory history, bool hasEnded) { onEarlierIncarnation(std::move(history), hasEnded); },
+            [this] { m_quotas.setRegistering(); },
+            [this](bool isNewMachine, const std::optional<MemberRecord> &earlier) { m_quotas.setRegistered(isNewMachine, earlier); }};
 }
 
 GrantMarks::Hooks InstanceDaemon::grantMarkHooks()
@@ -188,6 +202,7 @@
 void InstanceDaemon::onMembersChanged()
 {
     refreshStoreFallbacks();
+    m_quotas.onMembersChanged();
     m_registration.onMembersChanged();
 }
 
@@ -214,6 +229,7 @@
             return;
         }
         m_provisionalGrantPolicy.setFirstStart();
+        m_quotas.setFirstStart();
         m_loop.timers().at(std::chrono::steady_clock::now() + ProvisionalGrantPolicy::DiscoveryTime, [this](Instant) { m_registryWatcher.reloadMembers(); });
     });
 }
@@ -246,6 +262,7 @@
         m_budgets.removeIdle(ProgramIdleTimeout, at);
         m_budgets.recordProvisionalGrants();
         m_witnesses.removeIdle(at);
+        m_quotas.removeIdle();
         m_turnStore.removeExpired(at);
         m_homeService.expireCachedPrefixes(CachedPrefixLifetime, at);
         logSummary();
@@ -335,6 +352,7 @@
 // Persistent connections would keep callers at an isolated instance, so each is closed after its next response.
 void InstanceDaemon::onIsolationChanged(bool isIsolated)
 {
+    m_quotas.setIsolated(isIsolated);
     if (m_callerServer && !m_drainSchedule.hasBegun()) {
         m_callerServer->setClosing(isIsolated);
     }
@@ -396,6 +414,7 @@
     }
     m_members.setDraining();
     m_peerApi.setDraining();
+    m_quotas.beginDrain();
     m_budgets.beginRelease(now);
     m_registration.tryDeregister(m_budgets.hasProvisionalGrants());
     m_callerServer->setClosing(true);
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -11,6 +11,7 @@
 #include "instance/isolationdetector.h"
 #include "instance/peerapi.h"
 #include "instance/proxiedrequest.h"
+#include "instance/quotaclient.h"
 #include "instance/registrywatcher.h"
 #include "instance/witnessclient.h"
 #include "persistence/garbagecollector.h"
@@ -79,6 +80,7 @@
     ProvisionalGrantPolicy m_provisionalGrantPolicy;
     InstanceRegistration m_registration;
     ConnectionPool m_peerConnections;
+    QuotaClient m_quotas;
     WitnessClient m_witnesses;
     BudgetLedger m_budgets;
     ConnectionPool m_archiveConnections;
--- a/src/instance/instanceregistration.cpp
+++ b/src/instance/instanceregistration.cpp
@@ -47,6 +47,7 @@
 {
     m_store.read(shutdownMarkerKey(m_self.id), [this](const tl::expected<platform::StoreItem, platform::StoreFailure> &item) {
         const auto marker = item && item->revision != 0 ? CleanShutdownMarker::decode(item->data) : std::nullopt;
+        m_hadShutdownMarker = !item || item->revision != 0;
         if (marker && marker->isRecent(CleanShutdownMarker::now())) {
             m_grantPolicy.setCleanRestart();
         }
@@ -61,6 +62,7 @@
         return;
     }
     m_isRegistering = true;
+    m_hooks.onRegistering();
     m_members.put(m_self);
     commit();
 }
@@ -95,6 +97,8 @@
     m_revisions = {entry.revision, heartbeat.revision};
     const auto member = entry.revision == 0 ? std::nullopt : MemberRecord::decode(m_self.id, entry.data);
     const bool isOwn = member && member->incarnation == m_self.incarnation;
+    const bool hasEnded = member && !isOwn && !member->isPresumedDead && member->peerAddress.text() == m_self.peerAddress.text();
+    m_replacedEntry = hasEnded ? member : std::nullopt;
     if (isOwn && !member->isPresumedDead) {
         onRegistered(); // By an earlier try whose response was lost.
         return;
@@ -119,6 +123,8 @@
 {
     m_isRegistering = false;
     m_grantPolicy.setRegistered(m_hadEarlierEntry, suspendAwareNow());
+    m_hooks.onRegistered(!m_hadEarlierEntry && !m_hadShutdownMarker, m_replacedEntry);
+    m_replacedEntry.reset();
     logChange("registered", "id={} had_earlier_entry={}", m_self.id.value(), m_hadEarlierEntry);
 }
 
--- a/src/instance/instanceregistration.h
+++ b/src/instance/instanceregistration.h
@@ -18,6 +18,11 @@
         /// There was an earlier incarnation: the history to go on with, and whether it listened at the same address, so that it has
         /// ended for certain.
         std::function<void(GrantHistory history, bool hasEnded)> onEarlierIncarnation;
+        /// This process asks to be put on the list, for the first time or again.
+        std::function<void()> onRegistering;
+        /// It is on the list. Whether the store knew nothing of this machine, and the entry that was replaced, if that was of an earlier
+        /// incarnation which has ended and wasn't presumed dead.
+        std::function<void(bool isNewMachine, const std::optional<MemberRecord> &earlier)> onRegistered;
     };
 
     /// self is this process's entry.
@@ -66,6 +71,8 @@
     MemberRegistration m_entry;
     Revisions m_revisions;
     bool m_hadEarlierEntry = false; ///< Of an earlier incarnation.
+    bool m_hadShutdownMarker = false;
+    std::optional<MemberRecord> m_replacedEntry; ///< Compare Hooks::onRegistered.
     bool m_isRegistering = true; ///< Until the store has accepted the entry.
     bool m_isDeregistrationRequested = false;
 };
--- a/src/instance/peerapi.cpp
+++ b/src/instance/peerapi.cpp
@@ -23,12 +23,14 @@
                  HomeService &homeService,
                  RegistryWatcher &registryWatcher,
                  GrantSurveyor &grantSurveyor,
-                 WitnessClient &witnesses)
+                 WitnessClient &witnesses,
+                 QuotaClient &quotas)
     : m_store(store)
     , m_homeService(homeService)
     , m_registryWatcher(registryWatcher)
     , m_grantSurveyor(grantSurveyor)
     , m_witnesses(witnesses)
+    , m_quotas(quotas)
 {
 }
 
@@ -48,6 +50,10 @@
         noteLimits(connection, request.body);
     } else if (target == WitnessClient::FencePath) {
         fence(connection, request.body);
+    } else if (target == QuotaClient::LeasePath) {
+        answerQuotaLease(connection, request.body);
+    } else if (target == QuotaClient::TransferPath) {
+        acceptQuotaTransfer(connection, request.body);
     } else if (target == GrantSurveyor::SurveyPath) {
         answerGrantSurvey(connection, request.body);
     } else if (target.compare(0, storePrefix.size(), storePrefix) == 0) {
@@ -127,6 +133,17 @@
     connection->respond(response ? StatusOk : StatusUnavailable, {}, response.value_or(std::string()));
 }
 
+void PeerApi::answerQuotaLease(const ServerConnectionPtr &connection, const std::string &body)
+{
+    const auto response = m_quotas.answerLease(body);
+    connection->respond(response ? StatusOk : StatusBadRequest, {}, response.value_or(std::string()));
+}
+
+void PeerApi::acceptQuotaTransfer(const ServerConnectionPtr &connection, const std::string &body)
+{
+    connection->respond(m_quotas.acceptTransfer(body) ? StatusOk : StatusUnavailable, {}, {});
+}
+
 void PeerApi::forwardToStore(const ServerConnectionPtr &connection, const ServerRequest &request)
 {
     const std::string target = request.head.target.substr(std::string_view(StorePathPrefix).size());
--- a/src/instance/peerapi.h
+++ b/src/instance/peerapi.h
@@ -3,6 +3,7 @@
 #include "http/serverconnection.h"
 #include "instance/grantsurveyor.h"
 #include "instance/homeservice.h"
+#include "instance/quotaclient.h"
 #include "instance/registrywatcher.h"
 #include "instance/witnessclient.h"
 #include "platform/platformstore.h"
@@ -12,7 +13,7 @@
 namespace flamingo
 {
 
-/// Answers the requests of other instances: turns of the programs whose home this instance is, polls of the registry, pings, and
+/// Answers the requests of other instances: turns of the programs whose home this instance is, leases of quotas, polls of the registry, pings, and
 /// store calls of instances that the store rejects or that can't reach it.
 class PeerApi
 {
@@ -20,7 +21,12 @@
     /// Prefix of the paths of store calls that are to be forwarded.
     static constexpr const char *StorePathPrefix = "/store";
 
-    PeerApi(platform::PlatformStore &store, HomeService &homeService, RegistryWatcher &registryWatcher, GrantSurveyor &grantSurveyor, WitnessClient &witnesses);
+    PeerApi(platform::PlatformStore &store,
+            HomeService &homeService,
+            RegistryWatcher &registryWatcher,
+            GrantSurveyor &grantSurveyor,
+            WitnessClient &witnesses,
+            QuotaClient &quotas);
 
     void handle(const ServerConnectionPtr &connection, const ServerRequest &request);
 
@@ -36,6 +42,8 @@
     void answerGrantSurvey(const ServerConnectionPtr &connection, const std::string &body);
     void noteLimits(const ServerConnectionPtr &connection, const std::string &body);
     void fence(const ServerConnectionPtr &connection, const std::string &body);
+    void answerQuotaLease(const ServerConnectionPtr &connection, const std::string &body);
+    void acceptQuotaTransfer(const ServerConnectionPtr &connection, const std::string &body);
     void forwardToStore(const ServerConnectionPtr &connection, const ServerRequest &request);
 
     platform::PlatformStore &m_store;
@@ -43,6 +51,7 @@
     RegistryWatcher &m_registryWatcher;
     GrantSurveyor &m_grantSurveyor;
     WitnessClient &m_witnesses;
+    QuotaClient &m_quotas;
     bool m_isDraining = false;
 };
 
--- a/src/instance/proxiedrequest.cpp
+++ b/src/instance/proxiedrequest.cpp
@@ -64,7 +64,15 @@
             it->onDeadline();
         }
     });
-    reserveTurn();
+    m_context.quotas.admit(m_admitted.workspace, [self = shared_from_this()](const std::optional<Refusal> &refusal) { self->onQuotaDecided(refusal); });
+}
+
+// The caller may have left, or the deadline may have passed.
+void ProxiedRequest::onQuotaDecided(const std::optional<Refusal> &refusal)
+{
+    if (!m_isFinished) {
+        refusal ? refuse(*refusal) : reserveTurn();
+    }
 }
 
 // Turns with a budget or a history ask the program's home first; everything else is queued at once.
@@ -75,7 +83,7 @@
         enqueue();
         return;
     }
-    m_reservation.begin(affinityKey(), m_metadata, m_admitted.route.isStateful, [self = shared_from_this()](tl::expected<TurnChain, Refusal> history) {
+    m_reservation.begin(m_metadata.affinity(), m_metadata, m_admitted.route.isStateful, [self = shared_from_this()](tl::expected<TurnChain, Refusal> history) {
         self->onTurnReserved(std::move(history));
     });
 }
@@ -97,7 +105,7 @@
 void ProxiedRequest::enqueue()
 {
     DispatchRequest request;
-    request.program = affinityKey();
+    request.program = m_metadata.affinity();
     request.pool = m_admitted.pool;
     request.priority = priorityClass(m_admitted.route.priority);
     request.arrivedAt = m_request.arrivedAt;
@@ -586,13 +594,4 @@
     return Tokens(m_stream.forwardedEvents() * m_admitted.tokensPerEvent);
 }
 
-// Turns of one program share their prompts, so they should go to the endpoint of the program's last turn.
-ProgramId ProxiedRequest::affinityKey() const
-{
-    if (m_metadata.program) {
-        return *m_metadata.program;
-    }
-    return ProgramId(m_metadata.affinityKey.empty() ? m_metadata.id.value() : m_metadata.affinityKey);
-}
-
 } // namespace flamingo
--- a/src/instance/proxiedrequest.h
+++ b/src/instance/proxiedrequest.h
@@ -10,6 +10,7 @@
 #include "instance/dispatchqueue.h"
 #include "instance/homeservice.h"
 #include "instance/isolationdetector.h"
+#include "instance/quotaclient.h"
 #include "instance/turnreservation.h"
 #include "platform/headercodec.h"
 #include "serving/admission.h"
@@ -30,6 +31,7 @@
 struct ProxyContext {
     TimerService &timers;
     const Admission &admission;
+    QuotaClient &quotas;
     RouteTable &routes;
     EndpointDirectory &endpointDirectory;
     DispatchQueue &dispatchQueue;
@@ -58,6 +60,7 @@
     void end();
 
 private:
+    void onQuotaDecided(const std::optional<Refusal> &refusal);
     void reserveTurn();
     void onTurnReserved(tl::expected<TurnChain, Refusal> history);
     void enqueue();
@@ -91,7 +94,6 @@
     bool mayRetry() const;
     Milliseconds timeLeft(Instant now) const;
     Tokens generatedTokens() const;
-    ProgramId affinityKey() const;
 
     ProxyContext &m_context;
     ServerConnectionPtr m_connection;
--- a/src/serving/quotaleases.cpp
+++ b/src/serving/quotaleases.cpp
@@ -62,7 +62,7 @@
 void QuotaLeases::acquire(const Workspace &workspace, ConfigurationVersion version, Instant now, VerdictHandler onVerdict)
 {
     Entry &entry = m_entries[workspace.id];
-    if (version > entry.limit.version) {
+    if (version >= entry.limit.version) {
         const bool isChanged = entry.limit.requestsPerSecond != workspace.requestsPerSecond || entry.limit.burst != workspace.burst;
         entry.limit = {version, workspace.requestsPerSecond, workspace.burst};
         if (isChanged) {
--- a/src/serving/quotaledger.cpp
+++ b/src/serving/quotaledger.cpp
@@ -73,7 +73,7 @@
     const std::vector<MemberRecord> listed = m_members.listedInstances();
     return !m_earlierStartTimeMs || std::any_of(listed.begin(), listed.end(), [&](const MemberRecord &member) {
         const auto startedAt = startTimeMs(member.incarnation);
-        return !startedAt || *startedAt < *m_earlierStartTimeMs - StartTogetherTime.count();
+        return member.id != m_members.self() && (!startedAt || *startedAt < *m_earlierStartTimeMs - StartTogetherTime.count());
     });
 }
 
--- a/src/serving/quotamessages.cpp
+++ b/src/serving/quotamessages.cpp
@@ -22,6 +22,13 @@
     return static_cast<int>(std::clamp<std::int64_t>(json.get<std::int64_t>(), 0, MaxCount));
 }
 
+/// Not a number counts as 0.
+double decodeAmount(const Json &json)
+{
+    const auto amount = json.get<double>();
+    return amount > 0 ? std::min<double>(amount, MaxCount) : 0;
+}
+
 Json encodePartition(const QuotaPartition &partition, const QuotaLimit &limit)
 {
     return {{"workspace", partition.workspace},
@@ -42,7 +49,7 @@
 
 QuotaLimit decodeLimit(const Json &json)
 {
-    return {json.at("version").get<ConfigurationVersion>(), json.at("rate").get<double>(), json.at("burst").get<double>()};
+    return {json.at("version").get<ConfigurationVersion>(), decodeAmount(json.at("rate")), decodeAmount(json.at("burst"))};
 }
 } // namespace
 
--- a/src/serving/requestmetadata.h
+++ b/src/serving/requestmetadata.h
@@ -52,6 +52,12 @@
         return tokens;
     }
 
+    /// Requests with the same one should go to the same endpoint: turns of one program share their prompts.
+    ProgramId affinity() const
+    {
+        return program ? *program : ProgramId(affinityKey.empty() ? id.value() : affinityKey);
+    }
+
     std::string affinityKey; ///< The object that the request is about; empty when the request names none.
 };
 
--- a/tests/unit/decoderfuzztest.cpp
+++ b/tests/unit/decoderfuzztest.cpp
@@ -15,6 +15,7 @@
 #include "serving/budgetledger.h"
 #include "serving/cleanshutdownmarker.h"
 #include "serving/memberdirectory.h"
+#include "serving/quotamessages.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -90,6 +91,13 @@
         {"poll", RegistryPoll().encode(), [](const std::string &it) { RegistryPoll::decode(it); }},
         {"update", update.encode(), [](const std::string &it) { RegistryUpdate::decode(it); }},
         {"versions", RegistryVersions().encode(), [](const std::string &it) { RegistryVersions::decode(it); }},
+        {"quota-request",
+         QuotaLeaseRequest{IncarnationId("i:1:1"), {WorkspaceId("w"), 1}, {ConfigurationVersion(1), 2.5, 3}, 1, 2, {{7, 1}}}.encode(),
+         [](const std::string &it) { QuotaLeaseRequest::decode(it); }},
+        {"quota-lease", QuotaLease().encode(), [](const std::string &it) { QuotaLease::decode(it); }},
+        {"quota-transfer",
+         QuotaTransfer{IncarnationId("i:1:1"), IncarnationId("j:1:1"), {{{WorkspaceId("w"), 1}, {}, {{Milliseconds(5), 2}}}}}.encode(),
+         [](const std::string &it) { QuotaTransfer::decode(it); }},
         {"journal", encodeEntry(entry), [](const std::string &it) { decodeEntry(it); }},
         {"gossip", encodeGossip(gossip), [](const std::string &it) { decodeGossip(it); }},
         {"peer", "[]", [](const std::string &it) { decodeMessage(it); }},
