--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -72,6 +72,13 @@
     , m_provisionalGrantPolicy(m_members, suspendAwareNow())
     , m_registration(ownMemberRecord(), m_store, m_loop.timers(), m_members, m_provisionalGrantPolicy, registrationHooks())
     , m_peerConnections(m_loop.context(), {MaxIdleConnectionsPerPeer, PeerAckTimeout})
+    , m_quotas(
+          {m_loop.context(), m_loop.timers(), m_members, m_peerConnections},
+          m_incarnation,
+          m_settings.quota,
+          m_routes,
+          [](const WorkspaceId &) { return std::nullopt; },
+          m_metrics)
     , m_witnesses(m_loop.context(), m_members, m_peerConnections, m_incarnation, m_metrics)
     , m_budgets(m_incarnation,
                 m_budgetStore,
@@ -106,9 +113,12 @@
                         m_configurationAge,
                         {[this] { m_dispatchQueue.refreshEndpoints(); },
                          [this] { onMembersChanged(); },
-                         [this](Instant confirmedAt) { m_provisionalGrantPolicy.onListRead(confirmedAt); }})
+                         [this](Instant confirmedAt) {
+                             m_provisionalGrantPolicy.onListRead(confirmedAt);
+                             m_quotas.onMembersRead(confirmedAt);
+                         }})
     , m_grantSurveyor(m_loop.context(), m_loop.timers(), m_members, m_peerConnections, m_provisionalGrantPolicy, m_budgets)
-    , m_peerApi(m_store, m_homeService, m_registryWatcher, m_grantSurveyor, m_witnesses)
+    , m_peerApi(m_store, m_homeService, m_registryWatcher, m_grantSurveyor, m_witnesses, m_quotas)
     , m_isolationDetector(m_loop.context(),
                           m_loop.timers(),
                           m_members,
@@ -122,6 +132,7 @@
     , m_admission(m_routes, m_drainSchedule, m_configurationAge)
     , m_proxyContext{m_loop.timers(),
                      m_admission,
+                     m_quotas,
                      m_routes,
                      m_endpointDirectory,
                      m_dispatchQueue,
@@ -144,7 +155,10 @@
 
 InstanceRegistration::Hooks InstanceDaemon::registrationHooks()
 {
-    return {[this] { return m_grantMarks.history(); }, [this](GrantHistory history, bool hasEnded) { onEarlierIncarnation(std::move(history), hasEnded); }};
+    return {[this] { return m_grantMarks.history(); },
+            [this](GrantHistory history, bool hasEnded) { onEarlierIncarnation(std::move(history), hasEnded); },
+            [this] { m_quotas.setRegistering(); },
+            [this](bool isNewMachine, const std::optional<MemberRecord> &earlier) { m_quotas.setRegistered(isNewMachine, earlier); }};
 }
 
 GrantMarks::Hooks InstanceDaemon::grantMarkHooks()
@@ -197,6 +211,7 @@
 {
     refreshStoreFallbacks();
     m_dispatchQueue.setInstances(m_members.otherInstances().size() + 1, m_settings.instance);
+    m_quotas.onMembersChanged();
     m_registration.onMembersChanged();
 }
 
@@ -223,6 +238,7 @@
             return;
         }
         m_provisionalGrantPolicy.setFirstStart();
+        m_quotas.setFirstStart();
         m_loop.timers().at(std::chrono::steady_clock::now() + ProvisionalGrantPolicy::DiscoveryTime, [this](Instant) { m_registryWatcher.reloadMembers(); });
     });
 }
@@ -255,6 +271,7 @@
         m_budgets.removeIdle(ProgramIdleTimeout, at);
         m_budgets.recordProvisionalGrants();
         m_witnesses.removeIdle(at);
+        m_quotas.removeIdle();
         m_turnStore.removeExpired(at);
         m_homeService.expireCachedPrefixes(CachedPrefixLifetime, at);
         logSummary();
@@ -380,6 +397,7 @@
 // Persistent connections would keep callers at an isolated instance, so each is closed after its next response.
 void InstanceDaemon::onIsolationChanged(bool isIsolated)
 {
+    m_quotas.setIsolated(isIsolated);
     if (m_callerServer && !m_drainSchedule.hasBegun()) {
         m_callerServer->setClosing(isIsolated);
     }
@@ -445,6 +463,7 @@
     }
     m_members.setDraining();
     m_peerApi.setDraining();
+    m_quotas.beginDrain();
     m_budgets.beginRelease(now);
     m_registration.tryDeregister(m_budgets.hasProvisionalGrants());
     m_callerServer->setClosing(true);
--- a/src/instance/proxiedrequest.cpp
+++ b/src/instance/proxiedrequest.cpp
@@ -64,7 +64,15 @@
             it->onDeadline();
         }
     });
-    reserveTurn();
+    m_context.quotas.admit(m_admitted.workspace, [self = shared_from_this()](const std::optional<Refusal> &refusal) { self->onQuotaDecided(refusal); });
+}
+
+// The caller may have left, or the deadline may have passed.
+void ProxiedRequest::onQuotaDecided(const std::optional<Refusal> &refusal)
+{
+    if (!m_isFinished) {
+        refusal ? refuse(*refusal) : reserveTurn();
+    }
 }
 
 // Turns with a budget or a history ask the program's home first; everything else is queued at once.
--- a/src/instance/proxiedrequest.h
+++ b/src/instance/proxiedrequest.h
@@ -11,6 +11,7 @@
 #include "instance/forwardedbody.h"
 #include "instance/homeservice.h"
 #include "instance/isolationdetector.h"
+#include "instance/quotaclient.h"
 #include "instance/turnreservation.h"
 #include "platform/headercodec.h"
 #include "serving/admission.h"
@@ -31,6 +32,7 @@
 struct ProxyContext {
     TimerService &timers;
     const Admission &admission;
+    QuotaClient &quotas;
     RouteTable &routes;
     EndpointDirectory &endpointDirectory;
     DispatchQueue &dispatchQueue;
@@ -59,6 +61,7 @@
     void end();
 
 private:
+    void onQuotaDecided(const std::optional<Refusal> &refusal);
     void reserveTurn();
     void onTurnReserved(tl::expected<TurnChain, Refusal> history);
     void enqueue();
