Count a handover only if it is not older than the lists that may still be in use

A transfer from the same incarnation at an earlier time, when that was the home before, spared the next home the wait after that incarnation was presumed dead.

--- a/src/serving/quotaledger.cpp
+++ b/src/serving/quotaledger.cpp
@@ -115,7 +115,10 @@
         readyAt = std::max(readyAt, m_mayHaveEarlierHomes ? std::max(m_readyAt, m_olderListsEndAt) : m_readyAt);
     }
     for (const FormerMember &former : m_formerMembers) {
-        const auto tellsItsGrants = [&](const Handover &it) { return it.from == former.incarnation || it.at >= former.leftAt; };
+        // An older one may be from an earlier time at which the same incarnation was the home.
+        const auto tellsItsGrants = [&](const Handover &it) {
+            return it.at >= former.leftAt || (it.from == former.incarnation && former.leftAt - it.at <= MaxQuotaListAge);
+        };
         if (former.readyAt > readyAt && m_members.outranksSelf(id.key(), former.id) && !isHandedOver(tellsItsGrants)) {
             readyAt = former.readyAt;
         }
