--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -77,7 +77,7 @@
           m_incarnation,
           m_settings.quota,
           m_routes,
-          [](const WorkspaceId &) { return std::nullopt; },
+          [this](const WorkspaceId &id) { return quotaOf(id); },
           m_metrics)
     , m_witnesses(m_loop.context(), m_members, m_peerConnections, m_incarnation, m_metrics)
     , m_budgets(m_incarnation,
@@ -161,6 +161,12 @@
             [this](bool isNewMachine, const std::optional<MemberRecord> &earlier) { m_quotas.setRegistered(isNewMachine, earlier); }};
 }
 
+std::optional<QuotaLimit> InstanceDaemon::quotaOf(const WorkspaceId &id) const
+{
+    const Workspace *workspace = m_routes.workspaces().findById(id);
+    return workspace ? std::optional<QuotaLimit>({m_routes.configuration().version, workspace->requestsPerSecond, workspace->burst}) : std::nullopt;
+}
+
 GrantMarks::Hooks InstanceDaemon::grantMarkHooks()
 {
     return {[this] { return m_members.isLoaded() && !m_replicatedTurnStore.hasEnoughArchives(); },
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -44,6 +44,7 @@
     MemberRecord ownMemberRecord() const;
     InstanceRegistration::Hooks registrationHooks();
     GrantMarks::Hooks grantMarkHooks();
+    std::optional<QuotaLimit> quotaOf(const WorkspaceId &id) const;
     void onEarlierIncarnation(GrantHistory history, bool hasEnded);
     void writeGrantHistory(std::function<void(bool isWritten)> onWritten);
     void listen();
--- a/src/serving/workspacedirectory.cpp
+++ b/src/serving/workspacedirectory.cpp
@@ -17,21 +17,20 @@
     : m_isConfigured(true)
     , m_isComplete(!configuration.hasUnreadableEntries)
 {
-    std::unordered_set<WorkspaceId> ids;
     for (WorkspaceEntry &entry : configuration.entries) {
-        addEntry(std::move(entry), ids);
+        addEntry(std::move(entry));
     }
 }
 
-void WorkspaceDirectory::addEntry(WorkspaceEntry entry, std::unordered_set<WorkspaceId> &ids)
+void WorkspaceDirectory::addEntry(WorkspaceEntry entry)
 {
     const WorkspaceId id = entry.workspace.id;
-    if (!ids.insert(id).second) {
+    const std::size_t index = m_workspaces.size();
+    if (!m_indexesById.emplace(id, index).second) {
         logChange("workspace-ambiguous", "workspace={} reason=\"listed twice\"", id.value());
         m_isComplete = false;
         return;
     }
-    const std::size_t index = m_workspaces.size();
     m_workspaces.push_back(std::move(entry.workspace));
     for (KeyDigest &key : entry.keys) {
         const auto [it, isNew] = m_indexesByKey.emplace(std::move(key), index);
@@ -54,6 +53,12 @@
     return it == m_indexesByKey.end() || it->second == AmbiguousIndex ? nullptr : &m_workspaces[it->second];
 }
 
+const Workspace *WorkspaceDirectory::findById(const WorkspaceId &id) const
+{
+    const auto it = m_indexesById.find(id);
+    return it == m_indexesById.end() ? nullptr : &m_workspaces[it->second];
+}
+
 bool WorkspaceDirectory::isComplete() const
 {
     return m_isComplete;
--- a/src/serving/workspacedirectory.h
+++ b/src/serving/workspacedirectory.h
@@ -4,7 +4,6 @@
 
 #include <cstddef>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 namespace flamingo
@@ -24,6 +23,9 @@
     /// The workspace that the key belongs to; nullptr if none is known. The pointer is valid until the directory is replaced.
     const Workspace *find(const KeyDigest &key) const;
 
+    /// The workspace with this id; nullptr if there is none. The pointer is valid until the directory is replaced.
+    const Workspace *findById(const WorkspaceId &id) const;
+
     /// Whether every key of the configuration is known here. If not, a key that isn't found may still be valid: its entry couldn't be
     /// decoded, names a workspace a second time, or shares the key with another workspace.
     bool isComplete() const;
@@ -32,11 +34,11 @@
     std::size_t keyCount() const;
 
 private:
-    /// The ids are those of the entries so far.
-    void addEntry(WorkspaceEntry entry, std::unordered_set<WorkspaceId> &ids);
+    void addEntry(WorkspaceEntry entry);
 
     std::vector<Workspace> m_workspaces;
-    std::unordered_map<KeyDigest, std::size_t> m_indexesByKey; ///< Indexes of workspaces.
+    std::unordered_map<WorkspaceId, std::size_t> m_indexesById; ///< Indexes of workspaces.
+    std::unordered_map<KeyDigest, std::size_t> m_indexesByKey; ///< The same.
     bool m_isConfigured = false;
     bool m_isComplete = true;
 };
