Count the capacity of a body after its history, and keep the account until the loop is gone

Found by reading the part on bounded memory: - Inserting a history into a body in place could double its capacity, uncounted (1 MiB body, 7 bytes of history: 2 MiB held, 1 MiB counted in the test before, capacity within the count after). - Making room for a request could close its own connection, whose earlier response is unread. The request was then passed on, or refused on a closed connection. It is dropped now. - A connection that had paused reading for lack of memory didn't read while closing, so that unread bytes reset it and could cut off the end of the last response. - The event loop outlived the memory account, which connections in pending handlers use in their destructors.

The last three have no test of their own; tests with processes not run.

--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -219,7 +219,12 @@
     updateMemory();
     if (m_hooks.bounds.memory) {
         request.memory = std::make_shared<MemoryHolder>(m_hooks.bounds.memory);
-        if (!request.memory->tryResize(RequestBytes + HeadCopies * m_parser.heldBytes() + request.body.capacity(), std::chrono::steady_clock::now())) {
+        const std::size_t bytes = RequestBytes + HeadCopies * m_parser.heldBytes() + request.body.capacity();
+        const bool hasRoom = request.memory->tryResize(bytes, std::chrono::steady_clock::now());
+        if (m_stage != Stage::Responding) {
+            return; // Making room closed this connection, since an earlier response on it is unread.
+        }
+        if (!hasRoom) {
             m_request.head = std::move(request.head);
             refuseForMemory();
             return;
@@ -476,6 +481,7 @@
 void ServerConnection::beginLingeringClose()
 {
     m_stage = Stage::Closing;
+    m_isReadingPaused = false;
     std::string().swap(m_unparsed);
     updateMemory();
     awaitCallersClose();
--- a/src/instance/forwardedbody.cpp
+++ b/src/instance/forwardedbody.cpp
@@ -33,7 +33,11 @@
         return false;
     }
     m_historyBytes = history.size();
-    m_held->bytes.insert(0, history);
+    // Inserting in place may double the capacity, which is not accounted for.
+    std::string joined;
+    joined.reserve(history.size() + m_held->bytes.size());
+    joined.append(history).append(m_held->bytes);
+    m_held->bytes.swap(joined);
     return true;
 }
 
--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -63,6 +63,8 @@
     : m_settings(std::move(settings))
     , m_settingsFile(m_settings.path)
     , m_incarnation(newIncarnationId(m_settings.instance))
+    , m_callerMemory(memoryShare(m_settings, CallerMemoryDivisor, MaxCallerMemoryBytes))
+    , m_responseBuffers(memoryShare(m_settings, ResponseMemoryDivisor, MaxResponseBufferBytes), m_callerMemory)
     , m_store(m_loop.context(), m_settings.storeAddress, m_metrics)
     , m_budgetStore(m_store)
     , m_turnStore(m_store, m_incarnation, m_settings.storeValueBytes)
@@ -127,8 +129,6 @@
                           {[this] { return m_registryWatcher.seenVersions(); }, [this](const RegistryVersions &it) { m_registryWatcher.onPeerVersions(it); }},
                           {[this](bool isIsolated) { onIsolationChanged(isIsolated); },
                            [this](const std::set<DomainId> &unreachable) { m_dispatchQueue.setUnreachableDomains(unreachable); }})
-    , m_callerMemory(memoryShare(m_settings, CallerMemoryDivisor, MaxCallerMemoryBytes))
-    , m_responseBuffers(memoryShare(m_settings, ResponseMemoryDivisor, MaxResponseBufferBytes), m_callerMemory)
     , m_admission(m_routes, m_drainSchedule, m_configurationAge)
     , m_proxyContext{m_loop.timers(),
                      m_admission,
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -71,6 +71,9 @@
     platform::BootSettings m_settings;
     platform::BootSettingsFile m_settingsFile;
     IncarnationId m_incarnation;
+    // Handlers that are pending when the loop is destroyed hold connections, which return their memory.
+    MemoryAccount m_callerMemory;
+    BufferQuota m_responseBuffers;
     EventLoop m_loop;
     Metrics m_metrics;
     platform::PlatformStore m_store;
@@ -98,8 +101,6 @@
     GrantSurveyor m_grantSurveyor;
     PeerApi m_peerApi;
     IsolationDetector m_isolationDetector;
-    MemoryAccount m_callerMemory;
-    BufferQuota m_responseBuffers;
     DrainSchedule m_drainSchedule;
     Admission m_admission;
     ProxyContext m_proxyContext;
--- a/tests/unit/memoryaccounttest.cpp
+++ b/tests/unit/memoryaccounttest.cpp
@@ -304,6 +304,19 @@
     CHECK(recorded.takeInput().size() == Megabyte);
 }
 
+// Inserting a short history into a large body doubled its capacity, of which the account didn't know.
+TEST_CASE("A short history takes up no more than its size", "[memory]")
+{
+    MemoryAccount account(8 * Megabyte);
+    auto holder = std::make_shared<MemoryHolder>(&account);
+    std::string input(Megabyte, 'i');
+    REQUIRE(holder->tryResize(input.capacity(), Instant()));
+    ForwardedBody body;
+    REQUIRE(body.set(std::move(input), std::move(holder), false));
+    REQUIRE(body.prependHistory("before "));
+    CHECK(body.bytes()->capacity() <= account.heldBytes());
+}
+
 TEST_CASE("The connection that has been idle longest is closed when descriptors are short", "[memory]")
 {
     const Instant now = Instant() + std::chrono::hours(1);
