Find a listed home without copying ids

Cause: listedHome() copied the id of each listed instance, and it is called for each quota lease by the asker and by the home. Change: only the weights are compared; ties go to the greatest id as before. Found by reading; the time of a call wasn't measured.

--- a/src/serving/memberdirectory.cpp
+++ b/src/serving/memberdirectory.cpp
@@ -177,13 +177,20 @@
 
 std::optional<InstanceId> MemberDirectory::listedHome(const ProgramId &key) const
 {
-    std::optional<std::pair<std::uint64_t, InstanceId>> best;
+    // Called for each lease of a quota, so no ids are copied. Of equal weights the greatest id wins, as in inOrder().
+    const InstanceId *best = nullptr;
+    std::uint64_t highestWeight = 0;
     for (const auto &[id, member] : m_members) {
-        if (member.record.role == MemberRecord::Role::Instance && !member.record.isPresumedDead) {
-            best = std::max(best, std::make_optional(std::make_pair(homeWeight(key, id), id)));
+        if (member.record.role != MemberRecord::Role::Instance || member.record.isPresumedDead) {
+            continue;
+        }
+        const std::uint64_t weight = homeWeight(key, id);
+        if (!best || weight >= highestWeight) {
+            best = &id;
+            highestWeight = weight;
         }
     }
-    return best ? std::make_optional(best->second) : std::nullopt;
+    return best ? std::make_optional(*best) : std::nullopt;
 }
 
 bool MemberDirectory::isPreferredHome(const ProgramId &program) const
