Ask homes for waiting requests after they have denied requests ahead

Cause: a home grants a quarter of what is left ahead of need, so with fewer than four requests left it grants none. The instance took that for an exhausted partition for at least 20 ms, also for requests that came during the call. With all four homes answering so, callers got 429 with up to 12 requests of the limit left. Ruled out: granting the last requests ahead, which one instance would take from the others. Change: such a denial delays only further requests ahead. An unused member is removed.

--- a/src/serving/quotaleases.cpp
+++ b/src/serving/quotaleases.cpp
@@ -126,7 +126,9 @@
     const unsigned asked = entry.waiters.empty() ? 0 : entry.waiters.front().askedPartitions;
     for (std::uint64_t n = 0; n < QuotaPartitionCount; ++n) {
         const auto partition = static_cast<int>((first + n) % QuotaPartitionCount);
-        if (now >= entry.partitions[static_cast<std::size_t>(partition)].usableAt && (asked & (1U << static_cast<unsigned>(partition))) == 0) {
+        const PartitionState &state = entry.partitions[static_cast<std::size_t>(partition)];
+        const Instant askableAt = entry.waiters.empty() ? std::max(state.usableAt, state.aheadAt) : state.usableAt;
+        if (now >= askableAt && (asked & (1U << static_cast<unsigned>(partition))) == 0) {
             return partition;
         }
     }
@@ -217,7 +219,11 @@
     const Instant expiresAt = sentAt + QuotaLeaseValidity;
     const bool isUsable = lease && lease->outcome != QuotaLease::Outcome::NotReady && now < expiresAt;
     PartitionState &partition = entry.partitions[static_cast<std::size_t>(request.partition.index)];
-    if (!isUsable || lease->granted < std::max(1, request.needed)) {
+    // A home that grants nothing ahead may have a few requests left for those that wait, and then gives no time to retry after.
+    const bool isOnlyAheadDenied = isUsable && request.needed == 0 && lease->granted == 0 && lease->retryAfter.count() == 0;
+    if (isOnlyAheadDenied) {
+        partition.aheadAt = now + MinUnusableTime;
+    } else if (!isUsable || lease->granted < std::max(1, request.needed)) {
         const Milliseconds retryAfter = lease ? lease->retryAfter : UnansweredTime;
         partition.hasDenied = isUsable;
         partition.retryAt = now + retryAfter;
--- a/src/serving/quotaleases.h
+++ b/src/serving/quotaleases.h
@@ -74,6 +74,7 @@
     /// What a partition's home has answered lately.
     struct PartitionState {
         Instant usableAt{}; ///< It isn't asked before.
+        Instant aheadAt{}; ///< It isn't asked before unless requests wait.
         Instant retryAt{}; ///< When it may grant the next request.
         bool hasDenied = false; ///< Whether it has answered that nothing is left.
     };
@@ -99,7 +100,6 @@
         std::array<PartitionState, QuotaPartitionCount> partitions;
         Demand demand;
         Instant usedAt;
-        std::uint64_t callNumber = 0;
         bool isAsking = false;
     };
 
--- a/tests/unit/quotatest.cpp
+++ b/tests/unit/quotatest.cpp
@@ -598,6 +598,30 @@
     CHECK(it.leases.workspaceCount() == 0);
 }
 
+// A denial of requests asked ahead must not refuse callers while a home still has a few requests left.
+TEST_CASE("A partition that grants nothing ahead is still asked for requests that wait", "[quota]")
+{
+    LeasesFixture it;
+    for (int n = 0; n < 10; ++n) {
+        it.acquire();
+    }
+    it.answer(granted(1));
+    it.answer(granted(9));
+    REQUIRE(it.count(QuotaVerdict::Outcome::Allowed) == 10);
+    for (int n = 0; n < QuotaPartitionCount; ++n) {
+        REQUIRE(it.calls.size() == 1);
+        REQUIRE(it.calls[0].request.needed == 0);
+        it.answer(denied(0));
+    }
+    CHECK(it.calls.empty());
+    it.acquire();
+    CHECK(it.count(QuotaVerdict::Outcome::Exceeded) == 0);
+    REQUIRE(it.calls.size() == 1);
+    CHECK(it.calls[0].request.needed == 1);
+    it.answer(granted(1));
+    CHECK(it.count(QuotaVerdict::Outcome::Allowed) == 11);
+}
+
 TEST_CASE("Quota messages survive encoding", "[quota]")
 {
     const QuotaLeaseRequest request{IncarnationId("h:1:1"), {WorkspaceId("w"), 3}, {ConfigurationVersion(4), 2.5, 7}, 2, 9, {{11, 4}}};
