--- a/src/http/connectionset.h
+++ b/src/http/connectionset.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/serverconnection.h"
+#include "http/serverlistener.h"
 
 #include <functional>
 #include <memory>
--- a/src/policy/loadestimate.h
+++ b/src/policy/loadestimate.h
@@ -30,7 +30,8 @@
     /// Records a load report. ownCalls is the number of this dispatcher's calls at the endpoint.
     void onReport(const EndpointLoad &load, int ownCalls, Instant now);
 
-    /// Calls of other dispatchers according to the last load report, decaying to 0 with its age.
+    /// Calls of other dispatchers according to the last load report, decaying to 0 with its age. For pools in which load isn't spread
+    /// evenly; the others use expectedCallsOfOthers().
     double callsOfOtherDispatchers(Instant now) const;
 
     /// Calls of other dispatchers: those of the last load report without the own ones that it contained. With the report's age the
@@ -40,7 +41,7 @@
     /// How much the last report still says about the present load: 1 for the time it was made at, 0 without a report.
     double reportWeight(Instant now, Milliseconds decayTime) const;
 
-    /// Calls of other dispatchers at the time of the last report.
+    /// Calls of other dispatchers at the time of the last report, without decay.
     double reportedCallsOfOthers() const;
 
     /// Factor by which work takes longer than normal according to the last load report, decaying to 1 with its age.
--- a/src/serving/quotaleases.h
+++ b/src/serving/quotaleases.h
@@ -76,7 +76,7 @@
         Instant usableAt{}; ///< It isn't asked before.
         Instant aheadAt{}; ///< It isn't asked before unless requests wait.
         Instant retryAt{}; ///< When it may grant the next request.
-        bool hasDenied = false; ///< Whether it has answered that nothing is left.
+        bool hasDenied = false; ///< Whether its last answer was that nothing is left.
     };
     /// Requests of the last second.
     class Demand
--- a/src/serving/quotaledger.h
+++ b/src/serving/quotaledger.h
@@ -120,7 +120,7 @@
     std::map<QuotaPartition, Partition> m_partitions;
     std::map<InstanceId, ListedMember> m_listed; ///< The other instances, as of the last change of the list.
     std::vector<FormerMember> m_formerMembers;
-    std::optional<Instant> m_listConfirmedAt;
+    std::optional<Instant> m_listConfirmedAt; ///< The caller has subtracted the time for which a watch of the list may wait.
     Instant m_unawareSince; ///< Transfers received before don't tell all that was granted.
     Instant m_readyAt; ///< What was granted before m_unawareSince has left the span then.
     Instant m_olderListsEndAt; ///< The same for grants by lists that don't have this instance yet, if there may be any.
--- a/src/serving/quotamessages.h
+++ b/src/serving/quotamessages.h
@@ -24,7 +24,7 @@
     WorkspaceId workspace;
     int index = 0;
 
-    /// The key by which MemberDirectory ranks homes.
+    /// The key by which MemberDirectory ranks homes. Homes are ranked for programs, so it has the type of a program's id.
     ProgramId key() const;
 
     friend bool operator<(const QuotaPartition &a, const QuotaPartition &b)
