--- a/src/serving/admission.h
+++ b/src/serving/admission.h
@@ -31,7 +31,7 @@
     std::int64_t tokensPerEvent = 1; ///< Of the pool's streams.
     Instant deadline;
     std::optional<Workspace> workspace; ///< Set where the caller has identified itself.
-    bool hidesCredentials = false; ///< The configuration has workspaces, so the endpoint gets neither the caller's key nor its X-Tenant.
+    bool hidesCredentials = false; ///< The configuration has workspaces, so the endpoint gets neither the caller's key nor a workspace that the caller names.
     int priority = 0; ///< The workspace's, or else the route's; 0 is the most urgent.
     /// The key under which homes and the dispatcher know the program, which differs between workspaces; compare programKey().
     ProgramId program;
