--- a/src/http/serverlistener.h
+++ b/src/http/serverlistener.h
@@ -1,9 +1,10 @@
 #pragma once
 
-#include <asio.hpp>
-
+// Asio's configuration depends on macros of the standard library, so one of its headers has to come first.
 #include <functional>
 
+#include <asio.hpp>
+
 namespace flamingo
 {
 
