--- a/tests/platform/persistencetest.cpp
+++ b/tests/platform/persistencetest.cpp
@@ -97,7 +97,9 @@
                             [this](GrantHistory it, bool hasEnded) {
                                 history = std::move(it);
                                 hasEarlierEnded = hasEnded;
-                            }})
+                            },
+                            [] {},
+                            [](bool, const std::optional<MemberRecord> &) {}})
         {
             history.own.incarnation = IncarnationId(incarnation);
         }
