--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -3,6 +3,8 @@
 
 #include "store.h"
 
+#include <sys/prctl.h>
+
 namespace review
 {
 
@@ -23,6 +25,8 @@
         if (m_pid != 0) {
             return;
         }
+        // A script that is ended itself leaves no process behind.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int log = ::open(m_logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(log, 1);
         dup2(log, 2);
@@ -113,17 +117,33 @@
         }
     }
 
-    /// Starts all processes and waits until the instances are ready.
-    void start()
+    /// Starts all processes and waits until the instances are ready. The spare machine, 0 for none, stays off.
+    void start(int spare = 0)
     {
-        for (const auto &it : m_processes) {
-            it->start();
+        for (int n = 1; n <= static_cast<int>(m_processes.size()); ++n) {
+            if (n != spare) {
+                process(n).start();
+            }
         }
         for (int n = 1; n <= m_instanceCount; ++n) {
-            awaitReady(n);
+            if (n != spare) {
+                awaitReady(n);
+            }
         }
     }
 
+    /// Starts a machine that is added later, when the system as a whole doesn't start for the first time any more.
+    void startSpare(int n)
+    {
+        std::ifstream file(settingsPath(n));
+        std::string text{std::istreambuf_iterator<char>(file), {}};
+        const std::string bootstrap = "bootstrap = true";
+        text.replace(text.find(bootstrap), bootstrap.size(), "bootstrap = false");
+        std::ofstream(settingsPath(n)) << text;
+        process(n).start();
+        awaitReady(n);
+    }
+
     void awaitReady(int n)
     {
         if (!eventually(10000, [&] { return isReady(n); })) {
@@ -297,7 +317,7 @@
     std::string more;
 };
 
-inline std::string manifest(int version, const std::vector<RouteSpec> &routes, const std::vector<std::string> &services, const std::string &more = {})
+inline std::string manifest(int version, const std::vector<RouteSpec> &routes, const std::vector<std::string> &services, const std::string &more = {}, std::size_t maxBodyBytes = 1000000)
 {
     std::string text = format(R"({"version":%d,"routes":[)", version);
     for (std::size_t n = 0; n < routes.size(); ++n) {
@@ -314,7 +334,7 @@
     for (std::size_t n = 0; n < services.size(); ++n) {
         text += (n > 0 ? "," : "") + format(R"({"name":"%s","health-path":"/healthz","max-conns":100})", services[n].c_str());
     }
-    return text + R"(],"limits":{"max-header-bytes":16384,"max-body-bytes":1000000,"header-timeout-ms":3000,"idle-timeout-ms":15000})" + more + "}";
+    return text + format(R"(],"limits":{"max-header-bytes":16384,"max-body-bytes":%zu,"header-timeout-ms":3000,"idle-timeout-ms":15000})", maxBodyBytes) + more + "}";
 }
 
 /// TROUBLE=0 turns the disruption off.
