--- a/src/instance/registrywatcher.cpp
+++ b/src/instance/registrywatcher.cpp
@@ -95,9 +95,20 @@
     return m_routes.isLoaded() && m_watchedEndpoints.isLoaded;
 }
 
+// A call that is still under way is given up; its response will be ignored.
+std::uint64_t RegistryWatcher::beginCall(WatchedPrefix &watched)
+{
+    const Instant at = now();
+    if (watched.callSentAt) {
+        logChange("registry-call-replaced", "prefix={} after={} age_ms={}", watched.prefix, watched.watchRevision, toMilliseconds(at - *watched.callSentAt));
+    }
+    watched.callSentAt = at;
+    return ++watched.callNumber;
+}
+
 void RegistryWatcher::list(WatchedPrefix &watched, const std::string &afterKey)
 {
-    const std::uint64_t callNumber = afterKey.empty() ? ++watched.callNumber : watched.callNumber;
+    const std::uint64_t callNumber = afterKey.empty() ? beginCall(watched) : watched.callNumber;
     if (afterKey.empty()) {
         watched.listedItems.clear();
         watched.listRevision = 0;
@@ -107,6 +118,7 @@
         if (callNumber != watched.callNumber) {
             return;
         }
+        watched.callSentAt.reset();
         if (!page) {
             watched.watchRevision = 0;
             onFailure(watched, page.error());
@@ -209,7 +221,7 @@
 
 void RegistryWatcher::pollReader(WatchedPrefix &watched, const MemberRecord &reader)
 {
-    const std::uint64_t callNumber = ++watched.callNumber;
+    const std::uint64_t callNumber = beginCall(watched);
     RegistryPoll poll;
     poll.prefix = watched.prefix;
     poll.after = watched.watchRevision;
@@ -225,6 +237,7 @@
     const Instant polledAt = suspendAwareNow();
     const auto onResponse = [this, &watched, reader, callNumber, polledAt](const std::optional<InternalResponse> &response) {
         if (callNumber == watched.callNumber) {
+            watched.callSentAt.reset();
             onPollResponse(watched, reader, response, polledAt);
         }
     };
@@ -302,7 +315,7 @@
 
 void RegistryWatcher::watchStore(WatchedPrefix &watched)
 {
-    const std::uint64_t callNumber = ++watched.callNumber;
+    const std::uint64_t callNumber = beginCall(watched);
     const Instant sentAt = suspendAwareNow();
     m_store.watch(watched.prefix,
                   watched.watchRevision,
@@ -311,6 +324,7 @@
                       if (callNumber != watched.callNumber) {
                           return;
                       }
+                      watched.callSentAt.reset();
                       if (!changes) {
                           onFailure(watched, changes.error());
                           return;
--- a/src/instance/registrywatcher.h
+++ b/src/instance/registrywatcher.h
@@ -72,6 +72,7 @@
         std::string prefix;
         Milliseconds coalescingDelay{0}; ///< Between a change and the next call, so that successive changes form a batch.
         std::uint64_t callNumber = 0; ///< Of the latest call; responses to earlier calls are ignored.
+        std::optional<Instant> callSentAt; ///< When the call under way was sent.
         platform::Revision newestRevision = 0; ///< Of the newest change seen.
         std::uint64_t newestPeerVersion = 0; ///< The newest that a peer has reported; compare isBehindPeers().
         platform::Revision watchRevision = 0; ///< Where the next watch begins; 0 if the prefix has to be listed again.
@@ -89,6 +90,7 @@
     void onListPage(WatchedPrefix &watched, const platform::StorePage &page);
     void watch(WatchedPrefix &watched);
     void watchStore(WatchedPrefix &watched);
+    std::uint64_t beginCall(WatchedPrefix &watched);
     void pollReader(WatchedPrefix &watched, const MemberRecord &reader);
     void onPollResponse(WatchedPrefix &watched, const MemberRecord &reader, const std::optional<InternalResponse> &response, Instant polledAt);
     void onUpdate(WatchedPrefix &watched, const MemberRecord &reader, const RegistryUpdate &update, Instant polledAt);
