--- a/tests/standins/kvstandin.cpp
+++ b/tests/standins/kvstandin.cpp
@@ -132,28 +132,25 @@
     item.data = data;
     item.revision = ++m_revision;
     item.createdRevision = item.createdRevision == 0 ? item.revision : item.createdRevision;
-    m_history.push_back({m_revision, key, false});
+    m_history.push_back({m_revision, key, false, item});
 }
 
 void KvStandIn::erase(const std::string &key)
 {
     if (m_items.erase(key) != 0) {
-        m_history.push_back({++m_revision, key, true});
+        m_history.push_back({++m_revision, key, true, {}});
     }
 }
 
 Json KvStandIn::itemJson(const std::string &key) const
 {
     const auto it = m_items.find(key);
-    if (it == m_items.end()) {
-        return {{"key", key}, {"revision", 0}};
-    }
-    return {{"key", key},
-            {"data", it->second.data},
-            {"revision", it->second.revision},
-            {"created", it->second.createdRevision},
-            {"lease-id", 0},
-            {"at", m_revision}};
+    return it == m_items.end() ? Json{{"key", key}, {"revision", 0}} : itemJson(key, it->second);
+}
+
+Json KvStandIn::itemJson(const std::string &key, const Item &item) const
+{
+    return {{"key", key}, {"data", item.data}, {"revision", item.revision}, {"created", item.createdRevision}, {"lease-id", 0}, {"at", m_revision}};
 }
 
 bool KvStandIn::RateLimit::tryTake(Instant now)
@@ -294,7 +291,7 @@
     Json events = Json::array();
     for (const Event &event : m_history) {
         if (event.revision > pending.afterRevision && event.key.rfind(pending.prefix, 0) == 0) {
-            events.push_back(event.isDeleted ? Json{{"key", event.key}, {"revision", event.revision}, {"deleted", true}} : itemJson(event.key));
+            events.push_back(event.isDeleted ? Json{{"key", event.key}, {"revision", event.revision}, {"deleted", true}} : itemJson(event.key, event.item));
         }
     }
     if (events.empty() && !isTimedOut) {
--- a/tests/standins/kvstandin.h
+++ b/tests/standins/kvstandin.h
@@ -64,6 +64,7 @@
         std::uint64_t revision = 0;
         std::string key;
         bool isDeleted = false;
+        Item item; ///< As it was written.
     };
     /// A token bucket of one second's calls; calls beyond it get status 429.
     struct RateLimit {
@@ -95,6 +96,7 @@
     void set(const std::string &key, const std::string &data);
     void erase(const std::string &key);
     nlohmann::json itemJson(const std::string &key) const;
+    nlohmann::json itemJson(const std::string &key, const Item &item) const;
 
     LoopThread m_thread;
     std::unique_ptr<ConnectionSet> m_server;
