Registry: a peer's report doesn't replace the call that catches up

Cause: each version that a peer reports started a new watch 200 ms later and dropped the answer of the one under way. With a version every 100 ms no call had longer than that. Once an answer took longer, it was received and thrown away, and the next one held more versions: an instance with a link of 30 Mbit/s received 3.5 MB/s and applied nothing.

Why it works: a call that was sent when the peer was known to be ahead is given up only when it counts as lost (700 ms); the newest report is followed up after that. The configuration is listed then, so the answer holds one version and doesn't grow with those that were missed; once for each report, so that a version which the store doesn't have isn't asked for in a loop.

--- a/src/instance/registrywatcher.cpp
+++ b/src/instance/registrywatcher.cpp
@@ -24,6 +24,9 @@
 constexpr Milliseconds MemberCoalescingDelay{1500};
 /// Normally this instance's own watch reports a change within this time after a peer has seen it.
 constexpr Milliseconds PeerVersionDelay{200};
+/// A call that was sent when a peer was ahead is answered at once. After this long it counts as lost, and not before: an answer that
+/// takes longer than the next report of a peer would never be used.
+constexpr Milliseconds MaxCatchUpTime{700};
 constexpr Milliseconds RetryDelay{300};
 /// How long a reader may wait for a change, and how much later the next one is asked. All readers of a domain may be frozen or
 /// gone, so only the first one gets time to wait: what the others take adds to the time after which a change is seen.
@@ -103,6 +106,7 @@
         logChange("registry-call-replaced", "prefix={} after={} age_ms={}", watched.prefix, watched.watchRevision, toMilliseconds(at - *watched.callSentAt));
     }
     watched.callSentAt = at;
+    watched.isCatchingUp = isBehindPeers(watched);
     return ++watched.callNumber;
 }
 
@@ -111,6 +115,7 @@
     const std::uint64_t callNumber = afterKey.empty() ? beginCall(watched) : watched.callNumber;
     if (afterKey.empty()) {
         watched.listedItems.clear();
+        watched.listedForPeerVersion = watched.newestPeerVersion;
         watched.listRevision = 0;
         watched.listedAt = suspendAwareNow();
     }
@@ -201,6 +206,10 @@
 
 void RegistryWatcher::watch(WatchedPrefix &watched)
 {
+    if (shouldList(watched)) {
+        list(watched, {});
+        return;
+    }
     const auto reader = bypassesReader(watched) ? std::nullopt : m_readers.choose(now());
     if (reader) {
         pollReader(watched, *reader);
@@ -391,12 +400,38 @@
         return;
     }
     watched.newestPeerVersion = version;
-    m_timers.at(now() + PeerVersionDelay, [this, &watched, version](Instant) {
-        if (isBehindPeers(watched) && !watched.isStoreUnavailable) {
-            logChange("peer-ahead", "prefix={} peer={}", watched.prefix, version);
-            watch(watched);
-        }
-    });
+    scheduleCatchUp(watched, version, PeerVersionDelay);
+}
+
+void RegistryWatcher::scheduleCatchUp(WatchedPrefix &watched, std::uint64_t version, Milliseconds delay)
+{
+    m_timers.at(now() + delay, [this, &watched, version](Instant) { catchUp(watched, version); });
+}
+
+// Only the newest report needs to be followed up; the answer that it leads to covers the earlier ones.
+void RegistryWatcher::catchUp(WatchedPrefix &watched, std::uint64_t version)
+{
+    if (!isBehindPeers(watched) || watched.isStoreUnavailable) {
+        return;
+    }
+    if (!isCatchUpUnderWay(watched)) {
+        logChange("peer-ahead", "prefix={} peer={}", watched.prefix, version);
+        watch(watched);
+    } else if (version == watched.newestPeerVersion) {
+        scheduleCatchUp(watched, version, MaxCatchUpTime);
+    }
+}
+
+bool RegistryWatcher::isCatchUpUnderWay(const WatchedPrefix &watched) const
+{
+    return watched.isCatchingUp && watched.callSentAt && now() - *watched.callSentAt < MaxCatchUpTime;
+}
+
+// Of the configuration only the newest version counts, and a watch brings all those in between as well. Once for each report of a peer,
+// since one that the store doesn't have can't be caught up with.
+bool RegistryWatcher::shouldList(const WatchedPrefix &watched) const
+{
+    return &watched == &m_watchedConfiguration && isBehindPeers(watched) && watched.listedForPeerVersion != watched.newestPeerVersion;
 }
 
 // Peers report the configuration by its own version, which is not a revision of the store.
--- a/src/instance/registrywatcher.h
+++ b/src/instance/registrywatcher.h
@@ -73,6 +73,8 @@
         Milliseconds coalescingDelay{0}; ///< Between a change and the next call, so that successive changes form a batch.
         std::uint64_t callNumber = 0; ///< Of the latest call; responses to earlier calls are ignored.
         std::optional<Instant> callSentAt; ///< When the call under way was sent.
+        bool isCatchingUp = false; ///< The call under way was sent when peers were known to be ahead.
+        std::uint64_t listedForPeerVersion = 0; ///< The newest that a peer had reported when the last listing began.
         platform::Revision newestRevision = 0; ///< Of the newest change seen.
         std::uint64_t newestPeerVersion = 0; ///< The newest that a peer has reported; compare isBehindPeers().
         platform::Revision watchRevision = 0; ///< Where the next watch begins; 0 if the prefix has to be listed again.
@@ -102,6 +104,10 @@
     void scheduleWatch(WatchedPrefix &watched, Milliseconds delay);
     Milliseconds watchTimeout(const WatchedPrefix &watched);
     void checkPeerVersion(WatchedPrefix &watched, std::uint64_t version);
+    void scheduleCatchUp(WatchedPrefix &watched, std::uint64_t version, Milliseconds delay);
+    void catchUp(WatchedPrefix &watched, std::uint64_t version);
+    bool isCatchUpUnderWay(const WatchedPrefix &watched) const;
+    bool shouldList(const WatchedPrefix &watched) const;
     bool isBehindPeers(const WatchedPrefix &watched) const;
     void onFailure(WatchedPrefix &watched, const platform::StoreFailure &failure);
     void onResponse(WatchedPrefix &watched);
