RegistryLog: keep one value of each key

Cause: the log kept the last 512 changes with their values, and answered a poll with all versions of a key since the one known.

Evidence: the new test, 200 versions of 600 kB: 199 items in one answer before, 2 now (the newest version and a removal).

Why it works: who applies the changes needs the newest value of each key only. Removals are kept without values, the latest 512; a poller that may have missed an older one gets all keys, as before.

--- a/src/instance/registrylog.cpp
+++ b/src/instance/registrylog.cpp
@@ -7,8 +7,8 @@
 
 namespace
 {
-/// An instance that is further behind gets all keys.
-constexpr std::size_t MaxChanges = 512;
+/// An instance that doesn't know an earlier removal gets all keys.
+constexpr std::size_t MaxRemovals = 512;
 } // namespace
 
 void RegistryLog::restart(const std::vector<platform::StoreItem> &items, platform::Revision revision, Instant confirmedAt)
@@ -17,7 +17,7 @@
     for (const platform::StoreItem &item : items) {
         m_items[item.key] = item;
     }
-    m_changes.clear();
+    m_removals.clear();
     m_oldestRevision = revision;
     m_revision = revision;
     m_confirmedAt = confirmedAt;
@@ -26,21 +26,28 @@
 void RegistryLog::append(const platform::StoreChanges &changes, Instant confirmedAt)
 {
     for (const platform::StoreItem &item : changes.items) {
+        const auto isSameKey = [&](const platform::StoreItem &it) { return it.key == item.key; };
+        m_removals.erase(std::remove_if(m_removals.begin(), m_removals.end(), isSameKey), m_removals.end());
         if (item.revision == 0) {
-            m_items.erase(item.key);
+            remove(item);
         } else {
             m_items[item.key] = item;
         }
-        m_changes.push_back(item);
-    }
-    while (m_changes.size() > MaxChanges) {
-        m_oldestRevision = std::max(m_oldestRevision, m_changes.front().modRevision);
-        m_changes.pop_front();
     }
     m_revision = std::max(m_revision, changes.revision);
     m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
 }
 
+void RegistryLog::remove(const platform::StoreItem &removal)
+{
+    m_items.erase(removal.key);
+    m_removals.push_back(removal);
+    if (m_removals.size() > MaxRemovals) {
+        m_oldestRevision = std::max(m_oldestRevision, m_removals.front().modRevision);
+        m_removals.pop_front();
+    }
+}
+
 void RegistryLog::setStoreUnavailable(bool isUnavailable)
 {
     m_isStoreUnavailable = isUnavailable;
@@ -68,8 +75,13 @@
         std::transform(m_items.begin(), m_items.end(), std::back_inserter(update.items), [](const auto &it) { return it.second; });
         return update;
     }
+    for (const auto &[key, item] : m_items) {
+        if (item.modRevision > poll.after) {
+            update.items.push_back(item);
+        }
+    }
     std::copy_if(
-        m_changes.begin(), m_changes.end(), std::back_inserter(update.items), [&](const platform::StoreItem &it) { return it.modRevision > poll.after; });
+        m_removals.begin(), m_removals.end(), std::back_inserter(update.items), [&](const platform::StoreItem &it) { return it.modRevision > poll.after; });
     return update;
 }
 
--- a/src/instance/registrylog.h
+++ b/src/instance/registrylog.h
@@ -12,8 +12,9 @@
 namespace flamingo
 {
 
-/// The keys with one prefix and their latest changes, as a reader has got them from the store. It does no I/O. Times are of
-/// suspendAwareNow(), so that the age of a response includes the time for which the machine was suspended.
+/// The keys with one prefix and their latest changes, as a reader has got them from the store. Only the newest value of each key is kept, so
+/// that memory and responses don't grow with the number of changes. It does no I/O. Times are of suspendAwareNow(), so that the age of a
+/// response includes the time for which the machine was suspended.
 class RegistryLog
 {
 public:
@@ -33,8 +34,10 @@
     RegistryUpdate respondNow(const RegistryPoll &poll, Instant now) const;
 
 private:
+    void remove(const platform::StoreItem &removal);
+
     std::map<std::string, platform::StoreItem> m_items; ///< By key.
-    std::deque<platform::StoreItem> m_changes;
+    std::deque<platform::StoreItem> m_removals; ///< The latest ones, each key at most once and none that is present.
     platform::Revision m_oldestRevision = 0; ///< All changes after this one are known; 0 before the first listing.
     platform::Revision m_revision = 0;
     Instant m_confirmedAt{};
--- a/tests/platform/registryreadertest.cpp
+++ b/tests/platform/registryreadertest.cpp
@@ -120,6 +120,38 @@
     CHECK(log.respond(pollAfter(15), start)->isStoreUnavailable);
 }
 
+// Guards against instances that run out of memory, or whose readers' answers are too large for them, by changes of a large configuration.
+TEST_CASE("A registry log does not grow with the versions of a key", "[platform][readers]")
+{
+    constexpr std::size_t ValueBytes = 600000;
+    const Instant start{};
+    RegistryLog log;
+    log.restart({item("op/config", 3), item("op/retire/a", 4)}, 10, start);
+    for (platform::Revision revision = 11; revision < 211; ++revision) {
+        platform::StoreItem version = item("op/config", revision);
+        version.data.assign(ValueBytes, static_cast<char>('a' + revision % 20));
+        log.append({{version}, revision}, start);
+    }
+    platform::StoreItem removal;
+    removal.key = "op/retire/a";
+    removal.modRevision = 211;
+    log.append({{removal}, 211}, start);
+    const auto update = log.respond(pollAfter(12), start);
+    REQUIRE(update);
+    CHECK_FALSE(update->isListing);
+    REQUIRE(update->items.size() == 2);
+    CHECK(update->items[0].modRevision == 210);
+    CHECK(update->items[1].key == "op/retire/a");
+    CHECK(update->items[1].revision == 0);
+    CHECK(update->encode().size() < 2 * ValueBytes);
+    // A key that is back counts as present only.
+    log.append({{item("op/retire/a", 212)}, 212}, start);
+    const auto last = log.respond(pollAfter(210), start);
+    REQUIRE(last);
+    REQUIRE(last->items.size() == 1);
+    CHECK(last->items[0].revision == 212);
+}
+
 TEST_CASE("Instances agree on few readers in each domain, and share them evenly", "[platform][readers]")
 {
     constexpr int InstancesPerDomain = 40;
