Registry: a watch that failed is followed by a listing

Cause: the answer to the watch held all versions since, more than the 4 MiB that the store's client takes, and the only way out of a failed watch was the same watch, but for a store that has dropped its history.

Evidence: the new test (12 versions of some 360 kB during 4 s) fails before, with store-lost, and passes now.

Why it works: a listing holds one value of each key. The configuration is listed after the first failed watch, the other prefixes, which change in small steps, after the second.

--- a/src/instance/registrywatcher.cpp
+++ b/src/instance/registrywatcher.cpp
@@ -322,8 +322,20 @@
     }
 }
 
+// The answer to the same watch may be too large again, or too slow; a listing holds one value of each key. Other prefixes change in small
+// steps, so there an interrupted watch is sent once more before.
+bool RegistryWatcher::hasWatchFailed(const WatchedPrefix &watched) const
+{
+    constexpr int MaxFailedWatches = 2;
+    return watched.consecutiveFailures >= (&watched == &m_watchedConfiguration ? 1 : MaxFailedWatches);
+}
+
 void RegistryWatcher::watchStore(WatchedPrefix &watched)
 {
+    if (hasWatchFailed(watched)) {
+        list(watched, {});
+        return;
+    }
     const std::uint64_t callNumber = beginCall(watched);
     const Instant sentAt = suspendAwareNow();
     m_store.watch(watched.prefix,
--- a/src/instance/registrywatcher.h
+++ b/src/instance/registrywatcher.h
@@ -92,6 +92,7 @@
     void onListPage(WatchedPrefix &watched, const platform::StorePage &page);
     void watch(WatchedPrefix &watched);
     void watchStore(WatchedPrefix &watched);
+    bool hasWatchFailed(const WatchedPrefix &watched) const;
     std::uint64_t beginCall(WatchedPrefix &watched);
     void pollReader(WatchedPrefix &watched, const MemberRecord &reader);
     void onPollResponse(WatchedPrefix &watched, const MemberRecord &reader, const std::optional<InternalResponse> &response, Instant polledAt);
--- a/tests/platform/manifestseriestest.cpp
+++ b/tests/platform/manifestseriestest.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include <atomic>
+#include <csignal>
 #include <thread>
 
 using namespace flamingo;
@@ -117,3 +118,31 @@
     INFO(instance.log());
     CHECK(lateVersions == 0);
 }
+
+// Guards against a watch whose answer is too large being asked for again and again.
+TEST_CASE("An instance that stood still during changes of a large configuration gets the newest one in time", "[platform][manifests]")
+{
+    constexpr int ChangeCount = 12;
+    constexpr int ExtraRoutes = 2600;
+    constexpr Milliseconds PauseTime{4000};
+    ScriptedEndpoint endpoint(respondOk);
+    KvStandIn store;
+    std::string routes;
+    for (int n = 0; n < ExtraRoutes; ++n) {
+        routes += addedRoute(100000 + n);
+    }
+    store.put("op/config", testConfiguration(1, routes));
+    registerEndpoint(store, "i-1", endpoint);
+    TestInstance instance(store, 1);
+    REQUIRE(instance.awaitReady());
+    instance.process().sendSignal(SIGSTOP);
+    for (int version = 2; version < 2 + ChangeCount; ++version) {
+        routes += addedRoute(version);
+        store.put("op/config", testConfiguration(version, routes));
+        std::this_thread::sleep_for(PauseTime / ChangeCount);
+    }
+    instance.process().sendSignal(SIGCONT);
+    CHECK(eventually([&] { return servesVersion(instance, 1 + ChangeCount); }, ConfigurationLimit));
+    INFO(instance.log());
+    CHECK(instance.log().find("event=store-lost") == std::string::npos);
+}
