Soak: configurations in quick succession

A third of the store's faults is now a series of 60 configurations 40 to 120 ms apart, beside the faults of processes; instances without a fault have to serve the route of each within 3 s.

--- a/tests/soak/platformsoak.cpp
+++ b/tests/soak/platformsoak.cpp
@@ -7,6 +7,7 @@
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <csignal>
@@ -29,13 +30,20 @@
 constexpr std::array<const char *, 2> Workspaces{"acme", "birds"};
 /// One request in this many uses a key that has been removed.
 constexpr std::uint64_t RemovedKeyPeriod = 10;
+/// In a series of configurations: their number, and how long after one of them is accepted an undisturbed instance has it.
+constexpr int SeriesLength = 60;
+constexpr Milliseconds ConfigurationLimit{3000};
+/// How long a fault at an instance counts as a disturbance after its end.
+constexpr Milliseconds CatchUpTime{4000};
+/// Versions whose routes the newest one still has.
+constexpr int KeptRoutes = 2 * SeriesLength;
 /// Time for the other archive to upload to the store the turns of which it holds the only copy.
 constexpr Milliseconds PauseAfterWipe{5000};
 
 void respond(ScriptedEndpoint::Connection &connection, const ReceivedRequest &request)
 {
     const std::string text = CallerRecord::responseText(request.head.fields.value("X-Attempt-Id"));
-    if (request.head.target.rfind("/book/", 0) == 0) {
+    if (request.head.target.rfind("/book/", 0) == 0 || request.head.target.rfind("/v", 0) == 0) {
         connection.write(ScriptedEndpoint::response(request, text));
         return;
     }
@@ -70,7 +78,11 @@
         for (const std::string workspace : Workspaces) {
             keys[workspace] = {key(workspace, version), key(workspace, version - 1)};
         }
-        const std::string configuration = testConfiguration(version);
+        std::string routes;
+        for (int n = std::max(1, version - KeptRoutes); n <= version; ++n) {
+            routes += fmt::format(R"(,{{"name":"r-v{0}","host":"h.example","prefix":"/v{0}/","type":"non_idempotent","timeout-ms":3000,"service":"app"}})", n);
+        }
+        const std::string configuration = testConfiguration(version, routes);
         store.put("op/config", hasWorkspaces ? withWorkspaces(configuration, keys) : configuration);
         newestKey = version;
     }
@@ -81,6 +93,9 @@
     ScriptedEndpoint endpoint;
     std::vector<std::unique_ptr<TestArchive>> archives;
     std::vector<std::unique_ptr<TestInstance>> instances;
+    std::array<std::atomic<bool>, InstanceCount> isDisturbed{};
+    std::array<std::atomic<Instant>, InstanceCount> disturbedUntil{}; ///< The end of the last fault at the instance.
+    std::atomic<int> lateConfigurations{0};
     std::atomic<bool> isStopping{false};
 };
 
@@ -110,9 +125,73 @@
         m_record.addKeyRemoval(m_configurationVersion - 2, std::chrono::steady_clock::now());
     }
 
+    /// Configurations in quick succession. Instances without a fault have to serve each in time.
+    void injectConfigurationSeries()
+    {
+        printFault("configuration-series", 0);
+        std::vector<Instant> acceptedAt;
+        const int first = m_configurationVersion + 1;
+        for (int n = 0; n < SeriesLength; ++n) {
+            m_system.putConfiguration(++m_configurationVersion);
+            acceptedAt.push_back(std::chrono::steady_clock::now());
+            std::this_thread::sleep_for(Milliseconds(40 + m_random() % 80));
+            const auto isDue = [](Instant at) { return at + ConfigurationLimit < std::chrono::steady_clock::now(); };
+            const auto due = std::count_if(acceptedAt.begin(), acceptedAt.end(), isDue);
+            if (due > 0) {
+                checkConfiguration(first + static_cast<int>(due) - 1);
+            }
+        }
+    }
+
+    void injectStoreFaultOrSeries()
+    {
+        // Only callers without keys are checked for late configurations.
+        m_random() % 3 == 0 && !m_system.hasWorkspaces ? injectConfigurationSeries() : injectStoreFault();
+    }
+
     void injectProcessFault()
     {
         const std::size_t n = m_random() % InstanceCount;
+        m_system.isDisturbed[n] = true;
+        injectProcessFault(n);
+        m_system.disturbedUntil[n] = std::chrono::steady_clock::now();
+        m_system.isDisturbed[n] = false;
+    }
+
+private:
+    bool isUndisturbed(std::size_t n) const
+    {
+        return !m_system.isDisturbed[n] && m_system.disturbedUntil[n].load() + CatchUpTime < std::chrono::steady_clock::now();
+    }
+
+    void checkConfiguration(int version)
+    {
+        constexpr int StatusNotFound = 404;
+        for (std::size_t n = 0; n < InstanceCount; ++n) {
+            if (!isUndisturbed(n)) {
+                continue;
+            }
+            SentRequest request;
+            request.kind = SentRequest::Kind::NonRepeatable;
+            request.attemptId = fmt::format("series-{}-{}-{}", n, version, ++m_lastProbe);
+            request.instance = n;
+            request.input = "in " + request.attemptId;
+            request.sentAt = std::chrono::steady_clock::now();
+            const std::string bytes = callerRequest(fmt::format("/v{}/a", version), request.attemptId, {}, request.input);
+            const CallerResponse response = m_system.instances[n]->send(bytes, Milliseconds(1000));
+            request.status = response.status;
+            request.isComplete = response.isComplete;
+            request.body = response.body;
+            m_record.add(request);
+            if (response.status == StatusNotFound && isUndisturbed(n)) {
+                fmt::print("broken: instance {} doesn't have configuration {} in time\n", n + 1, version);
+                ++m_system.lateConfigurations;
+            }
+        }
+    }
+
+    void injectProcessFault(std::size_t n)
+    {
         TestInstance &instance = *m_system.instances[n];
         switch (m_random() % 5) {
         case 0:
@@ -140,7 +219,6 @@
         }
     }
 
-private:
     void crashArchive(bool wipesDisk)
     {
         const std::size_t n = m_random() % ArchiveCount;
@@ -169,6 +247,7 @@
     CallerRecord &m_record;
     std::mt19937_64 m_random;
     int m_configurationVersion = 1;
+    int m_lastProbe = 0;
 };
 
 /// Runs programs one after the other, and sends each request to a random instance. Two callers of different workspaces use the same
@@ -297,7 +376,7 @@
             std::this_thread::sleep_for(Milliseconds(1000));
         }
     };
-    std::thread storeFaults([&] { injectFaultsUntilEnd(1000, &FaultInjector::injectStoreFault); });
+    std::thread storeFaults([&] { injectFaultsUntilEnd(1000, &FaultInjector::injectStoreFaultOrSeries); });
     injectFaultsUntilEnd(2000, &FaultInjector::injectProcessFault);
     storeFaults.join();
     system.isStopping = true;
@@ -309,17 +388,18 @@
     for (const std::string &violation : violations) {
         fmt::print("broken: {}\n", violation);
     }
-    if (!violations.empty()) {
+    if (!violations.empty() || system.lateConfigurations != 0) {
         writeLogs(system, seed);
     }
     const auto [completed, total] = record.completedAndTotal();
-    fmt::print("soak: seed {}, started {}, recovered {}, {} of {} served, {} with a removed key, {} promises broken\n",
+    fmt::print("soak: seed {}, started {}, recovered {}, {} of {} served, {} with a removed key, {} late configurations, {} promises broken\n",
                seed,
                isStarted,
                isRecovered,
                completed,
                total,
                record.countWithRemovedKey(),
+               system.lateConfigurations.load(),
                violations.size());
-    return isStarted && isRecovered && violations.empty() ? 0 : 1;
+    return isStarted && isRecovered && violations.empty() && system.lateConfigurations == 0 ? 0 : 1;
 }
