--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -17,6 +17,9 @@
 /// A back end: a model engine or a plain service.
 using EndpointId = StrongId<struct EndpointTag, std::string>;
 
+/// A version of the software of endpoints. Versions have no order; what two of them write doesn't fit together.
+using SoftwareVersion = StrongId<struct SoftwareVersionTag, std::string>;
+
 /// A set of endpoints that serve the same model or service.
 using PoolId = StrongId<struct PoolTag, std::string>;
 
--- a/src/instance/proxiedrequest.cpp
+++ b/src/instance/proxiedrequest.cpp
@@ -210,9 +210,13 @@
     m_stream.beginAttempt();
     m_retries.onSent(endpoint.id);
     logChange("request-sent",
-              "id={} endpoint={} attempt={} waited_ms={} reason=\"{}\"",
+              "id={} endpoint={} software={} resumes={} attempt={} waited_ms={} reason=\"{}\"",
               m_metadata.id.value(),
               endpoint.id.value(),
+              endpoint.version.value(),
+              m_metadata.resumedAttempt ? m_metadata.resumedAttempt->value()
+              : m_stream.hasStarted()   ? "self"
+                                        : "-",
               m_attemptCount,
               toMilliseconds(now - m_request.arrivedAt),
               reason);
--- a/src/serving/requestmetadata.h
+++ b/src/serving/requestmetadata.h
@@ -40,6 +40,7 @@
     std::optional<Tokens> maxOutputTokens; ///< The most that this turn can generate.
     std::vector<PromptPart> promptParts; ///< In the prompt's order; the last one belongs to this request or session alone.
     std::optional<std::string> lastEventId; ///< The last event that the caller received, when it resumes a stream.
+    std::optional<RequestId> resumedAttempt; ///< The attempt that brought the first event of the stream that is resumed.
     std::optional<RequestId> previousTurn;
 
     /// Prompt tokens that only this request or its session has. The first of several segments is left out: it is shared by
