--- a/tests/platform/testinstance.cpp
+++ b/tests/platform/testinstance.cpp
@@ -369,11 +369,12 @@
     return json.dump();
 }
 
-void registerEndpoint(KvStandIn &store, const std::string &id, const ScriptedEndpoint &endpoint, const std::string &state)
+void registerEndpoint(KvStandIn &store, const std::string &id, const ScriptedEndpoint &endpoint, const std::string &state, const std::string &version)
 {
     store.put("servers/" + id,
-              fmt::format(R"({{"service":"app","address":"{}","zone":"zone-1","version":"v1","slots":16,"state":"{}","cold-left-ms":0,"sequence":1}})",
+              fmt::format(R"({{"service":"app","address":"{}","zone":"zone-1","version":"{}","slots":16,"state":"{}","cold-left-ms":0,"sequence":1}})",
                           endpoint.address().text(),
+                          version,
                           state));
 }
 
--- a/tests/platform/testinstance.h
+++ b/tests/platform/testinstance.h
@@ -137,7 +137,11 @@
 std::string withWorkspaces(const std::string &configuration, const std::map<std::string, std::vector<std::string>> &keysByName);
 
 /// Writes an endpoint's entry to the store.
-void registerEndpoint(KvStandIn &store, const std::string &id, const ScriptedEndpoint &endpoint, const std::string &state = "ready");
+void registerEndpoint(KvStandIn &store,
+                      const std::string &id,
+                      const ScriptedEndpoint &endpoint,
+                      const std::string &state = "ready",
+                      const std::string &version = "v1");
 
 /// Writes the member entry of an instance that listens for its peers on the address.
 void registerInstance(KvStandIn &store, const std::string &id, const std::string &domain, const SocketAddress &peerAddress);
