A response that breaks off goes on only at the software version that began it

Cause: after an endpoint fails, a stream was resumed at any other endpoint of its pool; the dispatcher didn't know versions.

Unit test: a call that requires a version waits for its endpoints without holding up others.

Why it works: the first event that is passed on fixes the version, and the dispatcher gives the call to no other one. Where no endpoint of the version takes requests any more, the response is broken off at once, also while the call waits.

--- a/src/instance/dispatchqueue.cpp
+++ b/src/instance/dispatchqueue.cpp
@@ -29,7 +29,7 @@
 {
     std::vector<EndpointInfo> endpoints;
     for (const EndpointEntry &entry : m_endpointDirectory.all()) {
-        endpoints.push_back({entry.id, entry.pool, entry.domain, entry.slots, entry.isLeaving});
+        endpoints.push_back({entry.id, entry.pool, entry.domain, entry.slots, entry.isLeaving, entry.version});
     }
     m_dispatcher.setEndpoints(endpoints, AssumedInstancesPerEndpoint);
     dispatchWaiting();
--- a/src/instance/proxiedrequest.cpp
+++ b/src/instance/proxiedrequest.cpp
@@ -120,6 +120,7 @@
     request.expectedAnswerTokens = Tokens(m_metadata.maxOutputTokens.value_or(Tokens(0)).value() / ExpectedOutputDivisor);
     request.isRepeatable = m_admitted.route.mayRepeat();
     request.isRetry = m_attemptCount > 0;
+    request.requiredVersion = m_streamVersion;
     request.failedEndpoints = m_dispatchRequest.failedEndpoints;
     request.isContinuation = m_metadata.continuesProgram() || m_reservation.cachedPrefix();
     if (const auto &prefix = m_reservation.cachedPrefix()) {
@@ -197,6 +198,12 @@
         endUnanswered(refusal->reason, StatusBadGateway, refusal->reason, *refusal->retryAfter);
         return;
     }
+    if (m_streamVersion && endpoint.version != *m_streamVersion) {
+        // It has been started anew since it was chosen.
+        m_context.dispatchQueue.onFailed(m_dispatchRequest, endpoint.id, false);
+        onNotQueued({ErrorKind::NoEndpoint, "the chosen endpoint has another version now", std::nullopt});
+        return;
+    }
     if (!m_retries.maySendTo(endpoint.id)) {
         m_context.dispatchQueue.onFailed(m_dispatchRequest, endpoint.id, false);
         onAttemptFailed("the endpoint that may have run the request can't be reached again", false);
@@ -271,6 +278,9 @@
         const int eventsBefore = m_stream.forwardedEvents();
         const auto result = m_stream.forward(*m_connection, attempt.responseHead, attempt.eventSplitter.feed(bytes));
         attempt.eventCount += m_stream.forwardedEvents() - eventsBefore;
+        if (m_stream.hasStarted() && !m_streamVersion) {
+            m_streamVersion = attempt.endpoint.version;
+        }
         if (result == CallerStream::ForwardResult::OverLimit) {
             breakOffStream();
         } else if (result == CallerStream::ForwardResult::NotContinued) {
--- a/src/instance/proxiedrequest.h
+++ b/src/instance/proxiedrequest.h
@@ -106,6 +106,7 @@
     TurnChain m_history; ///< Of a stateful turn that continues another one. Its text is in m_forwardedBody.
     Instant m_historyLoadedAt;
     CallerStream m_stream;
+    std::optional<SoftwareVersion> m_streamVersion; ///< That began the caller's stream. Only endpoints of this version may go on with it.
     DispatchRequest m_dispatchRequest;
     std::optional<CallId> m_queuedCallId;
     std::optional<Attempt> m_attempt;
--- a/src/policy/dispatcher.cpp
+++ b/src/policy/dispatcher.cpp
@@ -77,7 +77,7 @@
 Result<void> Dispatcher::enqueue(DispatchRequest &call, Instant now)
 {
     Pool &pool = m_pools[call.pool];
-    if (!pool.endpointPool.hasUsableEndpoint()) {
+    if (!pool.endpointPool.hasUsableEndpoint(call)) {
         return failure(ErrorKind::NoEndpoint, fmt::format("no endpoint serves {}", call.pool.value()));
     }
     if (!call.isRetry) {
@@ -100,13 +100,12 @@
 {
     std::vector<CallId> calls;
     for (auto &[id, pool] : m_pools) {
-        if (pool.endpointPool.hasUsableEndpoint()) {
-            continue;
-        }
-        for (const DispatchRequest &call : pool.queue) {
-            calls.push_back(call.id);
+        const auto firstUnservable = std::stable_partition(
+            pool.queue.begin(), pool.queue.end(), [&endpoints = pool.endpointPool](const DispatchRequest &call) { return endpoints.hasUsableEndpoint(call); });
+        for (auto it = firstUnservable; it != pool.queue.end(); ++it) {
+            calls.push_back(it->id);
         }
-        pool.queue.clear();
+        pool.queue.erase(firstUnservable, pool.queue.end());
     }
     return calls;
 }
@@ -187,7 +186,7 @@
             pool.endpointPool.find(*choice.endpoint)->state.beginCall(call.isLong, now);
             decisions.push_back({call.id, *choice.endpoint, choice.reason});
             takenIndexes.insert(n);
-        } else if (!choice.waitsForAffinity) {
+        } else if (!choice.waitsForAffinity && !call.requiredVersion) {
             break;
         }
     }
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -41,6 +41,7 @@
     bool isLong = false; ///< Set by Dispatcher::enqueue().
     std::optional<EndpointId> prefixEndpoint; ///< Has the prompt prefix cached. Overrides what onPrefixCached() recorded.
     Tokens cachedPrefixTokens; ///< Length of the prefix at that endpoint.
+    std::optional<SoftwareVersion> requiredVersion; ///< No endpoint of another version takes the call.
     std::set<EndpointId> failedEndpoints; ///< Tried again only if there is no other endpoint.
 };
 
--- a/src/policy/endpointchoice.cpp
+++ b/src/policy/endpointchoice.cpp
@@ -87,9 +87,14 @@
     return it == endpoints.end() ? nullptr : &*it;
 }
 
-bool EndpointPool::hasUsableEndpoint() const
+bool EndpointPool::hasUsableEndpoint(const DispatchRequest &call) const
 {
-    return std::any_of(endpoints.begin(), endpoints.end(), [](const PoolEndpoint &endpoint) { return !endpoint.info.isLeaving; });
+    return std::any_of(endpoints.begin(), endpoints.end(), [&](const PoolEndpoint &endpoint) { return takesCall(endpoint.info, call); });
+}
+
+bool takesCall(const EndpointInfo &endpoint, const DispatchRequest &call)
+{
+    return !endpoint.isLeaving && (!call.requiredVersion || endpoint.version == *call.requiredVersion);
 }
 
 bool EndpointPool::hasFreeSlot(const PolicyRules &rules) const
@@ -248,7 +253,7 @@
             const std::size_t index = (pool.nextRoundRobinIndex + n) % pool.endpoints.size();
             const PoolEndpoint &endpoint = pool.endpoints[index];
             const bool hasFailed = call.failedEndpoints.count(endpoint.info.id) != 0;
-            if (endpoint.info.isLeaving || !endpoint.state.isUsable(now) || !endpoint.state.hasFreeSlot(m_rules) || (hasFailed && !allowFailed)) {
+            if (!takesCall(endpoint.info, call) || !endpoint.state.isUsable(now) || !endpoint.state.hasFreeSlot(m_rules) || (hasFailed && !allowFailed)) {
                 continue;
             }
             pool.nextRoundRobinIndex = index + 1;
@@ -269,7 +274,7 @@
     std::vector<std::pair<double, EndpointId>> candidates;
     for (const PoolEndpoint &endpoint : pool.endpoints) {
         const EndpointId &id = endpoint.info.id;
-        if (endpoint.info.isLeaving || !endpoint.state.isUsable(now) || isBeingProbed(endpoint, pool, now)) {
+        if (!takesCall(endpoint.info, call) || !endpoint.state.isUsable(now) || isBeingProbed(endpoint, pool, now)) {
             continue;
         }
         constexpr double FailedEndpointCostMs = 1e6;
--- a/src/policy/endpointchoice.h
+++ b/src/policy/endpointchoice.h
@@ -23,6 +23,7 @@
     DomainId domain;
     int slots = 1;
     bool isLeaving = false;
+    SoftwareVersion version;
 };
 
 struct PoolEndpoint {
@@ -42,8 +43,8 @@
     /// Returns null for an endpoint of another pool.
     PoolEndpoint *find(const EndpointId &id);
 
-    /// Whether any endpoint takes new calls.
-    bool hasUsableEndpoint() const;
+    /// Whether any endpoint takes the call, now or later.
+    bool hasUsableEndpoint(const DispatchRequest &call) const;
     bool hasFreeSlot(const PolicyRules &rules) const;
     void updateStatistics(Instant now);
 
@@ -54,6 +55,9 @@
     void updateMeanLoad(Instant now);
 };
 
+/// Whether the endpoint takes the call at all, apart from its load: it isn't leaving, and has the version that the call requires.
+bool takesCall(const EndpointInfo &endpoint, const DispatchRequest &call);
+
 /// Whether the endpoint's measured speed is far below that of its pool.
 bool isSlowEndpoint(double msPerToken, const EndpointPool &pool);
 
--- a/src/serving/endpointentry.h
+++ b/src/serving/endpointentry.h
@@ -12,10 +12,10 @@
     PoolId pool;
     DomainId domain;
     SocketAddress address;
-    SoftwareVersion version; ///< Empty when unknown.
     int slots = 1;
     bool isLeaving = false;
     std::int64_t startedAtMs = 0; ///< Unix time of the endpoint's start; 0 when unknown. After a restart it counts as another endpoint.
+    SoftwareVersion version; ///< Empty when unknown.
 };
 
 } // namespace flamingo
--- a/tests/unit/policytest.cpp
+++ b/tests/unit/policytest.cpp
@@ -214,3 +214,35 @@
     REQUIRE(target);
     REQUIRE(*target != EndpointId("slow"));
 }
+
+TEST_CASE("A call that requires a software version waits for its endpoints without holding up others, and is refused when they have left")
+{
+    const Instant now{std::chrono::seconds(100)};
+    auto oldEndpoint = makeEndpoint("old", 1);
+    oldEndpoint.version = SoftwareVersion("v1");
+    auto newEndpoint = makeEndpoint("new", 4);
+    newEndpoint.version = SoftwareVersion("v2");
+    auto dispatcher = makeDispatcher({}, {oldEndpoint, newEndpoint});
+    const auto required = [&](std::uint64_t id) {
+        auto call = makeCall(id, PriorityClass::Normal, now);
+        call.requiredVersion = SoftwareVersion("v1");
+        return call;
+    };
+    auto first = required(1);
+    auto second = required(2);
+    auto third = makeCall(3, PriorityClass::Normal, now);
+    REQUIRE(dispatcher.enqueue(first, now));
+    REQUIRE(dispatcher.nextDecisions(now).size() == 1);
+    REQUIRE(dispatcher.enqueue(second, now));
+    REQUIRE(dispatcher.enqueue(third, now));
+    const auto sent = dispatcher.nextDecisions(now);
+    REQUIRE(sent.size() == 1);
+    CHECK(sent[0].call == CallId(3));
+    CHECK(sent[0].endpoint == EndpointId("new"));
+    dispatcher.setEndpoints({newEndpoint}, 1);
+    CHECK(dispatcher.takeUnservable() == std::vector<CallId>{CallId(2)});
+    auto fourth = required(4);
+    const auto refused = dispatcher.enqueue(fourth, now);
+    REQUIRE_FALSE(refused);
+    CHECK(refused.error().kind == ErrorKind::NoEndpoint);
+}
