A stream that is taken up again goes on only at the software version that began it

Cause: a request with Last-Event-Id was queued like a new one. Nobody kept which version had begun a stream, and after a restart nobody could know it.

Why it works: each stream that may be resumed is noted with its pool and version, before it is sent, by its instance and, while its pool has or may have had several versions, by two others that all agree on. An instance that is asked to go on looks there. What nobody has noted goes on only if all who answer have seen a single version, and one of them for as long as a stream can last; so right after a restart of all it is refused. What is refused is refused at once with 503, also when no endpoint of the version is left.

--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -113,14 +113,20 @@
                         m_endpointDirectory,
                         m_members,
                         m_configurationAge,
-                        {[this] { m_dispatchQueue.refreshEndpoints(); },
+                        {[this] { onEndpointsChanged(); },
                          [this] { onMembersChanged(); },
                          [this](Instant confirmedAt) {
                              m_provisionalGrantPolicy.onListRead(confirmedAt);
                              m_quotas.onMembersRead(confirmedAt);
                          }})
+    , m_streamOrigins(
+          m_loop.context(),
+          m_members,
+          m_peerConnections,
+          [this] { return m_registryWatcher.endpointsConfirmedAt(); },
+          m_metrics)
     , m_grantSurveyor(m_loop.context(), m_loop.timers(), m_members, m_peerConnections, m_provisionalGrantPolicy, m_budgets)
-    , m_peerApi(m_store, m_homeService, m_registryWatcher, m_grantSurveyor, m_witnesses, m_quotas)
+    , m_peerApi(m_store, m_homeService, m_registryWatcher, m_grantSurveyor, m_witnesses, m_quotas, m_streamOrigins)
     , m_isolationDetector(m_loop.context(),
                           m_loop.timers(),
                           m_members,
@@ -138,6 +144,7 @@
                      m_dispatchQueue,
                      m_endpointConnections,
                      m_homeClient,
+                     m_streamOrigins,
                      m_replicatedTurnStore,
                      m_responseBuffers,
                      m_isolationDetector,
@@ -158,7 +165,16 @@
     return {[this] { return m_grantMarks.history(); },
             [this](GrantHistory history, bool hasEnded) { onEarlierIncarnation(std::move(history), hasEnded); },
             [this] { m_quotas.setRegistering(); },
-            [this](bool isNewMachine, const std::optional<MemberRecord> &earlier) { m_quotas.setRegistered(isNewMachine, earlier); }};
+            [this](bool isNewMachine, const std::optional<MemberRecord> &earlier) { onRegistered(isNewMachine, earlier); }};
+}
+
+// The first-start setting may still be set on a restart, but then the store knows this machine.
+void InstanceDaemon::onRegistered(bool isNewMachine, const std::optional<MemberRecord> &earlier)
+{
+    m_quotas.setRegistered(isNewMachine, earlier);
+    if (isNewMachine && m_settings.isBootstrap) {
+        m_streamOrigins.setFirstStart();
+    }
 }
 
 std::optional<QuotaLimit> InstanceDaemon::quotaOf(const WorkspaceId &id) const
@@ -213,6 +229,12 @@
     m_store.setRelays(std::move(fallbacks));
 }
 
+void InstanceDaemon::onEndpointsChanged()
+{
+    m_streamOrigins.updateEndpoints(m_endpointDirectory.all());
+    m_dispatchQueue.refreshEndpoints();
+}
+
 void InstanceDaemon::onMembersChanged()
 {
     refreshStoreFallbacks();
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -45,6 +45,7 @@
     InstanceRegistration::Hooks registrationHooks();
     GrantMarks::Hooks grantMarkHooks();
     std::optional<QuotaLimit> quotaOf(const WorkspaceId &id) const;
+    void onRegistered(bool isNewMachine, const std::optional<MemberRecord> &earlier);
     void onEarlierIncarnation(GrantHistory history, bool hasEnded);
     void writeGrantHistory(std::function<void(bool isWritten)> onWritten);
     void listen();
@@ -53,6 +54,7 @@
     void reloadSettings();
     void onCallerRequest(const ServerConnectionPtr &connection, ServerRequest request);
     void onReadinessRequest(const ServerConnectionPtr &connection);
+    void onEndpointsChanged();
     void onMembersChanged();
     void onHeartbeatTimer();
     void probeStore();
@@ -98,6 +100,7 @@
     HomeService m_homeService;
     HomeClient m_homeClient;
     RegistryWatcher m_registryWatcher;
+    StreamOriginClient m_streamOrigins;
     GrantSurveyor m_grantSurveyor;
     PeerApi m_peerApi;
     IsolationDetector m_isolationDetector;
--- a/src/instance/peerapi.cpp
+++ b/src/instance/peerapi.cpp
@@ -24,13 +24,15 @@
                  RegistryWatcher &registryWatcher,
                  GrantSurveyor &grantSurveyor,
                  WitnessClient &witnesses,
-                 QuotaClient &quotas)
+                 QuotaClient &quotas,
+                 StreamOriginClient &streamOrigins)
     : m_store(store)
     , m_homeService(homeService)
     , m_registryWatcher(registryWatcher)
     , m_grantSurveyor(grantSurveyor)
     , m_witnesses(witnesses)
     , m_quotas(quotas)
+    , m_streamOrigins(streamOrigins)
 {
 }
 
@@ -54,6 +56,10 @@
         answerQuotaLease(connection, request.body);
     } else if (target == QuotaClient::TransferPath) {
         acceptQuotaTransfer(connection, request.body);
+    } else if (target == StreamOriginClient::NotePath) {
+        noteStreamOrigin(connection, request.body);
+    } else if (target == StreamOriginClient::QueryPath) {
+        findStreamOrigin(connection, request.body);
     } else if (target == GrantSurveyor::SurveyPath) {
         answerGrantSurvey(connection, request.body);
     } else if (target.compare(0, storePrefix.size(), storePrefix) == 0) {
@@ -149,6 +155,17 @@
     connection->respond(m_quotas.acceptTransfer(body) ? StatusOk : StatusUnavailable, {}, {});
 }
 
+void PeerApi::noteStreamOrigin(const ServerConnectionPtr &connection, const std::string &body)
+{
+    connection->respond(m_streamOrigins.acceptNote(body) ? StatusOk : StatusBadRequest, {}, {});
+}
+
+void PeerApi::findStreamOrigin(const ServerConnectionPtr &connection, const std::string &body)
+{
+    const auto answer = m_streamOrigins.answerQuery(body);
+    connection->respond(answer ? StatusOk : StatusBadRequest, {}, answer.value_or(std::string()));
+}
+
 void PeerApi::forwardToStore(const ServerConnectionPtr &connection, const ServerRequest &request)
 {
     const std::string target = request.head.target.substr(std::string_view(StorePathPrefix).size());
--- a/src/instance/peerapi.h
+++ b/src/instance/peerapi.h
@@ -5,6 +5,7 @@
 #include "instance/homeservice.h"
 #include "instance/quotaclient.h"
 #include "instance/registrywatcher.h"
+#include "instance/streamoriginclient.h"
 #include "instance/witnessclient.h"
 #include "platform/platformstore.h"
 
@@ -13,8 +14,8 @@
 namespace flamingo
 {
 
-/// Answers the requests of other instances: turns of the programs whose home this instance is, leases of quotas, polls of the registry, pings, and
-/// store calls of instances that the store rejects or that can't reach it.
+/// Answers the requests of other instances: turns of the programs whose home this instance is, leases of quotas, origins of streams, polls of the registry,
+/// pings, and store calls of instances that the store rejects or that can't reach it.
 class PeerApi
 {
 public:
@@ -26,7 +27,8 @@
             RegistryWatcher &registryWatcher,
             GrantSurveyor &grantSurveyor,
             WitnessClient &witnesses,
-            QuotaClient &quotas);
+            QuotaClient &quotas,
+            StreamOriginClient &streamOrigins);
 
     void handle(const ServerConnectionPtr &connection, const ServerRequest &request);
 
@@ -44,6 +46,8 @@
     void fence(const ServerConnectionPtr &connection, const std::string &body);
     void answerQuotaLease(const ServerConnectionPtr &connection, const std::string &body);
     void acceptQuotaTransfer(const ServerConnectionPtr &connection, const std::string &body);
+    void noteStreamOrigin(const ServerConnectionPtr &connection, const std::string &body);
+    void findStreamOrigin(const ServerConnectionPtr &connection, const std::string &body);
     void forwardToStore(const ServerConnectionPtr &connection, const ServerRequest &request);
 
     platform::PlatformStore &m_store;
@@ -52,6 +56,7 @@
     GrantSurveyor &m_grantSurveyor;
     WitnessClient &m_witnesses;
     QuotaClient &m_quotas;
+    StreamOriginClient &m_streamOrigins;
     bool m_isDraining = false;
 };
 
--- a/src/instance/proxiedrequest.cpp
+++ b/src/instance/proxiedrequest.cpp
@@ -70,8 +70,60 @@
 // The caller may have left, or the deadline may have passed.
 void ProxiedRequest::onQuotaDecided(const std::optional<Refusal> &refusal)
 {
-    if (!m_isFinished) {
-        refusal ? refuse(*refusal) : reserveTurn();
+    if (m_isFinished) {
+        return;
+    }
+    if (refusal) {
+        refuse(*refusal);
+    } else if (resumesStream()) {
+        findOrigin();
+    } else {
+        reserveTurn();
+    }
+}
+
+bool ProxiedRequest::resumesStream() const
+{
+    return m_admitted.route.kind == CallKind::Stream && m_metadata.lastEventId && !m_metadata.lastEventId->empty();
+}
+
+// What two software versions write doesn't fit together, so the stream has to go on at the one that began it.
+void ProxiedRequest::findOrigin()
+{
+    std::vector<PoolId> pools;
+    for (const WeightedPool &it : m_admitted.route.pools) {
+        pools.push_back(it.pool);
+    }
+    m_context.streamOrigins.find(
+        m_metadata.resumedAttempt, pools, [self = shared_from_this()](const std::optional<StreamOrigin> &origin) { self->onOriginFound(origin); });
+}
+
+void ProxiedRequest::onOriginFound(const std::optional<StreamOrigin> &origin)
+{
+    const auto &pools = m_admitted.route.pools;
+    const bool isAllowed = origin && std::any_of(pools.begin(), pools.end(), [&](const WeightedPool &it) { return it.pool == origin->pool; });
+    if (m_isFinished) {
+        return;
+    }
+    if (!isAllowed) {
+        refuse(503, "stream-origin-unknown", DefaultRetryAfter);
+        return;
+    }
+    m_admitted.pool = origin->pool;
+    m_streamVersion = origin->version;
+    reserveTurn();
+}
+
+bool ProxiedRequest::mayBeResumed() const
+{
+    return m_admitted.route.kind == CallKind::Stream && m_admitted.route.isResumable && !resumesStream();
+}
+
+// Before the endpoint can begin the stream, so that the note is usually there when the first event reaches the caller.
+void ProxiedRequest::noteOrigin()
+{
+    if (mayBeResumed() && !m_stream.hasStarted()) {
+        m_context.streamOrigins.note(m_metadata.id, {m_admitted.pool, m_attempt->endpoint.version}, m_admitted.route.pools.size() > 1);
     }
 }
 
@@ -215,6 +267,7 @@
     m_attempt->number = ++m_attemptCount;
     m_attempt->isResumption = m_stream.hasStarted();
     m_stream.beginAttempt();
+    noteOrigin();
     m_retries.onSent(endpoint.id);
     logChange("request-sent",
               "id={} endpoint={} software={} resumes={} attempt={} waited_ms={} reason=\"{}\"",
--- a/src/instance/proxiedrequest.h
+++ b/src/instance/proxiedrequest.h
@@ -12,6 +12,7 @@
 #include "instance/homeservice.h"
 #include "instance/isolationdetector.h"
 #include "instance/quotaclient.h"
+#include "instance/streamoriginclient.h"
 #include "instance/turnreservation.h"
 #include "platform/headercodec.h"
 #include "serving/admission.h"
@@ -38,6 +39,7 @@
     DispatchQueue &dispatchQueue;
     ConnectionPool &endpointConnections;
     HomeClient &homeClient;
+    StreamOriginClient &streamOrigins;
     TurnStore &turnStore;
     BufferQuota &responseBuffers;
     const IsolationDetector &isolationDetector;
@@ -62,6 +64,8 @@
 
 private:
     void onQuotaDecided(const std::optional<Refusal> &refusal);
+    void findOrigin();
+    void onOriginFound(const std::optional<StreamOrigin> &origin);
     void reserveTurn();
     void onTurnReserved(tl::expected<TurnChain, Refusal> history);
     void enqueue();
@@ -92,6 +96,9 @@
     void finish(const char *outcome, int status);
     ResponseExpectation expectation() const;
     bool isStreaming() const;
+    bool resumesStream() const;
+    bool mayBeResumed() const;
+    void noteOrigin();
     bool mayRetry() const;
     Milliseconds timeLeft(Instant now) const;
     Tokens generatedTokens() const;
--- a/src/instance/registrywatcher.cpp
+++ b/src/instance/registrywatcher.cpp
@@ -110,6 +110,11 @@
     return ++watched.callNumber;
 }
 
+std::optional<Instant> RegistryWatcher::endpointsConfirmedAt() const
+{
+    return m_watchedEndpoints.confirmedAt;
+}
+
 void RegistryWatcher::list(WatchedPrefix &watched, const std::string &afterKey)
 {
     const std::uint64_t callNumber = afterKey.empty() ? beginCall(watched) : watched.callNumber;
@@ -154,6 +159,7 @@
 void RegistryWatcher::applyListing(WatchedPrefix &watched, const std::vector<platform::StoreItem> &items, platform::Revision revision, Instant confirmedAt)
 {
     watched.isLoaded = true;
+    watched.confirmedAt = confirmedAt;
     watched.watchRevision = revision;
     watched.newestRevision = std::max(watched.newestRevision, revision);
     logChange("listed", "prefix={} items={} revision={}", watched.prefix, items.size(), revision);
@@ -315,6 +321,7 @@
         watched.newestRevision = std::max(watched.newestRevision, item.modRevision);
     }
     m_replica.apply(changes.items);
+    watched.confirmedAt = confirmedAt;
     watched.watchRevision = std::max(watched.watchRevision, changes.revision);
     m_feed.append(watched.prefix, changes, confirmedAt);
     if (&watched == &m_watchedMembers) {
--- a/src/instance/registrywatcher.h
+++ b/src/instance/registrywatcher.h
@@ -64,6 +64,9 @@
     /// Another instance asks for changes. The handler is called once.
     void onPoll(const RegistryPoll &poll, RegistryFeed::UpdateHandler onUpdate);
 
+    /// When the store last confirmed that the list of endpoints is up to date, by suspendAwareNow().
+    std::optional<Instant> endpointsConfirmedAt() const;
+
     /// Whether the configuration and the endpoints have been loaded at least once.
     bool isLoaded() const;
 
--- /dev/null
+++ b/src/serving/streamorigins.cpp
@@ -0,0 +1,47 @@
+#include "serving/streamorigins.h"
+
+#include "serving/softwareversions.h"
+
+namespace flamingo
+{
+
+namespace
+{
+constexpr std::size_t MaxNotes = 20000;
+/// Attempts with longer ids aren't noted, so that callers can't make the notes large. The ids of the platform have 16 characters.
+constexpr std::size_t MaxIdBytes = 128;
+constexpr Milliseconds NoteLifetime = 2 * SoftwareVersions::MaxStreamLifetime;
+} // namespace
+
+void StreamOrigins::note(const RequestId &attempt, const StreamOrigin &origin, Instant now)
+{
+    if (attempt.value().empty() || attempt.value().size() > MaxIdBytes || origin.version.value().size() > MaxIdBytes) {
+        return;
+    }
+    const bool isNew = m_origins.insert_or_assign(attempt.value(), origin).second;
+    if (isNew) {
+        m_notes.push_back({attempt, now});
+    }
+    while (m_notes.size() > MaxNotes || now - m_notes.front().at > NoteLifetime) {
+        forgetOldest();
+    }
+}
+
+std::optional<StreamOrigin> StreamOrigins::find(const RequestId &attempt) const
+{
+    const auto it = m_origins.find(attempt.value());
+    return it == m_origins.end() ? std::nullopt : std::optional<StreamOrigin>(it->second);
+}
+
+std::size_t StreamOrigins::size() const
+{
+    return m_origins.size();
+}
+
+void StreamOrigins::forgetOldest()
+{
+    m_origins.erase(m_notes.front().attempt.value());
+    m_notes.pop_front();
+}
+
+} // namespace flamingo
--- a/tests/unit/decoderfuzztest.cpp
+++ b/tests/unit/decoderfuzztest.cpp
@@ -15,6 +15,7 @@
 #include "serving/budgetledger.h"
 #include "serving/cleanshutdownmarker.h"
 #include "serving/memberdirectory.h"
+#include "serving/originmessages.h"
 #include "serving/quotamessages.h"
 
 #include <catch2/catch.hpp>
@@ -91,6 +92,9 @@
         {"begin", begin.encode(), [](const std::string &it) { BeginTurnRequest::decode(it); }},
         {"begun", begun.encode(), [](const std::string &it) { BeginTurnResponse::decode(it); }},
         {"end", end.encode(), [](const std::string &it) { EndTurnRequest::decode(it); }},
+        {"origin-note", OriginNote{RequestId("a"), {PoolId("p"), SoftwareVersion("v1")}}.encode(), [](const std::string &it) { OriginNote::decode(it); }},
+        {"origin-query", OriginQuery{RequestId("a"), PoolId("p")}.encode(), [](const std::string &it) { OriginQuery::decode(it); }},
+        {"origin-answer", OriginAnswer{}.encode(), [](const std::string &it) { OriginAnswer::decode(it); }},
         {"poll", RegistryPoll().encode(), [](const std::string &it) { RegistryPoll::decode(it); }},
         {"update", update.encode(), [](const std::string &it) { RegistryUpdate::decode(it); }},
         {"versions", RegistryVersions().encode(), [](const std::string &it) { RegistryVersions::decode(it); }},
