Limit what the responses of peers and archives hold together

What happens: processes that exceed their memory.

Cause: the limit held for each response; nothing counted them together. Endpoints' responses were counted already, and a test for them holds.

--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -30,6 +30,7 @@
 ConnectionPool::ConnectionPool(asio::io_context &context, Settings settings)
     : m_context(context)
     , m_settings(settings)
+    , m_responseBytes(std::make_shared<ResponseBytes>(settings.maxResponseBytes))
 {
 }
 
@@ -116,6 +117,11 @@
     }
 }
 
+const std::shared_ptr<ResponseBytes> &ConnectionPool::responseBytes() const
+{
+    return m_responseBytes;
+}
+
 std::uint64_t ConnectionPool::openedConnectionCount() const
 {
     return m_openedConnectionCount;
--- a/src/http/connectionpool.h
+++ b/src/http/connectionpool.h
@@ -3,6 +3,7 @@
 #include "core/settingsreader.h"
 #include "core/time.h"
 #include "http/messagehead.h"
+#include "http/responsebytes.h"
 
 #include <asio.hpp>
 
@@ -105,6 +106,7 @@
         std::size_t maxIdlePerAddress = 4;
         /// A peer that acknowledges no bytes for this long counts as unreachable.
         Milliseconds unacknowledgedTimeout{1500};
+        std::size_t maxResponseBytes = ResponseBytes::DefaultSharedBytes; ///< Of internal requests; compare ResponseBytes.
     };
 
     ConnectionPool(asio::io_context &context, Settings settings);
@@ -116,6 +118,9 @@
 
     std::uint64_t openedConnectionCount() const;
 
+    /// What the responses to this pool's internal requests hold.
+    const std::shared_ptr<ResponseBytes> &responseBytes() const;
+
 private:
     friend class detail::ClientConnection;
     using ConnectionPtr = std::shared_ptr<detail::ClientConnection>;
@@ -129,6 +134,7 @@
     const Settings m_settings;
     std::unordered_map<std::string, std::deque<ConnectionPtr>> m_idle;
     std::uint64_t m_openedConnectionCount = 0;
+    std::shared_ptr<ResponseBytes> m_responseBytes;
 };
 
 } // namespace flamingo
--- a/src/http/internalrequest.cpp
+++ b/src/http/internalrequest.cpp
@@ -1,6 +1,8 @@
 #include "http/internalrequest.h"
 
 #include <memory>
+#include <string_view>
+#include <utility>
 
 namespace flamingo
 {
@@ -10,12 +12,41 @@
 constexpr Milliseconds MaxIdleTime{10000};
 
 struct PendingRequest {
+    explicit PendingRequest(std::shared_ptr<ResponseBytes> bytes)
+        : responseBytes(std::move(bytes))
+    {
+    }
+
+    ~PendingRequest()
+    {
+        responseBytes->release(heldBytes);
+    }
+
+    PendingRequest(const PendingRequest &) = delete;
+    PendingRequest &operator=(const PendingRequest &) = delete;
+
+    std::shared_ptr<ResponseBytes> responseBytes;
+    std::size_t heldBytes = 0; ///< Of the response, as counted by responseBytes.
     InternalResponse response;
     bool isFinished = false;
     RequestHandle handle;
     std::unique_ptr<asio::steady_timer> timer;
     std::function<void(std::optional<InternalResponse>)> onResponse;
 
+    void append(std::string_view bytes)
+    {
+        if (isFinished) {
+            return;
+        }
+        if (!responseBytes->tryGrow(heldBytes, bytes.size())) {
+            handle.cancel();
+            finish(false);
+            return;
+        }
+        heldBytes += bytes.size();
+        response.body += bytes;
+    }
+
     void finish(bool isComplete)
     {
         if (isFinished) {
@@ -23,6 +54,9 @@
         }
         isFinished = true;
         timer->cancel();
+        if (!isComplete) {
+            response = {};
+        }
         onResponse(isComplete ? std::optional<InternalResponse>(std::move(response)) : std::nullopt);
     }
 };
@@ -33,7 +67,7 @@
                          InternalRequest request,
                          std::function<void(std::optional<InternalResponse>)> onResponse)
 {
-    auto pending = std::make_shared<PendingRequest>();
+    auto pending = std::make_shared<PendingRequest>(connections.responseBytes());
     pending->onResponse = std::move(onResponse);
     ClientRequest outgoing;
     outgoing.address = request.address;
@@ -45,7 +79,7 @@
     outgoing.connectTimeout = request.connectTimeout;
     ResponseHandlers handlers;
     handlers.onHead = [pending](const MessageHead &head) { pending->response.status = head.status; };
-    handlers.onBody = [pending](std::string_view bytes) { pending->response.body += bytes; };
+    handlers.onBody = [pending](std::string_view bytes) { pending->append(bytes); };
     handlers.onComplete = [pending] { pending->finish(true); };
     handlers.onFailure = [pending](const RequestFailure &) { pending->finish(false); };
     pending->timer = std::make_unique<asio::steady_timer>(context);
--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -32,6 +32,9 @@
 /// rest is for the turn cache, the process itself and buffers that are copied as they grow.
 constexpr std::size_t CallerMemoryDivisor = 3;
 constexpr std::size_t MaxCallerMemoryBytes = std::size_t(256) * 1024 * 1024;
+/// Responses of other instances, and of archives, may each take up one part in this many of the process's memory limit.
+constexpr std::size_t PeerResponseMemoryDivisor = 8;
+constexpr std::size_t MaxPeerResponseBytes = std::size_t(64) * 1024 * 1024;
 constexpr std::size_t MaxIdleConnectionsPerEndpoint = 6;
 constexpr Milliseconds EndpointAckTimeout{1200};
 constexpr std::size_t MaxStoreFallbacks = 3;
@@ -73,7 +76,7 @@
     , m_dispatchQueue(policyRules(), m_settings.domain, m_endpointDirectory)
     , m_provisionalGrantPolicy(m_members, suspendAwareNow())
     , m_registration(ownMemberRecord(), m_store, m_loop.timers(), m_members, m_provisionalGrantPolicy, registrationHooks())
-    , m_peerConnections(m_loop.context(), {MaxIdleConnectionsPerPeer, PeerAckTimeout})
+    , m_peerConnections(m_loop.context(), {MaxIdleConnectionsPerPeer, PeerAckTimeout, memoryShare(m_settings, PeerResponseMemoryDivisor, MaxPeerResponseBytes)})
     , m_quotas(
           {m_loop.context(), m_loop.timers(), m_members, m_peerConnections},
           m_incarnation,
@@ -93,7 +96,8 @@
                  [this] { return m_grantMarks.mayGrant(suspendAwareNow()); },
                  [this](std::function<void(bool)> onMarked) { m_grantMarks.storeMark(suspendAwareNow(), std::move(onMarked)); }},
                 &m_witnesses)
-    , m_archiveConnections(m_loop.context(), {MaxIdleConnectionsPerPeer, PeerAckTimeout})
+    , m_archiveConnections(m_loop.context(),
+                           {MaxIdleConnectionsPerPeer, PeerAckTimeout, memoryShare(m_settings, PeerResponseMemoryDivisor, MaxPeerResponseBytes)})
     , m_replicatedTurnStore(m_loop.context(), m_members, m_archiveConnections, m_store, m_turnStore, m_settings.toleratedMachineFailures)
     , m_grantMarks(m_incarnation, m_replicatedTurnStore, grantMarkHooks(), suspendAwareNow())
     , m_turnCache(m_replicatedTurnStore, memoryShare(m_settings, TurnCacheMemoryDivisor, MaxTurnCacheBytes))
--- a/tests/platform/endlessbytestest.cpp
+++ b/tests/platform/endlessbytestest.cpp
@@ -225,3 +225,74 @@
     }
     CHECK(peakMemoryKb(instance) < MemoryLimitKb);
 }
+
+// Guards against limits that hold for each response of a peer, and for all of them together don't.
+TEST_CASE("Many responses of a peer without end at once stay within the memory of the process", "[platform][endless]")
+{
+    constexpr int CallerCount = 150;
+    const auto respondWithEvent = [](Connection &connection, const ReceivedRequest &request) {
+        connection.write(ScriptedEndpoint::responseHead(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+        connection.write(chunkOf(ScriptedEndpoint::event(1, "said")) + "0\r\n\r\n");
+    };
+    KvStandIn store;
+    ScriptedEndpoint endpoint(respondWithEvent);
+    // Each response holds a little less than a single one may, and doesn't end.
+    const std::string start = std::string("HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\n") + std::string(7900000, 'x');
+    ScriptedEndpoint peer([&](Connection &connection, const ReceivedRequest &) { connection.write(start); });
+    store.put("op/config", testConfiguration(1));
+    registerEndpoint(store, "i-1", endpoint);
+    registerInstance(store, "peer-1", "zone-9", peer.address());
+    TestInstance instance(store, 1);
+    REQUIRE(instance.awaitReady());
+    REQUIRE(eventually([&] { return instance.log().find("listed prefix=instance/") != std::string::npos; }));
+    std::vector<std::thread> callers;
+    std::atomic<int> answered{0};
+    for (int n = 0; n < CallerCount; ++n) {
+        callers.emplace_back([&, n] {
+            const std::string headers =
+                fmt::format("X-Program-Id: q{}\r\nX-Session-Id: s\r\nX-Token-Budget: 200\r\nX-Token-Usage: 110,58\r\nX-Prompt-Prefix: aa:100,b1:10\r\n", n);
+            answered += instance.send(callerRequest("/stream/a", fmt::format("c{}", n), headers), AnswerLimit).status != 0 ? 1 : 0;
+        });
+    }
+    for (std::thread &it : callers) {
+        it.join();
+    }
+    INFO("peak " << peakMemoryKb(instance) << " kB");
+    CHECK(answered == CallerCount);
+    CHECK(peakMemoryKb(instance) < MemoryLimitKb);
+    CHECK(instance.send(callerRequest("/book/a", "after")).status == 200);
+}
+
+TEST_CASE("Many responses of the store without end at once stay within the memory of the process", "[platform][endless]")
+{
+    constexpr int CallerCount = 150;
+    KvStandIn soundStore;
+    ScriptedEndpoint endpoint([](Connection &connection, const ReceivedRequest &request) { connection.write(ScriptedEndpoint::response(request, "ok")); });
+    soundStore.put("op/config", testConfiguration(1));
+    registerEndpoint(soundStore, "i-1", endpoint);
+    const std::string start = std::string("HTTP/1.1 200 OK\r\nContent-Length: 4100000\r\n\r\n") + std::string(4000000, 'x');
+    ScriptedEndpoint faultyRelay([&](Connection &connection, const ReceivedRequest &) { connection.write(start); });
+    TestInstance instance(soundStore, 1);
+    REQUIRE(instance.awaitReady());
+    // The store goes silent; calls that are relayed get answers without end.
+    registerInstance(soundStore, "peer-1", "zone-9", faultyRelay.address());
+    REQUIRE(eventually([&] { return instance.log().find("listed prefix=instance/") != std::string::npos; }));
+    std::this_thread::sleep_for(Milliseconds(2000));
+    soundStore.setFault(KvStandIn::Fault::Unavailable);
+    std::vector<std::thread> callers;
+    std::atomic<int> answered{0};
+    for (int n = 0; n < CallerCount; ++n) {
+        callers.emplace_back([&, n] {
+            const std::string headers =
+                fmt::format("X-Program-Id: r{}\r\nX-Session-Id: s\r\nX-Token-Budget: 200\r\nX-Token-Usage: 110,58\r\nX-Prompt-Prefix: aa:100,b1:10\r\n", n);
+            answered += instance.send(callerRequest("/stream/a", fmt::format("d{}", n), headers), AnswerLimit).status != 0 ? 1 : 0;
+        });
+    }
+    for (std::thread &it : callers) {
+        it.join();
+    }
+    CHECK(answered == CallerCount);
+    INFO("peak " << peakMemoryKb(instance) << " kB");
+    CHECK(peakMemoryKb(instance) < MemoryLimitKb);
+    CHECK(instance.send(callerRequest("/book/a", "after")).status == 200);
+}
