Soak: endpoints of two software versions, streams that are taken up again

Endpoints of newer versions replace older ones one at a time; callers leave streams in the middle and take them up at random instances beside all other faults. A take-up that reaches another version than the one that began its stream breaks the run, and some have to go on.

--- a/tests/platform/testinstance.cpp
+++ b/tests/platform/testinstance.cpp
@@ -369,10 +369,16 @@
     return json.dump();
 }
 
-void registerEndpoint(KvStandIn &store, const std::string &id, const ScriptedEndpoint &endpoint, const std::string &state, const std::string &version)
+void registerEndpoint(KvStandIn &store,
+                      const std::string &id,
+                      const ScriptedEndpoint &endpoint,
+                      const std::string &state,
+                      const std::string &version,
+                      const std::string &pool)
 {
     store.put("servers/" + id,
-              fmt::format(R"({{"service":"app","address":"{}","zone":"zone-1","version":"{}","slots":16,"state":"{}","cold-left-ms":0,"sequence":1}})",
+              fmt::format(R"({{"service":"{}","address":"{}","zone":"zone-1","version":"{}","slots":16,"state":"{}","cold-left-ms":0,"sequence":1}})",
+                          pool,
                           endpoint.address().text(),
                           version,
                           state));
--- a/tests/platform/testinstance.h
+++ b/tests/platform/testinstance.h
@@ -141,7 +141,8 @@
                       const std::string &id,
                       const ScriptedEndpoint &endpoint,
                       const std::string &state = "ready",
-                      const std::string &version = "v1");
+                      const std::string &version = "v1",
+                      const std::string &pool = "app");
 
 /// Writes the member entry of an instance that listens for its peers on the address.
 void registerInstance(KvStandIn &store, const std::string &id, const std::string &domain, const SocketAddress &peerAddress);
--- a/tests/platform/twoversionstest.cpp
+++ b/tests/platform/twoversionstest.cpp
@@ -1,4 +1,5 @@
 #include "platform/testinstance.h"
+#include "platform/versionedendpoint.h"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -13,64 +14,11 @@
 
 namespace
 {
-using Connection = ScriptedEndpoint::Connection;
-
 constexpr int InstanceCount = 3;
 /// Less than an instance may hold a request that it can't serve.
 constexpr Milliseconds RefusalLimit{1000};
 constexpr Milliseconds StreamTime{150};
 
-/// Endpoints that begin streams with two events, whose data is the version, and end those that are resumed.
-class VersionedEndpoint
-{
-public:
-    VersionedEndpoint(std::string version, bool breaksOff)
-        : m_version(std::move(version))
-        , m_breaksOff(breaksOff)
-        , m_endpoint([this](Connection &connection, const ReceivedRequest &request) { respond(connection, request); })
-    {
-    }
-
-    const std::string &version() const
-    {
-        return m_version;
-    }
-
-    const ScriptedEndpoint &endpoint() const
-    {
-        return m_endpoint;
-    }
-
-    bool hasReceived(const std::string &attemptId) const
-    {
-        const auto requests = m_endpoint.requests();
-        return std::any_of(requests.begin(), requests.end(), [&](const ReceivedRequest &it) { return it.head.fields.value("X-Attempt-Id") == attemptId; });
-    }
-
-private:
-    void respond(Connection &connection, const ReceivedRequest &request) const
-    {
-        const std::string head = ScriptedEndpoint::responseHead(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
-        const auto events = [this](int first) {
-            return ScriptedEndpoint::chunk(ScriptedEndpoint::event(first, m_version)) + ScriptedEndpoint::chunk(ScriptedEndpoint::event(first + 1, m_version));
-        };
-        if (request.head.fields.value("Last-Event-Id") == "2") {
-            connection.write(head + events(3) + "0\r\n\r\n");
-            return;
-        }
-        connection.write(head + events(1));
-        if (m_breaksOff) {
-            connection.closeLater(Milliseconds(20));
-        } else {
-            connection.writeLater(StreamTime * 10, events(3) + "0\r\n\r\n");
-        }
-    }
-
-    std::string m_version;
-    bool m_breaksOff;
-    ScriptedEndpoint m_endpoint;
-};
-
 struct Deployment {
     /// Without names of its own each version gets two endpoints.
     explicit Deployment(const std::vector<std::string> &versions, bool breaksOff = false)
@@ -108,8 +56,8 @@
     /// The version of the endpoints that got the request; empty if none did.
     std::string versionThatRan(const std::string &id) const
     {
-        const auto it = std::find_if(endpoints.begin(), endpoints.end(), [&](const auto &endpoint) { return endpoint->hasReceived(id); });
-        return it == endpoints.end() ? std::string() : (*it)->version();
+        const auto versions = versionsThatReceived(endpoints, id);
+        return versions.empty() ? std::string() : *versions.begin();
     }
 
     KvStandIn store;
--- a/tests/soak/platformsoak.cpp
+++ b/tests/soak/platformsoak.cpp
@@ -2,6 +2,7 @@
 // callers received with the requests that endpoints received.
 
 #include "platform/testinstance.h"
+#include "platform/versionedendpoint.h"
 #include "soak/callerrecord.h"
 
 #include <cxxopts.hpp>
@@ -37,6 +38,13 @@
 constexpr Milliseconds CatchUpTime{4000};
 /// Versions whose routes the newest one still has.
 constexpr int KeptRoutes = 2 * SeriesLength;
+/// Endpoints of two software versions serve streams that are taken up again; now and then one of an older version is replaced by one of a newer.
+constexpr int VersionedCallerCount = 2;
+constexpr int VersionCount = 12;
+constexpr int EndpointsPerVersion = 2;
+constexpr std::size_t ServingEndpoints = 2 * EndpointsPerVersion;
+constexpr Milliseconds StreamTime{60};
+constexpr int TakeUpTries = 3;
 /// Time for the other archive to upload to the store the turns of which it holds the only copy.
 constexpr Milliseconds PauseAfterWipe{5000};
 
@@ -58,6 +66,13 @@
     {
         putConfiguration(1);
         registerEndpoint(store, "i-1", endpoint);
+        for (int n = 0; n < VersionCount * EndpointsPerVersion; ++n) {
+            const bool breaksOff = n % 3 == 0;
+            versionedEndpoints.push_back(std::make_unique<VersionedEndpoint>(fmt::format("v{}", n / EndpointsPerVersion), breaksOff));
+        }
+        for (std::size_t n = 0; n < ServingEndpoints; ++n) {
+            registerVersioned(n);
+        }
         for (int n = 0; n < ArchiveCount; ++n) {
             archives.push_back(std::make_unique<TestArchive>(store, n + 1));
         }
@@ -82,15 +97,34 @@
         for (int n = std::max(1, version - KeptRoutes); n <= version; ++n) {
             routes += fmt::format(R"(,{{"name":"r-v{0}","host":"h.example","prefix":"/v{0}/","type":"non_idempotent","timeout-ms":3000,"service":"app"}})", n);
         }
+        routes +=
+            R"(,{"name":"r-resume","host":"h.example","prefix":"/resume/","type":"streaming","resumable":true,"timeout-ms":3000,"max-attempts":2,"service":"versions"})";
         const std::string configuration = testConfiguration(version, routes);
         store.put("op/config", hasWorkspaces ? withWorkspaces(configuration, keys) : configuration);
         newestKey = version;
     }
 
+    void registerVersioned(std::size_t n)
+    {
+        registerEndpoint(store, fmt::format("version-{}", n), versionedEndpoints[n]->endpoint(), "ready", versionedEndpoints[n]->version(), "versions");
+    }
+
+    /// Replaces endpoints of older versions by newer ones, one at a time, until there are no more or the end has come.
+    void releaseVersions(std::uint64_t seed)
+    {
+        std::mt19937_64 random(seed);
+        for (std::size_t n = ServingEndpoints; n < versionedEndpoints.size() && !isStopping; ++n) {
+            std::this_thread::sleep_for(Milliseconds(500 + random() % 2500));
+            registerVersioned(n);
+            store.remove(fmt::format("servers/version-{}", n - ServingEndpoints));
+        }
+    }
+
     const bool hasWorkspaces;
     std::atomic<int> newestKey{0};
     KvStandIn store;
     ScriptedEndpoint endpoint;
+    std::vector<std::unique_ptr<VersionedEndpoint>> versionedEndpoints;
     std::vector<std::unique_ptr<TestArchive>> archives;
     std::vector<std::unique_ptr<TestInstance>> instances;
     std::array<std::atomic<bool>, InstanceCount> isDisturbed{};
@@ -329,6 +363,67 @@
     int m_lastAttemptNumber = 0;
 };
 
+/// Leaves streams in the middle and takes them up again, each at a random instance.
+class VersionedCaller
+{
+public:
+    VersionedCaller(TestSystem &system, int number, std::uint64_t seed)
+        : m_system(system)
+        , m_number(number)
+        , m_random(seed * 100 + static_cast<std::uint64_t>(number))
+    {
+    }
+
+    void run()
+    {
+        for (int n = 0; !m_system.isStopping; ++n) {
+            const std::string id = fmt::format("resume-{}-{}", m_number, n);
+            m_system.instances[m_random() % InstanceCount]->sendAndDisconnect(callerRequest("/resume/a", id), StreamTime);
+            const auto began = versionsThatReceived(m_system.versionedEndpoints, id);
+            // A request that was sent again before its first event may have reached two versions; which one began the stream isn't known here.
+            const bool isBegun = began.size() == 1;
+            bool isContinued = !isBegun;
+            for (int k = 0; k < TakeUpTries && !isContinued; ++k) {
+                const std::string tryId = fmt::format("{}-{}", id, k);
+                const std::string fields = fmt::format("Last-Event-Id: 2\r\nResumes: {}\r\n", id);
+                isContinued = m_system.instances[m_random() % InstanceCount]->send(callerRequest("/resume/a", tryId, fields), Milliseconds(3500)).isComplete;
+                checkVersions(tryId, began);
+            }
+            m_continued += isContinued && isBegun ? 1 : 0;
+        }
+    }
+
+    int continuedStreams() const
+    {
+        return m_continued;
+    }
+
+    int joinedStreams() const
+    {
+        return m_joined;
+    }
+
+private:
+    void checkVersions(const std::string &id, const std::set<std::string> &began)
+    {
+        std::set<std::string> versions = versionsThatReceived(m_system.versionedEndpoints, id);
+        if (versions.empty()) {
+            return;
+        }
+        versions.insert(began.begin(), began.end());
+        if (versions.size() > 1) {
+            fmt::print("broken: {} is joined from versions {} and {}\n", id, *versions.begin(), *versions.rbegin());
+            ++m_joined;
+        }
+    }
+
+    TestSystem &m_system;
+    int m_number;
+    std::mt19937_64 m_random;
+    int m_continued = 0;
+    int m_joined = 0;
+};
+
 /// Writes the logs of the instances to the working directory.
 void writeLogs(const TestSystem &system, std::uint64_t seed)
 {
@@ -369,6 +464,14 @@
     for (int n = 0; n < CallerCount; ++n) {
         callers.emplace_back([&, n] { Caller(system, record, n, seed).run(); });
     }
+    std::vector<VersionedCaller> versionedCallers;
+    for (int n = 0; n < VersionedCallerCount && !system.hasWorkspaces; ++n) {
+        versionedCallers.emplace_back(system, n, seed);
+    }
+    for (VersionedCaller &it : versionedCallers) {
+        callers.emplace_back([&it] { it.run(); });
+    }
+    std::thread releases([&] { system.releaseVersions(seed + 3000); });
     const auto injectFaultsUntilEnd = [&](std::uint64_t offset, void (FaultInjector::*injectFault)()) {
         FaultInjector injector(system, record, seed + offset);
         while (std::chrono::steady_clock::now() < end) {
@@ -380,19 +483,28 @@
     injectFaultsUntilEnd(2000, &FaultInjector::injectProcessFault);
     storeFaults.join();
     system.isStopping = true;
+    releases.join();
     for (std::thread &caller : callers) {
         caller.join();
     }
+    int continuedStreams = 0;
+    int joinedStreams = 0;
+    for (const VersionedCaller &it : versionedCallers) {
+        continuedStreams += it.continuedStreams();
+        joinedStreams += it.joinedStreams();
+    }
+    const bool areStreamsSound = joinedStreams == 0 && (system.hasWorkspaces || continuedStreams > 0);
     const bool isRecovered = awaitRecovery(system, record, seed);
     const auto violations = record.findViolations(system.endpoint.requests());
     for (const std::string &violation : violations) {
         fmt::print("broken: {}\n", violation);
     }
-    if (!violations.empty() || system.lateConfigurations != 0) {
+    if (!violations.empty() || system.lateConfigurations != 0 || !areStreamsSound) {
         writeLogs(system, seed);
     }
     const auto [completed, total] = record.completedAndTotal();
-    fmt::print("soak: seed {}, started {}, recovered {}, {} of {} served, {} with a removed key, {} late configurations, {} promises broken\n",
+    fmt::print("soak: seed {}, started {}, recovered {}, {} of {} served, {} with a removed key, {} late configurations, {} streams continued, {} joined, {} "
+               "promises broken\n",
                seed,
                isStarted,
                isRecovered,
@@ -400,6 +512,8 @@
                total,
                record.countWithRemovedKey(),
                system.lateConfigurations.load(),
+               continuedStreams,
+               joinedStreams,
                violations.size());
-    return isStarted && isRecovered && violations.empty() && system.lateConfigurations == 0 ? 0 : 1;
+    return isStarted && isRecovered && violations.empty() && system.lateConfigurations == 0 && areStreamsSound ? 0 : 1;
 }
