--- a/src/serving/endpointdirectory.cpp
+++ b/src/serving/endpointdirectory.cpp
@@ -9,7 +9,8 @@
 {
 bool hasSameRouting(const EndpointEntry &a, const EndpointEntry &b)
 {
-    return a.pool == b.pool && a.address.text() == b.address.text() && a.slots == b.slots && a.isLeaving == b.isLeaving && a.version == b.version && a.startedAtMs == b.startedAtMs;
+    return a.pool == b.pool && a.address.text() == b.address.text() && a.slots == b.slots && a.isLeaving == b.isLeaving && a.version == b.version
+           && a.startedAtMs == b.startedAtMs;
 }
 } // namespace
 
