--- a/src/archive/archivedaemon.cpp
+++ b/src/archive/archivedaemon.cpp
@@ -29,6 +29,7 @@
 constexpr int StatusOk = 200;
 constexpr int StatusBadRequest = 400;
 constexpr int StatusNotFound = 404;
+constexpr int StatusPreconditionFailed = 412;
 constexpr int StatusUnavailable = 503;
 } // namespace
 
@@ -126,6 +127,8 @@
         onKeepTurn(connection, request.body);
     } else if (target == ArchiveForgetPath) {
         onForgetTurns(connection, request.body);
+    } else if (target == ArchiveFencePath) {
+        onFenceMarks(connection, request.body);
     } else if (target.compare(0, lookup.size(), lookup) == 0) {
         onLookUpTurn(connection, RequestId(percentDecode(target.substr(lookup.size())).value_or(std::string())));
     } else {
@@ -140,6 +143,11 @@
         connection->respond(turn ? StatusUnavailable : StatusBadRequest, {}, {});
         return;
     }
+    if (turn->memberListRevision && !m_markFence.admits(*turn->memberListRevision)) {
+        logChange("mark-refused", "list_revision={}", turn->memberListRevision->value());
+        connection->respond(StatusPreconditionFailed, {}, {});
+        return;
+    }
     if (!m_turnLog->append(*turn)) {
         connection->respond(StatusUnavailable, {}, {});
         return;
@@ -181,6 +189,15 @@
     connection->respond(message ? StatusOk : StatusBadRequest, {}, {});
 }
 
+void ArchiveDaemon::onFenceMarks(const ServerConnectionPtr &connection, const std::string &body)
+{
+    const auto message = ArchiveFenceRequest::decode(body);
+    if (message) {
+        m_markFence.raise(message->revision);
+    }
+    connection->respond(message ? StatusOk : StatusBadRequest, {}, {});
+}
+
 void ArchiveDaemon::onMetricsRequest(const ServerConnectionPtr &connection)
 {
     m_metrics.setGauge("flamingo_archive_turns_set_aside", {}, static_cast<double>(m_uploads.setAsideCount()));
@@ -278,7 +295,9 @@
     const MemberRecord member{m_settings.instance, m_settings.domain, address, m_incarnation, MemberRecord::Role::Archive};
     m_store.commit(m_registration.registrationTransaction(member, m_settings.instance.value()),
                    [this](const tl::expected<platform::TransactionResult, platform::StoreFailure> &result) {
-                       if (!result && !m_isDraining) {
+                       if (result) {
+                           m_markFence.setRegistered(MemberListRevision(result->revision));
+                       } else if (!m_isDraining) {
                            logChange("registration-failed", "reason=\"{}\"", result.error().detail);
                            m_loop.timers().at(std::chrono::steady_clock::now() + RetryDelay, [this](Instant) { registerMember(); });
                        }
--- a/src/archive/archivedaemon.h
+++ b/src/archive/archivedaemon.h
@@ -44,6 +44,7 @@
     void onKeepTurn(const ServerConnectionPtr &connection, const std::string &body);
     void onLookUpTurn(const ServerConnectionPtr &connection, const RequestId &id);
     void onForgetTurns(const ServerConnectionPtr &connection, const std::string &body);
+    void onFenceMarks(const ServerConnectionPtr &connection, const std::string &body);
     void onMetricsRequest(const ServerConnectionPtr &connection);
     void syncAndRespond();
 
@@ -76,6 +77,7 @@
     std::unique_ptr<ConnectionSet> m_turnServer;
     std::unique_ptr<ConnectionSet> m_metricsServer;
     UploadQueue m_uploads;
+    MarkFence m_markFence;
     std::vector<WaitingSender> m_awaitingSync; ///< Get their response after the next sync.
     bool m_isUploading = false;
     bool m_isDraining = false;
--- a/src/instance/grantsurveyor.cpp
+++ b/src/instance/grantsurveyor.cpp
@@ -11,18 +11,24 @@
 constexpr Milliseconds AskPeriod{250};
 /// In a deployment of hundreds of instances these are asked one batch after the other.
 constexpr std::size_t MaxConcurrentQuestions = 32;
+/// A process that is restarted answers sooner.
+constexpr Milliseconds MaxSilence{1500};
+/// One that is only slow for a moment isn't fenced.
+constexpr int MinUnansweredQuestions = 2;
 } // namespace
 
 GrantSurveyor::GrantSurveyor(asio::io_context &context,
                              TimerService &timers,
                              MemberDirectory &members,
                              ConnectionPool &peerConnections,
+                             MarkSurveyor &markSurveyor,
                              ProvisionalGrantPolicy &policy,
                              const BudgetLedger &budgets)
     : m_context(context)
     , m_timers(timers)
     , m_members(members)
     , m_peerConnections(peerConnections)
+    , m_markSurveyor(markSurveyor)
     , m_policy(policy)
     , m_budgets(budgets)
 {
@@ -33,10 +39,54 @@
     m_timers.every(std::chrono::steady_clock::now(), AskPeriod, [this](Instant) {
         if (m_policy.needsSurvey(suspendAwareNow())) {
             askOpenQuestions();
+            lookUpSilentInstances(suspendAwareNow());
         }
+        fenceSilentInstances(suspendAwareNow());
     });
 }
 
+void GrantSurveyor::onReserveNeeded(const ProgramId &program)
+{
+    for (const MemberRecord &member : m_members.outrankingInstances(program)) {
+        if (!m_policy.survey().isFenced(member)) {
+            m_toFence.try_emplace(member.id, 0);
+        }
+    }
+    fenceSilentInstances(suspendAwareNow());
+}
+
+void GrantSurveyor::fenceSilentInstances(Instant now)
+{
+    const MemberRecord *self = m_members.find(m_members.self());
+    std::vector<MemberRecord> silent;
+    for (auto it = m_toFence.begin(); it != m_toFence.end();) {
+        const MemberRecord *member = m_members.find(it->first);
+        if (!member || m_policy.survey().isFenced(*member)) {
+            it = m_toFence.erase(it);
+            continue;
+        }
+        if (it->second >= MinUnansweredQuestions) {
+            silent.push_back(*member);
+        } else if (self && m_asked.insert(member->id).second) {
+            ask(*member, GrantSurveyRequest{*self}.encode());
+        }
+        ++it;
+    }
+    m_markSurveyor.fence(silent, now);
+}
+
+void GrantSurveyor::lookUpSilentInstances(Instant now)
+{
+    std::vector<MemberRecord> silent;
+    for (const MemberRecord &member : m_policy.survey().openQuestions()) {
+        const auto it = m_silentSince.find(member.id);
+        if (it != m_silentSince.end() && now - it->second >= MaxSilence) {
+            silent.push_back(member);
+        }
+    }
+    m_markSurveyor.lookUp(silent, now);
+}
+
 void GrantSurveyor::askOpenQuestions()
 {
     const MemberRecord *self = m_members.find(m_members.self());
@@ -49,6 +99,7 @@
             return;
         }
         if (m_asked.insert(member.id).second) {
+            m_silentSince.emplace(member.id, suspendAwareNow());
             ask(member, request);
         }
     }
@@ -65,9 +116,17 @@
         constexpr int StatusOk = 200;
         m_asked.erase(from);
         const auto answer = response && response->status == StatusOk ? GrantSurveyAnswer::decode(response->body) : std::nullopt;
+        const auto toFence = m_toFence.find(from);
         if (!answer) {
+            if (toFence != m_toFence.end()) {
+                ++toFence->second;
+            }
             return;
         }
+        if (toFence != m_toFence.end()) {
+            m_toFence.erase(toFence);
+        }
+        m_silentSince.erase(from);
         m_policy.survey().onAnswer(from, *answer);
         logChange("grants-surveyed",
                   "instance={} unrecorded={} earlier={} listed_ms={}",
--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -94,7 +94,8 @@
                  [this](const ProgramId &program) { return m_provisionalGrantPolicy.excludesUnrecordedGrants(program, suspendAwareNow()); },
                  [this](const IncarnationId &incarnation) { return m_members.mayBeAlive(incarnation); },
                  [this] { return m_grantMarks.mayGrant(suspendAwareNow()); },
-                 [this](std::function<void(bool)> onMarked) { m_grantMarks.storeMark(suspendAwareNow(), std::move(onMarked)); }},
+                 [this](std::function<void(bool)> onMarked) { m_grantMarks.storeMark(suspendAwareNow(), std::move(onMarked)); },
+                 [this](const ProgramId &program) { m_grantSurveyor.onReserveNeeded(program); }},
                 &m_witnesses)
     , m_archiveConnections(m_loop.context(),
                            {MaxIdleConnectionsPerPeer, PeerAckTimeout, memoryShare(m_settings, PeerResponseMemoryDivisor, MaxPeerResponseBytes)})
@@ -129,7 +130,8 @@
           m_peerConnections,
           [this] { return m_registryWatcher.endpointsConfirmedAt(); },
           m_metrics)
-    , m_grantSurveyor(m_loop.context(), m_loop.timers(), m_members, m_peerConnections, m_provisionalGrantPolicy, m_budgets)
+    , m_markSurveyor(m_loop.context(), m_store, m_members, m_archiveConnections, m_replicatedTurnStore, m_incarnation, markSurveyHooks())
+    , m_grantSurveyor(m_loop.context(), m_loop.timers(), m_members, m_peerConnections, m_markSurveyor, m_provisionalGrantPolicy, m_budgets)
     , m_peerApi(m_store, m_homeService, m_registryWatcher, m_grantSurveyor, m_witnesses, m_quotas, m_streamOrigins)
     , m_isolationDetector(m_loop.context(),
                           m_loop.timers(),
@@ -190,8 +192,21 @@
 GrantMarks::Hooks InstanceDaemon::grantMarkHooks()
 {
     return {[this] { return m_members.isLoaded() && !m_replicatedTurnStore.hasEnoughArchives(); },
-            [this](std::function<void(bool)> onWritten) { writeGrantHistory(std::move(onWritten)); },
-            [this] { m_provisionalGrantPolicy.setEarlierGrantsExcluded(); }};
+            [this](std::function<void(std::optional<MemberListRevision>)> onWritten) { writeGrantHistory(std::move(onWritten)); },
+            [this] { m_provisionalGrantPolicy.setEarlierGrantsExcluded(); },
+            [this] { return m_registryWatcher.memberListRevision(); },
+            [this] { m_registryWatcher.reloadMembers(); }};
+}
+
+MarkSurveyor::Hooks InstanceDaemon::markSurveyHooks()
+{
+    return {[this] { return m_registration.listedRevision(); },
+            [this](const InstanceId &instance, const GrantFenceId &fence) {
+                m_provisionalGrantPolicy.survey().onNoMarks(instance);
+                if (!fence.value().empty()) {
+                    m_provisionalGrantPolicy.survey().onFenced(instance, fence);
+                }
+            }};
 }
 
 // One that may still run makes no more grants once its member list, which lacks this incarnation, is too old.
@@ -201,10 +216,10 @@
     m_grantMarks.setHistory(std::move(history), hasEnded ? now : now + MemberDirectory::MaxListAge);
 }
 
-void InstanceDaemon::writeGrantHistory(std::function<void(bool)> onWritten)
+void InstanceDaemon::writeGrantHistory(std::function<void(std::optional<MemberListRevision>)> onWritten)
 {
     if (m_registration.isDeregistrationRequested()) {
-        onWritten(false);
+        onWritten(std::nullopt);
         return;
     }
     m_registration.sendHeartbeat(std::move(onWritten));
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -47,7 +47,8 @@
     std::optional<QuotaLimit> quotaOf(const WorkspaceId &id) const;
     void onRegistered(bool isNewMachine, const std::optional<MemberRecord> &earlier);
     void onEarlierIncarnation(GrantHistory history, bool hasEnded);
-    void writeGrantHistory(std::function<void(bool isWritten)> onWritten);
+    void writeGrantHistory(std::function<void(std::optional<MemberListRevision> revision)> onWritten);
+    MarkSurveyor::Hooks markSurveyHooks();
     void listen();
     void awaitSignals();
     void onSignal(int signal);
@@ -101,6 +102,7 @@
     HomeClient m_homeClient;
     RegistryWatcher m_registryWatcher;
     StreamOriginClient m_streamOrigins;
+    MarkSurveyor m_markSurveyor;
     GrantSurveyor m_grantSurveyor;
     PeerApi m_peerApi;
     IsolationDetector m_isolationDetector;
--- a/src/instance/instanceregistration.cpp
+++ b/src/instance/instanceregistration.cpp
@@ -99,7 +99,7 @@
     const bool isOwn = member && member->incarnation == m_self.incarnation;
     const bool hasEnded = member && !isOwn && !member->isPresumedDead && member->peerAddress.text() == m_self.peerAddress.text();
     m_replacedEntry = hasEnded ? member : std::nullopt;
-    if (isOwn && !member->isPresumedDead) {
+    if (isOwn && !member->isPresumedDead && member->grantFence.value().empty()) {
         onRegistered(); // By an earlier try whose response was lost.
         return;
     }
@@ -131,15 +131,26 @@
 void InstanceRegistration::onMembersChanged()
 {
     const MemberRecord *listed = m_members.find(m_self.id);
-    if (!m_isRegistering && (!listed || listed->isPresumedDead)) {
-        registerMember();
+    const bool isFenced = listed && !listed->grantFence.value().empty();
+    if (m_isRegistering || (listed && !listed->isPresumedDead && !isFenced)) {
+        return;
+    }
+    if (isFenced) {
+        logChange("fenced", "fence={}", listed->grantFence.value());
+        m_grantPolicy.setFenced(suspendAwareNow());
     }
+    registerMember();
+}
+
+std::optional<MemberListRevision> InstanceRegistration::listedRevision() const
+{
+    return m_isRegistering ? std::nullopt : std::make_optional(MemberListRevision(m_revisions.entry));
 }
 
-void InstanceRegistration::sendHeartbeat(std::function<void(bool)> onWritten)
+void InstanceRegistration::sendHeartbeat(std::function<void(std::optional<MemberListRevision>)> onWritten)
 {
     if (m_isRegistering) {
-        onWritten(false);
+        onWritten(std::nullopt);
         return;
     }
     platform::StoreTransaction transaction;
@@ -149,16 +160,16 @@
         if (!result) {
             logChange("heartbeat-not-written", "reason=\"{}\"", result.error().detail);
         }
-        onWritten(result && onHeartbeatCommitted(*result));
+        onWritten(result ? onHeartbeatCommitted(*result) : std::nullopt);
     });
 }
 
-// Returns whether the heartbeat was written. After an earlier one whose response was lost, the next try succeeds.
-bool InstanceRegistration::onHeartbeatCommitted(const platform::TransactionResult &result)
+// Returns the revision at which the heartbeat was written. After an earlier one whose response was lost, the next try succeeds.
+std::optional<MemberListRevision> InstanceRegistration::onHeartbeatCommitted(const platform::TransactionResult &result)
 {
     if (result.isCommitted) {
         m_revisions.heartbeat = result.revision;
-        return true;
+        return MemberListRevision(result.revision);
     }
     const platform::StoreItem heartbeat = findItem(result.currentItems, m_entry.heartbeatKey());
     const auto history = heartbeat.revision == 0 ? std::nullopt : GrantHistory::decode(heartbeat.data);
@@ -167,7 +178,7 @@
         m_revisions.heartbeat = heartbeat.revision;
     }
     logChange("heartbeat-conflict", "revision={} is_own={}", heartbeat.revision, isOwn);
-    return false;
+    return std::nullopt;
 }
 
 void InstanceRegistration::tryDeregister(bool hasProvisionalGrants)
--- a/src/instance/instanceregistration.h
+++ b/src/instance/instanceregistration.h
@@ -3,6 +3,7 @@
 #include "core/timerservice.h"
 #include "persistence/memberregistration.h"
 #include "serving/granthistory.h"
+#include "serving/markfence.h"
 #include "serving/provisionalgrantpolicy.h"
 
 namespace flamingo
@@ -36,11 +37,16 @@
     /// Registers once the store has told whether the last shutdown was planned, or has failed to.
     void start();
 
-    /// Registers again if the list has this process no longer, or as presumed dead, since it couldn't reach the store for a while.
+    /// Registers again if the list has this process no longer, as presumed dead or fenced, since it couldn't reach the store or others for
+    /// a while.
     void onMembersChanged();
 
-    /// Must not be called once the process has asked to be taken off the list. The handler is told whether it was written.
-    void sendHeartbeat(std::function<void(bool isWritten)> onWritten = [](bool) {});
+    /// Must not be called once the process has asked to be taken off the list. The handler gets the revision at which the heartbeat was
+    /// written, or nothing.
+    void sendHeartbeat(std::function<void(std::optional<MemberListRevision> revision)> onWritten = [](std::optional<MemberListRevision>) {});
+
+    /// The revision of this process's entry; nothing as long as the store hasn't accepted it.
+    std::optional<MemberListRevision> listedRevision() const;
 
     /// Takes the process off the list for good. It stays listed, like one that has crashed, while the store may not have recorded
     /// all provisional grants of this incarnation or of earlier ones.
@@ -60,7 +66,7 @@
     void onCommitted(const platform::TransactionResult &result);
     void onEarlierEntry(const std::optional<MemberRecord> &member, const std::string &heartbeat);
     void onRegistered();
-    bool onHeartbeatCommitted(const platform::TransactionResult &result);
+    std::optional<MemberListRevision> onHeartbeatCommitted(const platform::TransactionResult &result);
 
     const MemberRecord m_self;
     platform::PlatformStore &m_store;
--- a/src/instance/registrywatcher.cpp
+++ b/src/instance/registrywatcher.cpp
@@ -171,6 +171,7 @@
     } else {
         m_replica.apply(items);
     }
+    watched.appliedRevision = std::max(watched.appliedRevision, revision);
     if (&watched == &m_watchedMembers) {
         m_members.setLoaded();
         m_hooks.onMembersRead(confirmedAt);
@@ -323,6 +324,7 @@
     m_replica.apply(changes.items);
     watched.confirmedAt = confirmedAt;
     watched.watchRevision = std::max(watched.watchRevision, changes.revision);
+    watched.appliedRevision = std::max(watched.appliedRevision, changes.revision);
     m_feed.append(watched.prefix, changes, confirmedAt);
     if (&watched == &m_watchedMembers) {
         m_hooks.onMembersRead(confirmedAt);
@@ -393,6 +395,11 @@
     });
 }
 
+MemberListRevision RegistryWatcher::memberListRevision() const
+{
+    return MemberListRevision(m_watchedMembers.appliedRevision);
+}
+
 RegistryVersions RegistryWatcher::seenVersions() const
 {
     return {m_routes.configuration().version, m_watchedEndpoints.newestRevision};
--- a/src/instance/registrywatcher.h
+++ b/src/instance/registrywatcher.h
@@ -9,6 +9,7 @@
 #include "platform/recordcodec.h"
 #include "serving/configurationage.h"
 #include "serving/endpointdirectory.h"
+#include "serving/markfence.h"
 #include "serving/memberdirectory.h"
 #include "serving/registryreaders.h"
 #include "serving/registryversions.h"
@@ -55,6 +56,9 @@
     /// Reads the whole member list again.
     void reloadMembers();
 
+    /// The revision up to which the member list holds all changes.
+    MemberListRevision memberListRevision() const;
+
     /// The newest versions that this instance has seen, to be sent to its peers.
     RegistryVersions seenVersions() const;
 
--- a/src/instance/watchedprefix.h
+++ b/src/instance/watchedprefix.h
@@ -22,6 +22,7 @@
     platform::Revision newestRevision = 0; ///< Of the newest change seen.
     std::uint64_t newestPeerVersion = 0; ///< The newest that a peer has reported; compare isBehindPeers().
     platform::Revision watchRevision = 0; ///< Where the next watch begins; 0 if the prefix has to be listed again.
+    platform::Revision appliedRevision = 0; ///< All changes up to it have been applied.
     std::optional<Instant> confirmedAt; ///< When the store last confirmed that everything was seen, by suspendAwareNow().
     bool isLoaded = false;
     bool isStoreUnavailable = false;
--- a/src/persistence/replicatedturnstore.cpp
+++ b/src/persistence/replicatedturnstore.cpp
@@ -32,6 +32,7 @@
 constexpr std::size_t SparesFactor = 2;
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
+constexpr int StatusPreconditionFailed = 412;
 
 /// The store may still list an archive that was replaced under another name; both entries lead to the same disk.
 std::vector<MemberRecord> withDistinctAddresses(const std::vector<MemberRecord> &archives)
@@ -69,6 +70,7 @@
     std::set<DomainId> confirmedDomains;
     std::set<InstanceId> pendingArchives;
     std::set<InstanceId> lateArchives; ///< They are avoided for other turns, and may still confirm this one.
+    std::optional<MemberListRevision> memberListRevision; ///< Of a mark, which isn't written to the store.
     bool isSentToStore = false;
     bool hasStoreFailed = false;
 };
@@ -100,7 +102,34 @@
 void ReplicatedTurnStore::save(const TurnRecordPtr &turn, std::function<void(bool)> onSaved)
 {
     auto saving = std::make_shared<PendingSave>(m_context, turn, std::move(onSaved));
-    const std::vector<MemberRecord> archives = chooseArchives(turn->id);
+    const std::vector<MemberRecord> archives = chooseArchives(turn->id, true);
+    if (archives.empty()) {
+        saveToStore(saving);
+        return;
+    }
+    sendToArchives(archives, saving);
+}
+
+void ReplicatedTurnStore::saveMark(const TurnRecordPtr &mark, MemberListRevision basedOn, std::function<void(bool)> onSaved)
+{
+    auto saving = std::make_shared<PendingSave>(m_context, mark, std::move(onSaved));
+    saving->memberListRevision = basedOn;
+    saving->hasStoreFailed = true;
+    const std::vector<MemberRecord> archives = chooseArchives(mark->id, false);
+    if (archives.empty()) {
+        asio::post(m_context, [saving] { saving->finish(false); });
+        return;
+    }
+    sendToArchives(archives, saving);
+}
+
+void ReplicatedTurnStore::loadMark(const RequestId &id, std::function<void(TurnLookup)> onLoaded)
+{
+    load(id, std::move(onLoaded));
+}
+
+void ReplicatedTurnStore::sendToArchives(const std::vector<MemberRecord> &archives, const std::shared_ptr<PendingSave> &saving)
+{
     for (const MemberRecord &archive : archives) {
         saving->pendingArchives.insert(archive.id);
         // Further failures of an archive that is avoided already don't lengthen that.
@@ -108,8 +137,9 @@
             saving->lateArchives.insert(archive.id);
         }
     }
+    const TurnRecord &turn = *saving->turn;
     for (const MemberRecord &archive : archives) {
-        ArchiveKeepRequest message{turn->id, turn->encode(), archive.id == archives.front().id, {}};
+        ArchiveKeepRequest message{turn.id, turn.encode(), archive.id == archives.front().id, {}, saving->memberListRevision};
         for (const MemberRecord &other : archives) {
             if (other.id != archive.id) {
                 message.otherReplicas.push_back(other.peerAddress.text());
@@ -117,10 +147,6 @@
         }
         sendToArchive(archive, message.encode(), saving);
     }
-    if (archives.empty()) {
-        saveToStore(saving);
-        return;
-    }
     saving->fallbackTimer.expires_after(StoreFallbackDelay);
     saving->fallbackTimer.async_wait([this, saving](const asio::error_code &ec) {
         if (!ec) {
@@ -141,7 +167,7 @@
 
 // Returns nothing if there aren't enough archives. In an outage of the store there is no other place for the turn, so archives that
 // have just failed are tried as well, with one spare for each replica.
-std::vector<MemberRecord> ReplicatedTurnStore::chooseArchives(const RequestId &turn) const
+std::vector<MemberRecord> ReplicatedTurnStore::chooseArchives(const RequestId &turn, bool mayUseStore) const
 {
     const Instant now = std::chrono::steady_clock::now();
     std::vector<MemberRecord> archives = withDistinctAddresses(m_members.rankedArchives(turn.value(), now));
@@ -149,7 +175,7 @@
         archives.resize(m_replicaCount);
         return archives;
     }
-    if (!m_platformStore.hasRecentFailure()) {
+    if (mayUseStore && !m_platformStore.hasRecentFailure()) {
         return {};
     }
     archives = withDistinctAddresses(m_members.rankedListedArchives(turn.value(), now));
@@ -173,6 +199,8 @@
                 ++saving->confirmedReplicas;
                 saving->confirmedDomains.insert(domain);
                 m_members.recordSuccess(id);
+            } else if (answer && answer->status == StatusPreconditionFailed) {
+                logChange("mark-refused", "archive={} list_revision={}", id.value(), saving->memberListRevision.value_or(MemberListRevision()).value());
             } else {
                 onArchiveUnreachable(saving, id);
                 saveToStore(saving);
@@ -209,7 +237,7 @@
 
 void ReplicatedTurnStore::saveToStore(const std::shared_ptr<PendingSave> &saving)
 {
-    if (saving->isSentToStore) {
+    if (saving->isSentToStore || saving->memberListRevision) {
         return;
     }
     saving->isSentToStore = true;
--- a/src/persistence/replicatedturnstore.h
+++ b/src/persistence/replicatedturnstore.h
@@ -2,6 +2,7 @@
 
 #include "http/internalrequest.h"
 #include "persistence/platformturnstore.h"
+#include "serving/grantmarks.h"
 #include "serving/memberdirectory.h"
 
 #include <functional>
@@ -13,7 +14,7 @@
 /// archives write them to the platform's store in batches; when one doesn't respond in time, the turn is written to the
 /// store directly. So a turn costs a fraction of a store call, and can be saved while either the store or enough archives
 /// can be reached.
-class ReplicatedTurnStore : public TurnStore
+class ReplicatedTurnStore : public TurnStore, public GrantMarkStore
 {
 public:
     ReplicatedTurnStore(asio::io_context &context,
@@ -28,6 +29,9 @@
     /// The result is Absent only when the store and every archive say so, and the store lists no archive that was not queried.
     void load(const RequestId &id, std::function<void(TurnLookup)> onLoaded) override;
 
+    void saveMark(const TurnRecordPtr &mark, MemberListRevision basedOn, std::function<void(bool isDurable)> onSaved) override;
+    void loadMark(const RequestId &id, std::function<void(TurnLookup)> onLoaded) override;
+
     /// Whether enough archives are listed, reachable or not, to hold a turn without the store.
     bool hasEnoughArchives() const;
 
@@ -35,7 +39,8 @@
     struct PendingSave;
     struct PendingLoad;
 
-    std::vector<MemberRecord> chooseArchives(const RequestId &turn) const;
+    std::vector<MemberRecord> chooseArchives(const RequestId &turn, bool mayUseStore) const;
+    void sendToArchives(const std::vector<MemberRecord> &archives, const std::shared_ptr<PendingSave> &saving);
     void sendToArchive(const MemberRecord &archive, const std::string &message, const std::shared_ptr<PendingSave> &saving);
     void onArchivesLate(const std::shared_ptr<PendingSave> &saving);
     void onArchiveUnreachable(const std::shared_ptr<PendingSave> &saving, const InstanceId &archive);
--- a/src/serving/archivemessages.h
+++ b/src/serving/archivemessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "serving/markfence.h"
 #include "serving/turncache.h"
 
 #include <optional>
@@ -15,6 +16,8 @@
     std::string record; ///< TurnRecord::encode().
     bool isPrimary = true; ///< This archive writes the turn to the store; the others do so if it doesn't in time.
     std::vector<std::string> otherReplicas; ///< Addresses of the archives with the other replicas.
+    /// Of a mark for provisional grants: the member list that the grants are based on. See MarkFence.
+    std::optional<MemberListRevision> memberListRevision{};
 
     std::string encode() const;
     static std::optional<ArchiveKeepRequest> decode(const std::string &bytes);
@@ -28,9 +31,18 @@
     static std::optional<ArchiveForgetRequest> decode(const std::string &bytes);
 };
 
-/// Paths that archives serve: keep a turn, forget turns, look a turn up (followed by the turn's id, percent-encoded).
+/// Asks an archive to refuse marks that are based on older member lists; see MarkFence.
+struct ArchiveFenceRequest {
+    MemberListRevision revision;
+
+    std::string encode() const;
+    static std::optional<ArchiveFenceRequest> decode(const std::string &bytes);
+};
+
+/// Paths that archives serve: keep a turn, forget turns, look a turn up (followed by the turn's id, percent-encoded), fence marks.
 constexpr const char *ArchiveKeepPath = "/turns/keep";
 constexpr const char *ArchiveForgetPath = "/turns/forget";
 constexpr const char *ArchiveLookupPath = "/turns/of/";
+constexpr const char *ArchiveFencePath = "/marks/fence";
 
 } // namespace flamingo
--- a/src/serving/budgetledger.cpp
+++ b/src/serving/budgetledger.cpp
@@ -149,6 +149,9 @@
     const Tokens remaining = proposed.remaining();
     // Tokens that this holder has been granted but not reserved count towards what is wanted.
     const Tokens unused = ownGrant - account.committedTokens();
+    if (hasOwnReserve(account) && proposed.provisionalReserve.value() > 0 && remaining < account.lastTurnMaximum + account.lastTurnMaximum) {
+        m_checks.onReserveNeeded(account.program);
+    }
     if (!account.waiters.empty() && remaining < account.waiters.front().maxTokens - unused) {
         handleShortage(account);
         return;
@@ -169,9 +172,13 @@
 bool BudgetLedger::mayDropProvisionalReserve(const BudgetAccount &account) const
 {
     const bool isSoleGranter = account.wasSoleGranterAtStart && m_checks.isSoleGranter(account.program);
-    // A reserve in another holder's record may stand for a grant of an instance that is gone.
-    const bool isOwnReserve = account.revision == 0 || account.hasCreatedRecord;
-    return isSoleGranter || (isOwnReserve && m_checks.excludesUnrecordedGrants(account.program));
+    return isSoleGranter || (hasOwnReserve(account) && m_checks.excludesUnrecordedGrants(account.program));
+}
+
+// A reserve in another holder's record may stand for a grant of an instance that is gone.
+bool BudgetLedger::hasOwnReserve(const BudgetAccount &account)
+{
+    return account.revision == 0 || account.hasCreatedRecord;
 }
 
 void BudgetLedger::writeRecord(BudgetAccount &account, BudgetRecord proposed, SwapHandler onResult)
--- a/src/serving/budgetledger.h
+++ b/src/serving/budgetledger.h
@@ -40,6 +40,8 @@
         std::function<bool()> isGrantMarked = [] { return true; };
         /// Stores that mark. The handler is told whether it is stored.
         std::function<void(std::function<void(bool isMarked)> onMarked)> storeGrantMark = [](const auto &onMarked) { onMarked(false); };
+        /// Turns soon need what is held back for provisional grants that may not be recorded, of a program that had no record so far.
+        std::function<void(const ProgramId &program)> onReserveNeeded = [](const ProgramId &) {};
     };
 
     /// Without a network of witnesses all that was granted to a holder that is gone counts as spent.
@@ -77,6 +79,7 @@
     void requestTokens(BudgetAccount &account);
     void requestGrant(BudgetAccount &account);
     bool mayDropProvisionalReserve(const BudgetAccount &account) const;
+    static bool hasOwnReserve(const BudgetAccount &account);
     void writeRecord(BudgetAccount &account, BudgetRecord proposed, SwapHandler onResult);
     void onGrantWritten(BudgetAccount &account, const BudgetRecord &proposed, const SwapResult &result);
     bool handleFailedWrite(BudgetAccount &account, SwapResult::Status status);
--- a/src/serving/grantmarks.cpp
+++ b/src/serving/grantmarks.cpp
@@ -19,8 +19,8 @@
 constexpr Milliseconds MaxLookupDelay{8000};
 } // namespace
 
-GrantMarks::GrantMarks(const IncarnationId &self, TurnStore &turnStore, Hooks hooks, Instant startedAt)
-    : m_turnStore(turnStore)
+GrantMarks::GrantMarks(const IncarnationId &self, GrantMarkStore &markStore, Hooks hooks, Instant startedAt)
+    : m_markStore(markStore)
     , m_hooks(std::move(hooks))
     , m_startedAt(startedAt)
     , m_lookupDelay(FirstLookupDelay)
@@ -32,7 +32,7 @@
 {
     m_history = std::move(history);
     m_markedAt.reset();
-    m_mayGrantUnmarked = false;
+    m_unmarkedFrom.reset();
     m_nextLookupAt = lookUpAt;
 }
 
@@ -43,7 +43,8 @@
 
 bool GrantMarks::mayGrant(Instant now) const
 {
-    return m_mayGrantUnmarked || (m_markedAt && now - *m_markedAt < MarkRetention);
+    const bool mayGrantUnmarked = m_unmarkedFrom && m_hooks.memberListRevision() >= *m_unmarkedFrom;
+    return mayGrantUnmarked || (m_markedAt && now - *m_markedAt < MarkRetention);
 }
 
 void GrantMarks::storeMark(Instant now, std::function<void(bool)> onStored)
@@ -59,7 +60,8 @@
     TurnRecord mark;
     mark.id = m_history.own.markId();
     mark.retention = MarkRetention;
-    m_turnStore.save(std::make_shared<const TurnRecord>(std::move(mark)), [this, now](bool isStored) { onMarkStored(isStored, now); });
+    m_markStore.saveMark(
+        std::make_shared<const TurnRecord>(std::move(mark)), m_hooks.memberListRevision(), [this, now](bool isStored) { onMarkStored(isStored, now); });
 }
 
 void GrantMarks::onMarkStored(bool isStored, Instant now)
@@ -108,7 +110,7 @@
 {
     m_history.own.period = GrantPeriod(m_history.own.period.value() + 1);
     m_history.own.marksGrants = true;
-    m_mayGrantUnmarked = false;
+    m_unmarkedFrom.reset();
     m_markedAt.reset();
     m_isHistoryWritten = false;
 }
@@ -118,12 +120,21 @@
     if (std::exchange(m_isWriting, true)) {
         return;
     }
-    m_hooks.writeHeartbeat([this, written = m_history.own](bool isWritten) {
-        m_isWriting = false;
-        const bool isPresent = written.period == m_history.own.period && written.marksGrants == m_history.own.marksGrants;
-        m_isHistoryWritten = isWritten && isPresent;
-        m_mayGrantUnmarked = m_isHistoryWritten && !m_history.own.marksGrants;
-    });
+    m_hooks.writeHeartbeat([this, written = m_history.own](std::optional<MemberListRevision> revision) { onHistoryWritten(written, revision); });
+}
+
+// An instance that was added reads this heartbeat to find out whether it has to look for a mark. If it has read the one before, its own
+// entry is older than the revision of this one, and so on the list that is read now.
+void GrantMarks::onHistoryWritten(const GrantHistory::Entry &written, std::optional<MemberListRevision> revision)
+{
+    m_isWriting = false;
+    const bool isPresent = written.period == m_history.own.period && written.marksGrants == m_history.own.marksGrants;
+    m_isHistoryWritten = revision && isPresent;
+    m_unmarkedFrom.reset();
+    if (m_isHistoryWritten && !m_history.own.marksGrants) {
+        m_unmarkedFrom = revision;
+        m_hooks.reloadMembers();
+    }
 }
 
 void GrantMarks::lookUpEarlier(Instant now)
@@ -138,7 +149,7 @@
         return;
     }
     m_isLookingUp = true;
-    m_turnStore.load(entry.markId(), [this, entry, now](const TurnLookup &lookup) { onLookedUp(entry, lookup.status, now); });
+    m_markStore.loadMark(entry.markId(), [this, entry, now](const TurnLookup &lookup) { onLookedUp(entry, lookup.status, now); });
 }
 
 void GrantMarks::onLookedUp(const GrantHistory::Entry &entry, TurnLookup::Status status, Instant now)
--- a/src/serving/grantsurvey.cpp
+++ b/src/serving/grantsurvey.cpp
@@ -50,6 +50,22 @@
     }
 }
 
+void GrantSurvey::onNoMarks(const InstanceId &instance)
+{
+    m_cleared.emplace(instance, Milliseconds(0));
+}
+
+void GrantSurvey::onFenced(const InstanceId &instance, const GrantFenceId &fence)
+{
+    m_fenced[instance] = fence;
+}
+
+bool GrantSurvey::isFenced(const MemberRecord &member) const
+{
+    const auto it = m_fenced.find(member.id);
+    return it != m_fenced.end() && it->second == member.grantFence;
+}
+
 std::vector<MemberRecord> GrantSurvey::openQuestions() const
 {
     std::vector<MemberRecord> open;
--- a/src/serving/grantsurvey.h
+++ b/src/serving/grantsurvey.h
@@ -40,6 +40,15 @@
 
     void onAnswer(const InstanceId &from, const GrantSurveyAnswer &answer);
 
+    /// An instance that doesn't answer has no unrecorded grants, by its marks, and makes none to a program that prefers this instance.
+    void onNoMarks(const InstanceId &instance);
+
+    /// The instance's entry has this fence, and by its marks it has no unrecorded grants.
+    void onFenced(const InstanceId &instance, const GrantFenceId &fence);
+
+    /// Whether the listed instance has no unrecorded grants, and can make none as long as it is listed with the same fence.
+    bool isFenced(const MemberRecord &member) const;
+
     /// The instances that have to be asked, or asked again.
     std::vector<MemberRecord> openQuestions() const;
 
@@ -48,9 +57,10 @@
 
 private:
     const MemberDirectory &m_members;
-    /// By instance: for how long it was listed when it said that there are no unrecorded grants of it. That stays true, since this
-    /// instance is on its member list since then.
+    /// By instance: for how long it was listed when it said that there are no unrecorded grants of it; zero where that isn't known. It
+    /// stays true, since this instance is on its member list since then.
     std::map<InstanceId, Milliseconds> m_cleared;
+    std::map<InstanceId, GrantFenceId> m_fenced;
 };
 
 } // namespace flamingo
--- a/src/serving/memberdirectory.cpp
+++ b/src/serving/memberdirectory.cpp
@@ -27,9 +27,12 @@
 
 std::string MemberRecord::encode() const
 {
-    return nlohmann::json{
-        {"domain", domain}, {"peers", peerAddress.text()}, {"holder", incarnation}, {"archive", role == Role::Archive}, {"gone", isPresumedDead}}
-        .dump();
+    nlohmann::json json = {
+        {"domain", domain}, {"peers", peerAddress.text()}, {"holder", incarnation}, {"archive", role == Role::Archive}, {"gone", isPresumedDead}};
+    if (!grantFence.value().empty()) {
+        json["fence"] = grantFence;
+    }
+    return json.dump();
 }
 
 std::optional<MemberRecord> MemberRecord::decode(const InstanceId &id, const std::string &bytes)
@@ -40,7 +43,13 @@
             return std::nullopt;
         }
         const Role role = json.value("archive", false) ? Role::Archive : Role::Instance;
-        return MemberRecord{id, DomainId(json.value("domain", "")), *address, IncarnationId(json.value("holder", "")), role, json.value("gone", false)};
+        return MemberRecord{id,
+                            DomainId(json.value("domain", "")),
+                            *address,
+                            IncarnationId(json.value("holder", "")),
+                            role,
+                            json.value("gone", false),
+                            GrantFenceId(json.value("fence", ""))};
     });
 }
 
@@ -170,6 +179,17 @@
     return ids;
 }
 
+std::vector<MemberRecord> MemberDirectory::outrankingInstances(const ProgramId &program) const
+{
+    std::vector<MemberRecord> members;
+    for (const MemberRecord &member : listedInstances()) {
+        if (outranksSelf(program, member.id)) {
+            members.push_back(member);
+        }
+    }
+    return members;
+}
+
 bool MemberDirectory::outranksSelf(const ProgramId &program, const InstanceId &other) const
 {
     return std::make_pair(homeWeight(program, other), other) > std::make_pair(homeWeight(program, m_self), m_self);
--- a/src/serving/memberdirectory.h
+++ b/src/serving/memberdirectory.h
@@ -15,6 +15,9 @@
 namespace flamingo
 {
 
+/// Set in an instance's entry by another one that can't reach it. No two are equal.
+using GrantFenceId = StrongId<struct GrantFenceTag, std::string>;
+
 /// Registration of an instance or an archive in the store.
 struct MemberRecord {
     enum class Role {
@@ -28,6 +31,7 @@
     IncarnationId incarnation; ///< This start of the process; an instance holds parts of budgets under it.
     Role role = Role::Instance;
     bool isPresumedDead = false; ///< No heartbeat for long: it gets nothing new, but its grants and its turns still count.
+    GrantFenceId grantFence{}; ///< Unless it is empty, the instance may make no provisional grants until it has registered again.
 
     std::string encode() const;
     static std::optional<MemberRecord> decode(const InstanceId &id, const std::string &bytes);
@@ -80,6 +84,9 @@
     /// The preferred home among all that are listed and not presumed dead, reachable or not. Instances with the same list agree on it.
     std::optional<InstanceId> listedHome(const ProgramId &key) const;
 
+    /// All other listed instances that are preferred as the program's home to this one, presumed dead or not.
+    std::vector<MemberRecord> outrankingInstances(const ProgramId &program) const;
+
     /// Whether the other instance, listed or not, is preferred as home to this one.
     bool outranksSelf(const ProgramId &program, const InstanceId &other) const;
 
--- a/src/serving/provisionalgrantpolicy.cpp
+++ b/src/serving/provisionalgrantpolicy.cpp
@@ -46,6 +46,16 @@
     }
 }
 
+void ProvisionalGrantPolicy::setFenced(Instant now)
+{
+    m_fencedAt = now;
+}
+
+bool ProvisionalGrantPolicy::wasFencedLately(Instant now) const
+{
+    return m_fencedAt && now - *m_fencedAt < ProgramIdleTimeout;
+}
+
 void ProvisionalGrantPolicy::onListRead(Instant confirmedAt)
 {
     m_listReadAt = std::max(m_listReadAt, confirmedAt);
@@ -69,7 +79,7 @@
 
 bool ProvisionalGrantPolicy::mayGrant(const ProgramId &program, Instant now) const
 {
-    return m_listReadAt >= m_registeredAt && isListFresh(now) && hasOutlivedEarlierGrants(now) && m_members.isPreferredHome(program)
+    return m_listReadAt >= m_registeredAt && isListFresh(now) && hasOutlivedEarlierGrants(now) && !wasFencedLately(now) && m_members.isPreferredHome(program)
            && m_members.isPreferredOverRemoved(program);
 }
 
@@ -86,11 +96,25 @@
     return m_isFirstStart || m_isCleanRestart || m_isNewMember || m_areEarlierGrantsExcluded;
 }
 
+// Whether each instance that may still make provisional grants has this one on its list, and each program that one without it may have
+// granted to has ended.
+bool ProvisionalGrantPolicy::isOnAllLists(Instant now) const
+{
+    return m_isFirstStart || (m_registeredAt <= now && now - m_registeredAt >= MemberDirectory::MaxListAge + ProgramIdleTimeout);
+}
+
+bool ProvisionalGrantPolicy::areOutrankingInstancesFenced(const ProgramId &program) const
+{
+    const std::vector<MemberRecord> members = m_members.outrankingInstances(program);
+    return std::all_of(members.begin(), members.end(), [this](const MemberRecord &it) { return m_survey.isFenced(it); });
+}
+
 bool ProvisionalGrantPolicy::excludesUnrecordedGrants(const ProgramId &program, Instant now) const
 {
     // A list that was read after this instance's registration holds all others that may not know of it.
     const bool isListComplete = m_listReadAt >= m_registeredAt && isListFresh(now);
-    return hasNoEarlierGrants() && isListComplete && m_members.isPreferredHome(program) && m_survey.excludesGrants(program);
+    const bool hasNoOwnGrants = hasNoEarlierGrants() || hasOutlivedEarlierGrants(now);
+    return hasNoOwnGrants && isListComplete && areOutrankingInstancesFenced(program) && (isOnAllLists(now) || m_survey.excludesGrants(program));
 }
 
 bool ProvisionalGrantPolicy::needsSurvey(Instant now) const
--- a/src/serving/provisionalgrantpolicy.h
+++ b/src/serving/provisionalgrantpolicy.h
@@ -5,6 +5,8 @@
 #include "serving/grantsurvey.h"
 #include "serving/memberdirectory.h"
 
+#include <optional>
+
 namespace flamingo
 {
 
@@ -42,6 +44,10 @@
     /// since an instance leaves the list only with all its grants recorded.
     void setRegistered(bool hadEarlierEntry, Instant now);
 
+    /// Another instance has fenced this one, since it couldn't be reached, and may have let others use budgets of which this one has seen
+    /// no record.
+    void setFenced(Instant now);
+
     /// The member list was up to date at that time.
     void onListRead(Instant confirmedAt);
 
@@ -70,12 +76,16 @@
     bool hasOutlivedEarlierGrants(Instant now) const;
     bool isListFresh(Instant now) const;
     bool hasNoEarlierGrants() const;
+    bool wasFencedLately(Instant now) const;
+    bool isOnAllLists(Instant now) const;
+    bool areOutrankingInstancesFenced(const ProgramId &program) const;
 
     const MemberDirectory &m_members;
     GrantSurvey m_survey;
     Instant m_startedAt;
     Instant m_listReadAt{}; ///< When the member list was last known to be up to date.
     Instant m_registeredAt{};
+    std::optional<Instant> m_fencedAt;
     bool m_isFirstStart = false;
     bool m_isCleanRestart = false;
     bool m_areEarlierGrantsExcluded = false;
--- a/tests/platform/persistencetest.cpp
+++ b/tests/platform/persistencetest.cpp
@@ -116,7 +116,8 @@
     };
     const auto sendHeartbeat = [&](Registered &it) {
         std::promise<bool> result;
-        asio::post(loop.loop.context(), [&] { it.registration.sendHeartbeat([&](bool isWritten) { result.set_value(isWritten); }); });
+        asio::post(loop.loop.context(),
+                   [&] { it.registration.sendHeartbeat([&](std::optional<MemberListRevision> revision) { result.set_value(revision.has_value()); }); });
         return result.get_future().get();
     };
     const auto start = [&](Registered &it) {
--- a/tests/platform/restartbudgettest.cpp
+++ b/tests/platform/restartbudgettest.cpp
@@ -92,6 +92,14 @@
         awaitReady();
     }
 
+    /// Adds an instance under another name and address in place of the last one, which stays listed.
+    void replaceLast()
+    {
+        replaced = std::move(instances.back());
+        instances.back() = std::make_unique<TestInstance>(store, Machines + 1);
+        awaitReady();
+    }
+
     CallerResponse sendTurn(const std::string &program, int turn, int attempt)
     {
         const TestInstance &instance = *instances[firstUsed + nextInstance++ % (instances.size() - firstUsed)];
@@ -150,6 +158,7 @@
     ScriptedEndpoint endpoint{respondWithTurn};
     std::vector<std::unique_ptr<TestArchive>> archives;
     std::vector<std::unique_ptr<TestInstance>> instances;
+    std::unique_ptr<TestInstance> replaced;
     std::size_t firstUsed = 0; ///< Instances before this one get no callers.
     std::size_t nextInstance = 0;
 };
@@ -200,6 +209,26 @@
     CHECK(countBelow(runAll(1, Turns), Turns) == 0);
 }
 
+// Guards against a survey that waits for instances which are listed but gone: half of the new instance's budgets was held back (review/10).
+TEST_CASE_METHOD(Fixture, "Programs that begin at an instance that replaced a killed one can use their whole budget", "[platform][restart][replaced]")
+{
+    settle();
+    instances.back()->process().kill();
+    replaceLast();
+    std::this_thread::sleep_for(SettleTime);
+    CHECK(countBelow(runAll(1, Turns), Turns) == 0);
+}
+
+// The same where the listed instance accepts connections and never answers.
+TEST_CASE_METHOD(Fixture, "Programs that begin at an instance that replaced a frozen one can use their whole budget", "[platform][restart][replaced]")
+{
+    settle();
+    instances.back()->process().sendSignal(SIGSTOP);
+    replaceLast();
+    std::this_thread::sleep_for(SettleTime);
+    CHECK(countBelow(runAll(1, Turns), Turns) == 0);
+}
+
 TEST_CASE_METHOD(Fixture, "Programs under way lose no more than a turn when all processes are killed", "[platform][restart][all-killed]")
 {
     settle();
--- a/tests/unit/servingtest.cpp
+++ b/tests/unit/servingtest.cpp
@@ -26,10 +26,29 @@
     return {EndpointId(id), PoolId("app"), DomainId("z"), SocketAddress{"127.0.0.1", 1}, 4, isLeaving, startedAt};
 }
 
-/// Turns in memory, with a switch that makes lookups fail.
-class InMemoryTurnStore : public TurnStore
+/// Turns and marks in memory, with a switch that makes lookups fail. The archives' fence holds for marks.
+class InMemoryTurnStore : public TurnStore, public GrantMarkStore
 {
 public:
+    InMemoryTurnStore()
+    {
+        fence.setRegistered({});
+    }
+
+    void saveMark(const TurnRecordPtr &mark, MemberListRevision basedOn, std::function<void(bool)> onSaved) override
+    {
+        if (fence.admits(basedOn)) {
+            save(mark, std::move(onSaved));
+        } else {
+            onSaved(false);
+        }
+    }
+
+    void loadMark(const RequestId &id, std::function<void(TurnLookup)> onLoaded) override
+    {
+        load(id, std::move(onLoaded));
+    }
+
     void save(const TurnRecordPtr &turn, std::function<void(bool)> onSaved) override
     {
         turns[turn->id] = turn;
@@ -48,6 +67,7 @@
 
     std::map<RequestId, TurnRecordPtr> turns;
     bool isUnreachable = false;
+    MarkFence fence;
 };
 
 TurnRecordPtr turn(const std::string &id, std::vector<RequestId> ancestors, const std::string &text)
@@ -434,6 +454,58 @@
     }
 }
 
+// Guards against half of a budget that is held back for an instance that is listed as the program's home and gone (review/10).
+TEST_CASE("Grants of a home that is gone are excluded while its entry has the fence that was looked at", "[serving]")
+{
+    const auto at = [](int ms) { return Start + Milliseconds(ms); };
+    const auto memberRecord = [](const std::string &id, const std::string &fence = {}) {
+        MemberRecord record{InstanceId(id), DomainId("z"), SocketAddress{"127.0.0.1", 1}, IncarnationId(id)};
+        record.grantFence = GrantFenceId(fence);
+        return record;
+    };
+    MemberDirectory members(InstanceId("self"), DomainId("z"));
+    for (const std::string id : {"self", "home"}) {
+        members.put(memberRecord(id));
+    }
+    members.setLoaded();
+    ProgramId program;
+    for (int n = 0; members.isPreferredHome(program); ++n) {
+        program = ProgramId("p" + std::to_string(n));
+    }
+    ProvisionalGrantPolicy policy(members, Start);
+    policy.setFirstStart();
+    policy.setRegistering();
+    policy.setRegistered(false, Start);
+    policy.onListRead(at(100));
+    CHECK_FALSE(policy.excludesUnrecordedGrants(program, at(200)));
+    policy.survey().onFenced(InstanceId("home"), GrantFenceId("f1"));
+    CHECK_FALSE(policy.excludesUnrecordedGrants(program, at(200))); // The list doesn't show the fence yet.
+    members.put(memberRecord("home", "f1"));
+    CHECK(policy.excludesUnrecordedGrants(program, at(200)));
+    members.put(memberRecord("home"));
+    CHECK_FALSE(policy.excludesUnrecordedGrants(program, at(200))); // It has registered again.
+    members.put(memberRecord("home", "f2"));
+    CHECK_FALSE(policy.excludesUnrecordedGrants(program, at(200))); // It may have made grants since the first fence.
+}
+
+TEST_CASE("An instance that was fenced makes no provisional grants while programs may have run without it", "[serving]")
+{
+    const auto at = [](int ms) { return Start + Milliseconds(ms); };
+    MemberDirectory members(InstanceId("self"), DomainId("z"));
+    members.put({InstanceId("self"), DomainId("z"), SocketAddress{"127.0.0.1", 1}, IncarnationId("self")});
+    members.setLoaded();
+    ProvisionalGrantPolicy policy(members, Start);
+    policy.setRegistering();
+    policy.setRegistered(false, Start);
+    policy.onListRead(at(200000));
+    CHECK(policy.mayGrant(ProgramId("p"), at(200000)));
+    policy.setFenced(at(200000));
+    CHECK_FALSE(policy.mayGrant(ProgramId("p"), at(200000)));
+    policy.onListRead(at(379000));
+    CHECK_FALSE(policy.mayGrant(ProgramId("p"), at(379999)));
+    CHECK(policy.mayGrant(ProgramId("p"), at(380000)));
+}
+
 TEST_CASE("A reserve for unrecorded provisional grants is released for programs under way, but not another holder's", "[serving]")
 {
     constexpr int Budget = 1800;
@@ -503,16 +575,26 @@
     bool hasNoArchives = false;
     bool isStoreAway = false;
     std::string heartbeat;
+    MemberListRevision revision(1);
+    MemberListRevision listRevision(1);
     struct Incarnation {
-        Incarnation(const std::string &name, InMemoryTurnStore &archives, bool &hasNoArchives, bool &isStoreAway, std::string &heartbeat)
+        Incarnation(const std::string &name,
+                    InMemoryTurnStore &archives,
+                    bool &hasNoArchives,
+                    bool &isStoreAway,
+                    std::string &heartbeat,
+                    MemberListRevision &revision,
+                    MemberListRevision &listRevision)
             : marks(IncarnationId(name),
                     archives,
                     {[&] { return hasNoArchives; },
-                     [this, &heartbeat, &isStoreAway](const std::function<void(bool)> &onWritten) {
+                     [this, &heartbeat, &isStoreAway, &revision](const std::function<void(std::optional<MemberListRevision>)> &onWritten) {
                          heartbeat = isStoreAway ? heartbeat : marks.history().encode();
-                         onWritten(!isStoreAway);
+                         onWritten(isStoreAway ? std::nullopt : std::make_optional(revision));
                      },
-                     [this] { isExcluded = true; }},
+                     [this] { isExcluded = true; },
+                     [&listRevision] { return listRevision; },
+                     [this] { isReloading = true; }},
                     Start)
         {
             if (const auto earlier = GrantHistory::decode(heartbeat)) {
@@ -529,9 +611,12 @@
         }
 
         bool isExcluded = false;
+        bool isReloading = false;
         GrantMarks marks;
     };
-    const auto start = [&](const std::string &name) { return std::make_unique<Incarnation>(name, archives, hasNoArchives, isStoreAway, heartbeat); };
+    const auto start = [&](const std::string &name) {
+        return std::make_unique<Incarnation>(name, archives, hasNoArchives, isStoreAway, heartbeat, revision, listRevision);
+    };
     const auto lookUp = [&](Incarnation &it, int atMs = 1000) {
         it.marks.onTimer(false, false, at(atMs));
         return it.isExcluded;
@@ -594,6 +679,24 @@
         first->marks.onTimer(false, false, at(6000));
         CHECK_FALSE(first->marks.mayGrant(at(6000)));
     }
+    SECTION("A mark that is based on a list from before a fence isn't stored, and allows no grant")
+    {
+        archives.fence.raise(MemberListRevision(2));
+        CHECK_FALSE(first->mark());
+        CHECK_FALSE(first->marks.mayGrant(Start));
+        listRevision = MemberListRevision(2);
+        CHECK(first->mark());
+    }
+    SECTION("Grants without marks wait for a list that was read after they were announced")
+    {
+        hasNoArchives = true;
+        revision = MemberListRevision(2);
+        first->marks.onTimer(false, false, at(6000));
+        CHECK(first->isReloading);
+        CHECK_FALSE(first->marks.mayGrant(at(6000)));
+        listRevision = MemberListRevision(2);
+        CHECK(first->marks.mayGrant(at(6000)));
+    }
     SECTION("Without archives nothing is excluded, also after some have been added")
     {
         hasNoArchives = true;
@@ -626,6 +729,9 @@
     int cleanRestarts = 0;
     int clearedSurveys = 0;
     int excludedRestarts = 0;
+    int clearedByMarks = 0;
+    int fencedInstances = 0;
+    int droppedReserves = 0;
     for (unsigned seed = 1; seed <= 3000; ++seed) {
         std::mt19937 random(seed);
         const auto randomBelow = [&](int limit) { return static_cast<int>(random() % static_cast<unsigned>(limit)); };
@@ -644,13 +750,15 @@
                 , marks(IncarnationId(name + ":" + std::to_string(incarnation)),
                         markStore,
                         {[] { return false; },
-                         [this, &heartbeats, name](const std::function<void(bool)> &onWritten) {
+                         [this, &heartbeats, name](const std::function<void(std::optional<MemberListRevision>)> &onWritten) {
                              if (!store.isRefusing) {
                                  heartbeats[name] = marks.history();
                              }
-                             onWritten(!store.isRefusing);
+                             onWritten(store.isRefusing ? std::nullopt : std::make_optional(listRevision));
                          },
-                         [this] { policy.setEarlierGrantsExcluded(); }},
+                         [this] { policy.setEarlierGrantsExcluded(); },
+                         [this] { return listRevision; },
+                         [] {}},
                         startedAt)
                 , holder(store,
                          name + ":" + std::to_string(incarnation),
@@ -661,31 +769,32 @@
                           [this](const ProgramId &program) { return policy.excludesUnrecordedGrants(program, now); },
                           [](const IncarnationId &) { return true; },
                           [this] { return marks.mayGrant(now); },
-                          [this](std::function<void(bool)> onMarked) { marks.storeMark(now, std::move(onMarked)); }})
+                          [this](std::function<void(bool)> onMarked) { marks.storeMark(now, std::move(onMarked)); },
+                          [this](const ProgramId &) { needsReserve = true; }})
             {
             }
 
             /// The archives, and the node's own way to the store, which a lookup needs as well.
-            struct MarkStoreView : TurnStore {
+            struct MarkStoreView : GrantMarkStore {
                 MarkStoreView(InMemoryTurnStore &archives, const InMemoryBudgetStore &store)
                     : archives(archives)
                     , store(store)
                 {
                 }
-                void save(const TurnRecordPtr &turn, std::function<void(bool)> onSaved) override
+                void saveMark(const TurnRecordPtr &mark, MemberListRevision basedOn, std::function<void(bool)> onSaved) override
                 {
                     if (isCutOff) {
                         onSaved(false);
                     } else {
-                        archives.save(turn, std::move(onSaved));
+                        archives.saveMark(mark, basedOn, std::move(onSaved));
                     }
                 }
-                void load(const RequestId &id, std::function<void(TurnLookup)> onLoaded) override
+                void loadMark(const RequestId &id, std::function<void(TurnLookup)> onLoaded) override
                 {
                     if (isCutOff || store.isRefusing) {
                         onLoaded({});
                     } else {
-                        archives.load(id, std::move(onLoaded));
+                        archives.loadMark(id, std::move(onLoaded));
                     }
                 }
                 InMemoryTurnStore &archives;
@@ -715,6 +824,9 @@
             ProvisionalGrantPolicy policy;
             Instant now{};
             bool isPartitioned = false; ///< From the other instances.
+            bool needsReserve = false;
+            MemberListRevision entryRevision; ///< Of its entry in the member list.
+            MemberListRevision listRevision; ///< Of the list as it was last read.
             StoreView store;
             MarkStoreView markStore;
             GrantMarks marks;
@@ -730,8 +842,12 @@
         std::map<std::string, Instant> cleanShutdownAt;
         Instant now = Start;
         int incarnation = 0;
-        const auto memberRecord = [](const std::string &id) {
-            return MemberRecord{InstanceId(id), DomainId("z"), SocketAddress{"127.0.0.1", 1}, IncarnationId(id)};
+        MemberListRevision revision;
+        std::map<std::string, GrantFenceId> fences;
+        const auto memberRecord = [&](const std::string &id) {
+            MemberRecord record{InstanceId(id), DomainId("z"), SocketAddress{"127.0.0.1", 1}, IncarnationId(id)};
+            record.grantFence = fences[id];
+            return record;
         };
         const auto startNode = [&](const std::string &name, bool isFirst) {
             nodes[name] = std::make_unique<Node>(store, archives, heartbeats, name, ++incarnation, now);
@@ -746,6 +862,32 @@
                 policy.setFirstStart();
             }
             policy.setRegistered(listed.count(name) != 0, now);
+            fences.erase(name);
+            revision = MemberListRevision(revision.value() + 1);
+            nodes[name]->entryRevision = revision;
+        };
+        // Compare MarkSurveyor.
+        const auto lookUpMarks = [&](Node &node, const std::string &other, bool isFencing) {
+            if (node.markStore.isCutOff || node.store.isRefusing) {
+                return;
+            }
+            if (isFencing && fences[other].value().empty()) {
+                revision = MemberListRevision(revision.value() + 1);
+                fences[other] = GrantFenceId(std::to_string(revision.value()));
+                ++fencedInstances;
+            }
+            archives.fence.raise(isFencing ? revision : node.entryRevision);
+            const GrantHistory &history = heartbeats.at(other);
+            std::vector<GrantHistory::Entry> entries = history.earlier;
+            entries.push_back(history.own);
+            const bool haveMarks = std::any_of(entries.begin(), entries.end(), [&](const auto &entry) { return archives.turns.count(entry.markId()) != 0; });
+            if (history.isComplete && !haveMarks) {
+                node.policy.survey().onNoMarks(InstanceId(other));
+                ++clearedByMarks;
+                if (isFencing) {
+                    node.policy.survey().onFenced(InstanceId(other), fences[other]);
+                }
+            }
         };
         const auto survey = [&](Node &node, Node &other) {
             if (node.isPartitioned || other.isPartitioned || !node.policy.needsSurvey(now)) {
@@ -765,6 +907,7 @@
                 }
             }
             node.members.setLoaded();
+            node.listRevision = revision;
             node.policy.onListRead(now);
         };
         for (const std::string &name : listed) {
@@ -807,6 +950,17 @@
             }
             Node &node = *it->second;
             node.now = now;
+            for (const MemberRecord &other : node.policy.survey().openQuestions()) {
+                if (node.policy.needsSurvey(now) && randomBelow(10) == 0) {
+                    lookUpMarks(node, other.id.value(), false);
+                }
+            }
+            for (const MemberRecord &other : node.members.outrankingInstances(ProgramId("p"))) {
+                if (node.needsReserve && listed.count(other.id.value()) != 0 && randomBelow(4) == 0) {
+                    lookUpMarks(node, other.id.value(), true);
+                }
+            }
+            const bool hadReserve = node.needsReserve && !node.policy.excludesUnrecordedGrants(ProgramId("p"), now);
             const bool hasEarlier = !node.marks.history().earlier.empty();
             node.marks.onTimer(node.holder.ledger.hasProvisionalGrants(), node.store.isRefusing, now);
             excludedRestarts += hasEarlier && node.marks.history().earlier.empty() ? 1 : 0;
@@ -823,6 +977,14 @@
             case 2:
                 if (!node.store.isRefusing) {
                     readList(node);
+                    droppedReserves += hadReserve && node.policy.excludesUnrecordedGrants(ProgramId("p"), now) ? 1 : 0;
+                    // A fenced instance registers again.
+                    if (listed.count(name) != 0 && !fences[name].value().empty()) {
+                        node.policy.setFenced(now);
+                        fences.erase(name);
+                        revision = MemberListRevision(revision.value() + 1);
+                        node.members.put(memberRecord(name));
+                    }
                 }
                 break;
             case 3:
@@ -863,6 +1025,9 @@
     CHECK(cleanRestarts > 100);
     CHECK(clearedSurveys > 100);
     CHECK(excludedRestarts > 100);
+    CHECK(clearedByMarks > 100);
+    CHECK(fencedInstances > 100);
+    CHECK(droppedReserves > 100);
 }
 
 TEST_CASE("An endpoint is removed at once while the store is reachable", "[serving]")
