Bytes that are no response never count as one

Cause: http_parser is lenient about status lines, names, folded lines and transfer codings, and its result was taken as it came. Endpoints, peers, archives, the store and its key-value calls are all read by MessageParser.

Change: MessageParser checks the raw head (HeadSyntax) and makes all of these an Error, in one place. Heads of requests are checked for names, folded lines and the major version.

--- a/src/http/messageparser.cpp
+++ b/src/http/messageparser.cpp
@@ -1,7 +1,11 @@
 #include "http/messageparser.h"
 
+#include "http/headsyntax.h"
+
 #include <http_parser.h>
 
+#include <algorithm>
+
 namespace flamingo
 {
 
@@ -13,7 +17,13 @@
 } // namespace
 
 struct MessageParser::Private {
+    explicit Private(Kind kind)
+        : syntax(kind == Kind::Requests ? HeadSyntax::Kind::Request : HeadSyntax::Kind::Response)
+    {
+    }
+
     http_parser parser{};
+    HeadSyntax syntax;
     MessageHead head;
     Event event = Event::NeedsMore;
     std::string_view body;
@@ -24,11 +34,13 @@
     std::size_t fieldCount = 0;
     bool isInsideMessage = false;
     bool hasHead = false;
+    bool hasInvalidName = false; ///< Of a field.
     bool isInFieldValue = false;
 
     void storeField()
     {
         if (isInFieldValue) {
+            hasInvalidName = hasInvalidName || !isToken(fieldName);
             head.fields.add(std::move(fieldName), std::move(fieldValue));
             ++fieldCount;
         }
@@ -43,6 +55,28 @@
         http_parser_pause(&parser, 1);
     }
 
+    /// What makes the head no head of a message; nullptr if nothing does.
+    const char *headFault() const
+    {
+        if (const char *fault = syntax.fault()) {
+            return fault;
+        }
+        if (hasInvalidName) {
+            return "the name of a field is no token";
+        }
+        if (parser.http_major != 1) {
+            return "another major version of HTTP";
+        }
+        const auto isUnknownCoding = [](const HeaderField &it) {
+            const std::string coding = it.value.substr(0, it.value.find_last_not_of(" \t") + 1);
+            return isSameHeaderName(it.name, "Transfer-Encoding") && !isSameHeaderName(coding, "chunked");
+        };
+        const std::vector<HeaderField> &fields = head.fields.all();
+        // Its body would be passed on as it was coded.
+        const bool hasUnknownCoding = parser.type == HTTP_RESPONSE && std::any_of(fields.begin(), fields.end(), isUnknownCoding);
+        return hasUnknownCoding ? "an unknown transfer coding" : nullptr;
+    }
+
     void takeHead()
     {
         storeField();
@@ -124,7 +158,7 @@
 } // namespace
 
 MessageParser::MessageParser(Kind kind)
-    : m_private(std::make_unique<Private>())
+    : m_private(std::make_unique<Private>(kind))
 {
     http_parser_init(&m_private->parser, kind == Kind::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
     m_private->parser.data = m_private.get();
@@ -140,9 +174,13 @@
         it.hasHead = false;
         it.headBytes = 0;
         it.fieldCount = 0;
+        it.hasInvalidName = false;
         it.isInFieldValue = false;
         it.storeField();
+        it.syntax.reset();
     }
+    const std::string_view fed = bytes;
+    const bool hadHead = it.hasHead;
     it.event = Event::NeedsMore;
     if (HTTP_PARSER_ERRNO(&it.parser) == HPE_PAUSED) {
         http_parser_pause(&it.parser, 0);
@@ -155,6 +193,15 @@
         it.error = http_errno_description(code);
         return Event::Error;
     }
+    if (!hadHead) {
+        it.syntax.feed(fed.substr(0, consumed));
+    }
+    if (it.event == Event::Head) {
+        if (const char *fault = it.headFault()) {
+            it.error = fault;
+            return Event::Error;
+        }
+    }
     if (it.event == Event::Complete) {
         it.isInsideMessage = false;
     }
--- a/src/http/messageparser.h
+++ b/src/http/messageparser.h
@@ -9,7 +9,9 @@
 namespace flamingo
 {
 
-/// Parses HTTP/1.1 messages with http_parser. It stops after each message and leaves the remaining bytes to the caller.
+/// Parses HTTP/1.1 messages with http_parser. It stops after each message and leaves the remaining bytes to the caller. All that the
+/// system reads of HTTP goes through it, so it decides what a message is: bytes that http_parser lets pass although they are none are an
+/// Error here.
 class MessageParser
 {
 public:
