A response that breaks off during the upload isn't complete

Cause: the failed write of the request takes the error of the reset, and the read that follows sees an ordinary end, which ends such a body.

Change: a response that is ended by its connection is complete only if the peer has acknowledged the whole request (ClientConnection::isRequestDelivered).

--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace flamingo::detail
 {
@@ -205,6 +207,15 @@
     });
 }
 
+// Whether the peer has acknowledged the whole request. While it hasn't, an end of the connection may stand for a reset, which a failed write
+// has taken or which is yet to arrive.
+bool ClientConnection::isRequestDelivered()
+{
+    int unacknowledged = 0;
+    const bool isKnown = ::ioctl(m_socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0;
+    return m_isRequestWritten && (!isKnown || unacknowledged == 0);
+}
+
 void ClientConnection::onReadError(const asio::error_code &ec)
 {
     if (!m_isBusy) {
@@ -212,11 +223,11 @@
         return;
     }
     const bool isResponseComplete = ec == asio::error::eof && m_parser.finish() == MessageParser::Event::Complete;
-    if (isResponseComplete && !m_isSkippingResponse) {
+    if (isResponseComplete && !m_isSkippingResponse && isRequestDelivered()) {
         complete(false);
         return;
     }
-    fail(RequestFailure::Kind::Broken, ec.message());
+    fail(RequestFailure::Kind::Broken, isResponseComplete ? "closed before the request was read" : ec.message());
 }
 
 void ClientConnection::onBytes(std::string_view bytes)
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -53,6 +53,7 @@
     }
 
     void write();
+    bool isRequestDelivered();
     void failUnsent(std::uint64_t requestNumber);
     void read();
     void onReadError(const asio::error_code &ec);
