A sole software version is confirmed by the store after the caller has asked

What callers may see (reported from other systems, shown here): a stream that began at an endpoint of a new software version is taken up at an instance that is cut off or stood still while that version joined, and goes on at an endpoint of another version (ORDER).

Cause: without a note of a stream an instance let it go on if its own view of the endpoints had a single version, and counted that view for 10 s after the store had last confirmed it. One that hears nobody decided alone.

Change: the store has to confirm the version after the caller has asked (VersionConfirmer), from the revision on up to which each registration was seen. Registrations that come and go within a batch are seen, and what a listing or a reader leaves out is read from the store.

Why it works: a stream's endpoint was registered before the stream began, so a later call tells of it.

--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -119,17 +119,20 @@
                         m_members,
                         m_configurationAge,
                         {[this] { onEndpointsChanged(); },
+                         [this](const EndpointEntry &it) { m_streamOrigins.addEndpoint(it); },
+                         [this] { m_streamOrigins.onEndpointsMissed(); },
                          [this] { onMembersChanged(); },
                          [this](Instant confirmedAt) {
                              m_provisionalGrantPolicy.onListRead(confirmedAt);
                              m_quotas.onMembersRead(confirmedAt);
                          }})
-    , m_streamOrigins(
-          m_loop.context(),
-          m_members,
-          m_peerConnections,
-          [this] { return m_registryWatcher.endpointsConfirmedAt(); },
-          m_metrics)
+    , m_versionConfirmer(m_loop.context(), m_store)
+    , m_streamOrigins(m_loop.context(),
+                      m_members,
+                      m_peerConnections,
+                      m_versionConfirmer,
+                      {[this] { return m_registryWatcher.endpointsConfirmedAt(); }, [this] { return m_registryWatcher.endpointsRevision(); }},
+                      m_metrics)
     , m_markSurveyor(m_loop.context(), m_store, m_members, m_archiveConnections, m_replicatedTurnStore, m_incarnation, markSurveyHooks())
     , m_grantSurveyor(m_loop.context(), m_loop.timers(), m_members, m_peerConnections, m_markSurveyor, m_provisionalGrantPolicy, m_budgets)
     , m_peerApi(m_store, m_homeService, m_registryWatcher, m_grantSurveyor, m_witnesses, m_quotas, m_streamOrigins)
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -101,6 +101,7 @@
     HomeService m_homeService;
     HomeClient m_homeClient;
     RegistryWatcher m_registryWatcher;
+    VersionConfirmer m_versionConfirmer;
     StreamOriginClient m_streamOrigins;
     MarkSurveyor m_markSurveyor;
     GrantSurveyor m_grantSurveyor;
--- a/src/instance/registryreplica.cpp
+++ b/src/instance/registryreplica.cpp
@@ -76,6 +76,9 @@
 {
     const EndpointId id(item.key.substr(std::string_view(platform::EndpointPrefix).size()));
     const auto entry = item.revision == 0 ? std::nullopt : platform::decodeEndpoint(item.key, item.data);
+    if (entry) {
+        m_hooks.onEndpointRegistered(*entry);
+    }
     const bool isChange = entry ? m_endpointDirectory.put(*entry) : m_endpointDirectory.remove(id, std::chrono::steady_clock::now());
     if (isChange && isLogged) {
         logChange("endpoint-changed", "endpoint={} state={} revision={}", id.value(), entry ? (entry->isLeaving ? "leaving" : "ready") : "gone", item.revision);
--- a/src/instance/registryreplica.h
+++ b/src/instance/registryreplica.h
@@ -20,6 +20,7 @@
     /// Called once per batch of changes, since handling one takes time that grows with the number of endpoints or members.
     struct Hooks {
         std::function<void()> onEndpointsChanged;
+        std::function<void(const EndpointEntry &endpoint)> onEndpointRegistered; ///< Called for each entry.
         std::function<void()> onMembersChanged;
     };
 
--- a/src/instance/registrywatcher.cpp
+++ b/src/instance/registrywatcher.cpp
@@ -70,7 +70,7 @@
     , m_members(members)
     , m_configurationAge(configurationAge)
     , m_hooks(std::move(hooks))
-    , m_replica(routes, endpointDirectory, members, {m_hooks.onEndpointsChanged, [this] { onMembersChanged(); }})
+    , m_replica(routes, endpointDirectory, members, {m_hooks.onEndpointsChanged, m_hooks.onEndpointRegistered, [this] { onMembersChanged(); }})
     , m_random(static_cast<unsigned>(stableHash(members.self().value())))
 {
     m_watchedConfiguration.prefix = platform::OperatorPrefix;
@@ -158,7 +158,7 @@
 
 void RegistryWatcher::applyListing(WatchedPrefix &watched, const std::vector<platform::StoreItem> &items, platform::Revision revision, Instant confirmedAt)
 {
-    watched.isLoaded = true;
+    const bool isFirst = !std::exchange(watched.isLoaded, true);
     watched.confirmedAt = confirmedAt;
     watched.watchRevision = revision;
     watched.newestRevision = std::max(watched.newestRevision, revision);
@@ -172,12 +172,55 @@
         m_replica.apply(items);
     }
     watched.appliedRevision = std::max(watched.appliedRevision, revision);
+    if (isFirst) {
+        watched.continuousRevision = revision;
+    } else if (&watched == &m_watchedEndpoints) {
+        readMissedEndpoints();
+    }
     if (&watched == &m_watchedMembers) {
         m_members.setLoaded();
         m_hooks.onMembersRead(confirmedAt);
     }
 }
 
+void RegistryWatcher::advanceContinuity(WatchedPrefix &watched, platform::Revision after, platform::Revision revision)
+{
+    if (watched.continuousRevision >= after) {
+        watched.continuousRevision = std::max(watched.continuousRevision, revision);
+    }
+}
+
+// Whether an endpoint has come and gone: a reader passes on only the newest value of each key.
+bool RegistryWatcher::hasUnknownRemoval(const std::vector<platform::StoreItem> &items) const
+{
+    return std::any_of(items.begin(), items.end(), [this](const platform::StoreItem &item) {
+        const bool isEndpoint = item.key.rfind(platform::EndpointPrefix, 0) == 0;
+        return isEndpoint && item.revision == 0 && !m_endpointDirectory.find(EndpointId(item.key.substr(std::string_view(platform::EndpointPrefix).size())));
+    });
+}
+
+// A listing doesn't show either what has come and gone.
+void RegistryWatcher::readMissedEndpoints()
+{
+    WatchedPrefix &watched = m_watchedEndpoints;
+    const platform::Revision after = watched.continuousRevision;
+    m_store.watch(watched.prefix, after, Milliseconds(1), [this, &watched, after](const tl::expected<platform::StoreChanges, platform::StoreFailure> &changes) {
+        if (!changes && changes.error().kind == platform::StoreFailure::Kind::Compacted) {
+            logChange("endpoints-missed", "after={} revision={}", after, watched.appliedRevision);
+            m_hooks.onEndpointsMissed();
+            watched.continuousRevision = std::max(watched.continuousRevision, watched.appliedRevision);
+        } else if (changes) {
+            for (const platform::StoreItem &item : changes->items) {
+                const auto entry = item.revision == 0 ? std::nullopt : platform::decodeEndpoint(item.key, item.data);
+                if (entry) {
+                    m_hooks.onEndpointRegistered(*entry);
+                }
+            }
+            advanceContinuity(watched, after, changes->revision);
+        }
+    });
+}
+
 // Polls that wait here are answered, so that the instances that send them learn at once that the configuration is confirmed. A newer
 // configuration that can't be read may have removed keys, so the one in force isn't confirmed while the store has such a one.
 void RegistryWatcher::confirmConfiguration(const WatchedPrefix &watched, Instant sentAt)
@@ -290,7 +333,13 @@
         if (update.isListing) {
             applyListing(watched, update.items, update.revision, polledAt - update.age);
         } else {
+            if (!hasUnknownRemoval(update.items)) {
+                advanceContinuity(watched, watched.watchRevision, update.revision);
+            }
             applyChanges(watched, {update.items, update.revision}, polledAt - update.age);
+            if (&watched == &m_watchedEndpoints && watched.continuousRevision < watched.appliedRevision) {
+                readMissedEndpoints();
+            }
         }
         if (update.confirmationAge) {
             confirmConfiguration(watched, polledAt - *update.confirmationAge);
@@ -347,10 +396,11 @@
     }
     const std::uint64_t callNumber = beginCall(watched);
     const Instant sentAt = suspendAwareNow();
+    const platform::Revision after = watched.watchRevision;
     m_store.watch(watched.prefix,
-                  watched.watchRevision,
+                  after,
                   watchTimeout(watched),
-                  [this, &watched, callNumber, sentAt](tl::expected<platform::StoreChanges, platform::StoreFailure> changes) {
+                  [this, &watched, callNumber, sentAt, after](tl::expected<platform::StoreChanges, platform::StoreFailure> changes) {
                       if (callNumber != watched.callNumber) {
                           return;
                       }
@@ -363,6 +413,7 @@
                           bypassUnavailableReader();
                       }
                       onResponse(watched);
+                      advanceContinuity(watched, after, changes->revision);
                       applyChanges(watched, *changes, suspendAwareNow());
                       confirmConfiguration(watched, sentAt);
                       scheduleWatch(watched, changes->items.empty() ? Milliseconds(0) : watched.coalescingDelay);
@@ -395,6 +446,11 @@
     });
 }
 
+platform::Revision RegistryWatcher::endpointsRevision() const
+{
+    return m_watchedEndpoints.continuousRevision;
+}
+
 MemberListRevision RegistryWatcher::memberListRevision() const
 {
     return MemberListRevision(m_watchedMembers.appliedRevision);
--- a/src/instance/registrywatcher.h
+++ b/src/instance/registrywatcher.h
@@ -30,6 +30,8 @@
 public:
     struct Hooks {
         std::function<void()> onEndpointsChanged; ///< Compare RegistryReplica::Hooks.
+        std::function<void(const EndpointEntry &endpoint)> onEndpointRegistered;
+        std::function<void()> onEndpointsMissed; ///< Endpoints may have come and gone, and the store doesn't tell any more.
         std::function<void()> onMembersChanged;
         /// The member list was up to date with the store at that time of suspendAwareNow().
         std::function<void(Instant confirmedAt)> onMembersRead;
@@ -71,6 +73,9 @@
     /// When the store last confirmed that the list of endpoints is up to date, by suspendAwareNow().
     std::optional<Instant> endpointsConfirmedAt() const;
 
+    /// The revision up to which each registration of an endpoint has been seen.
+    platform::Revision endpointsRevision() const;
+
     /// Whether the configuration and the endpoints have been loaded at least once.
     bool isLoaded() const;
 
@@ -87,6 +92,9 @@
     bool bypassesReader(WatchedPrefix &watched);
     void bypassUnavailableReader();
     void applyChanges(WatchedPrefix &watched, const platform::StoreChanges &changes, Instant confirmedAt);
+    void advanceContinuity(WatchedPrefix &watched, platform::Revision after, platform::Revision revision);
+    bool hasUnknownRemoval(const std::vector<platform::StoreItem> &items) const;
+    void readMissedEndpoints();
     void confirmConfiguration(const WatchedPrefix &watched, Instant sentAt);
     void setStoreUnavailable(WatchedPrefix &watched, const std::string &reason);
     void scheduleWatch(WatchedPrefix &watched, Milliseconds delay);
--- a/src/instance/streamoriginclient.cpp
+++ b/src/instance/streamoriginclient.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "http/internalrequest.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -25,19 +26,30 @@
     FindHandler onFound;
     std::size_t pendingAnswers = 0;
     std::set<SoftwareVersion> seenVersions; ///< By all who have answered.
-    bool isComplete = false; ///< One of them knows that there were no others.
+    /// Up to which one of them knows that there were no others; nothing if none does.
+    std::optional<platform::Revision> completeUntil;
     bool isFinished = false;
+
+    void add(const std::set<SoftwareVersion> &seen, bool isComplete, platform::Revision revision)
+    {
+        seenVersions.insert(seen.begin(), seen.end());
+        if (isComplete) {
+            completeUntil = std::max(completeUntil.value_or(revision), revision);
+        }
+    }
 };
 
 StreamOriginClient::StreamOriginClient(asio::io_context &context,
                                        const MemberDirectory &members,
                                        ConnectionPool &peerConnections,
-                                       std::function<std::optional<Instant>()> endpointsConfirmedAt,
+                                       VersionConfirmer &confirmer,
+                                       EndpointList endpointList,
                                        Metrics &metrics)
     : m_context(context)
     , m_members(members)
     , m_peerConnections(peerConnections)
-    , m_endpointsConfirmedAt(std::move(endpointsConfirmedAt))
+    , m_confirmer(confirmer)
+    , m_endpointList(std::move(endpointList))
     , m_metrics(metrics)
 {
 }
@@ -52,9 +64,19 @@
     m_versions.update(endpoints, suspendAwareNow());
 }
 
+void StreamOriginClient::addEndpoint(const EndpointEntry &endpoint)
+{
+    m_versions.add(endpoint.pool, endpoint.version, suspendAwareNow());
+}
+
+void StreamOriginClient::onEndpointsMissed()
+{
+    m_versions.restart(suspendAwareNow());
+}
+
 std::optional<SoftwareVersion> StreamOriginClient::soleVersion(const PoolId &pool) const
 {
-    return m_versions.soleVersion(pool, m_endpointsConfirmedAt(), suspendAwareNow());
+    return m_versions.soleVersion(pool, m_endpointList.confirmedAt(), suspendAwareNow());
 }
 
 // All instances with the same member list agree on the order.
@@ -101,10 +123,6 @@
         finish(*search, origin);
         return;
     }
-    if (search->pool) {
-        search->seenVersions = m_versions.seenVersions(*search->pool, suspendAwareNow());
-        search->isComplete = m_versions.isComplete(m_endpointsConfirmedAt(), suspendAwareNow());
-    }
     const std::vector<MemberRecord> asked = holders(search->attempt, QueryCount);
     search->pendingAnswers = asked.size();
     if (asked.empty()) {
@@ -142,14 +160,31 @@
         return;
     }
     if (answer) {
-        search->seenVersions.insert(answer->seenVersions.begin(), answer->seenVersions.end());
-        search->isComplete = search->isComplete || answer->isComplete;
+        search->add(answer->seenVersions, answer->isComplete, answer->endpointsRevision);
+    }
+    if (search->pendingAnswers == 0) {
+        confirmSoleVersion(search);
     }
-    if (search->pendingAnswers > 0) {
+}
+
+void StreamOriginClient::confirmSoleVersion(const std::shared_ptr<Search> &search)
+{
+    const Instant now = suspendAwareNow();
+    if (search->pool) {
+        search->add(m_versions.seenVersions(*search->pool, now), m_versions.isComplete(now), m_endpointList.revision());
+    }
+    if (!search->pool || !search->completeUntil || search->seenVersions.size() != 1) {
+        finish(*search, std::nullopt);
         return;
     }
-    const bool isSole = search->pool && search->isComplete && search->seenVersions.size() == 1;
-    finish(*search, isSole ? std::optional<StreamOrigin>({*search->pool, *search->seenVersions.begin()}) : std::nullopt);
+    m_confirmer.confirm(*search->completeUntil, [this, search](const std::optional<VersionConfirmer::Versions> &later) {
+        const auto it = later ? later->find(*search->pool) : VersionConfirmer::Versions::const_iterator();
+        if (later && it != later->end()) {
+            search->seenVersions.insert(it->second.begin(), it->second.end());
+        }
+        const bool isSole = later && search->seenVersions.size() == 1;
+        finish(*search, isSole ? std::optional<StreamOrigin>({*search->pool, *search->seenVersions.begin()}) : std::nullopt);
+    });
 }
 
 void StreamOriginClient::finish(Search &search, std::optional<StreamOrigin> origin)
@@ -177,7 +212,8 @@
     OriginAnswer answer;
     answer.origin = m_origins.find(query->attempt);
     answer.seenVersions = m_versions.seenVersions(query->pool, suspendAwareNow());
-    answer.isComplete = m_versions.isComplete(m_endpointsConfirmedAt(), suspendAwareNow());
+    answer.isComplete = m_versions.isComplete(suspendAwareNow());
+    answer.endpointsRevision = m_endpointList.revision();
     return answer.encode();
 }
 
--- a/src/instance/watchedprefix.h
+++ b/src/instance/watchedprefix.h
@@ -23,6 +23,8 @@
     std::uint64_t newestPeerVersion = 0; ///< The newest that a peer has reported; compare isBehindPeers().
     platform::Revision watchRevision = 0; ///< Where the next watch begins; 0 if the prefix has to be listed again.
     platform::Revision appliedRevision = 0; ///< All changes up to it have been applied.
+    /// Up to which each single change has been seen, also those that a later one has replaced.
+    platform::Revision continuousRevision = 0;
     std::optional<Instant> confirmedAt; ///< When the store last confirmed that everything was seen, by suspendAwareNow().
     bool isLoaded = false;
     bool isStoreUnavailable = false;
--- a/src/serving/originmessages.cpp
+++ b/src/serving/originmessages.cpp
@@ -46,7 +46,7 @@
 
 std::string OriginAnswer::encode() const
 {
-    Json json = {{"seen", seenVersions}, {"complete", isComplete}};
+    Json json = {{"seen", seenVersions}, {"complete", isComplete}, {"revision", endpointsRevision}};
     if (origin) {
         json["origin"] = encodeOrigin(*origin);
     }
@@ -62,6 +62,7 @@
         }
         answer.seenVersions = json.at("seen").get<std::set<SoftwareVersion>>();
         answer.isComplete = json.at("complete").get<bool>();
+        answer.endpointsRevision = json.at("revision").get<std::uint64_t>();
         return answer;
     });
 }
--- a/src/serving/originmessages.h
+++ b/src/serving/originmessages.h
@@ -2,6 +2,7 @@
 
 #include "serving/streamorigins.h"
 
+#include <cstdint>
 #include <optional>
 #include <set>
 #include <string>
@@ -30,7 +31,8 @@
 struct OriginAnswer {
     std::optional<StreamOrigin> origin; ///< If it was noted.
     std::set<SoftwareVersion> seenVersions; ///< Of the pool; compare SoftwareVersions.
-    bool isComplete = false; ///< There were no others.
+    bool isComplete = false; ///< There were no others up to the revision.
+    std::uint64_t endpointsRevision = 0; ///< Up to which all changes to the list of endpoints were seen.
 
     std::string encode() const;
     static std::optional<OriginAnswer> decode(const std::string &bytes);
--- a/src/serving/softwareversions.cpp
+++ b/src/serving/softwareversions.cpp
@@ -25,6 +25,17 @@
     m_knownSince = m_knownSince.value_or(now);
 }
 
+void SoftwareVersions::add(const PoolId &pool, const SoftwareVersion &version, Instant now)
+{
+    m_left[pool][version] = now;
+}
+
+void SoftwareVersions::restart(Instant now)
+{
+    m_isFirstStart = false;
+    m_knownSince = now;
+}
+
 std::set<SoftwareVersion> SoftwareVersions::seenVersions(const PoolId &pool, Instant now) const
 {
     std::set<SoftwareVersion> versions;
@@ -41,16 +52,16 @@
     return versions;
 }
 
-bool SoftwareVersions::isComplete(std::optional<Instant> confirmedAt, Instant now) const
+bool SoftwareVersions::isComplete(Instant now) const
 {
-    const bool isKnownLongEnough = m_knownSince && (m_isFirstStart || now - *m_knownSince >= MaxStreamLifetime);
-    return isKnownLongEnough && confirmedAt && now - *confirmedAt <= MaxViewAge;
+    return m_knownSince && (m_isFirstStart || now - *m_knownSince >= MaxStreamLifetime);
 }
 
 std::optional<SoftwareVersion> SoftwareVersions::soleVersion(const PoolId &pool, std::optional<Instant> confirmedAt, Instant now) const
 {
     const std::set<SoftwareVersion> versions = seenVersions(pool, now);
-    return isComplete(confirmedAt, now) && versions.size() == 1 ? std::optional<SoftwareVersion>(*versions.begin()) : std::nullopt;
+    const bool isViewRecent = confirmedAt && now - *confirmedAt <= MaxViewAge;
+    return isComplete(now) && isViewRecent && versions.size() == 1 ? std::optional<SoftwareVersion>(*versions.begin()) : std::nullopt;
 }
 
 } // namespace flamingo
--- a/src/serving/softwareversions.h
+++ b/src/serving/softwareversions.h
@@ -20,7 +20,7 @@
     /// The longest time from a stream's beginning to the last try to resume it.
     static constexpr Milliseconds MaxStreamLifetime{30000};
 
-    /// A view of the endpoints that was confirmed longer ago may lack a new version.
+    /// A view of the endpoints that was confirmed longer ago doesn't spare others a note; compare soleVersion().
     static constexpr Milliseconds MaxViewAge{10000};
 
     /// The whole system starts for the first time, so no stream began before.
@@ -29,13 +29,21 @@
     /// The endpoints have changed to these.
     void update(const std::vector<EndpointEntry> &endpoints, Instant now);
 
+    /// An endpoint has registered with this version. It may be gone before the next update.
+    void add(const PoolId &pool, const SoftwareVersion &version, Instant now);
+
+    /// Endpoints may have come and gone unseen up to now.
+    void restart(Instant now);
+
     /// The versions that the pool's endpoints were seen with during the last MaxStreamLifetime.
     std::set<SoftwareVersion> seenVersions(const PoolId &pool, Instant now) const;
 
-    /// Whether these are all that there were: endpoints were seen all the while, and the store has confirmed the last view lately.
-    bool isComplete(std::optional<Instant> confirmedAt, Instant now) const;
+    /// Whether these are all that there were, up to the changes that have arrived. The store may have later ones, however lately it has
+    /// confirmed the list.
+    bool isComplete(Instant now) const;
 
-    /// The only version that the pool's endpoints have had for MaxStreamLifetime; nothing if there were several, or if this isn't known.
+    /// The only version that the pool's endpoints have had for MaxStreamLifetime, by a view that was confirmed lately; nothing if there were
+    /// several, or if this isn't known. It may be out of date, so no stream goes on by it alone.
     std::optional<SoftwareVersion> soleVersion(const PoolId &pool, std::optional<Instant> confirmedAt, Instant now) const;
 
 private:
--- a/tests/platform/persistencetest.cpp
+++ b/tests/platform/persistencetest.cpp
@@ -301,8 +301,14 @@
     std::atomic<int> refreshes{0};
     ConnectionPool peerConnections(loop.loop.context(), ConnectionPool::Settings());
     ConfigurationAge age{std::nullopt};
-    RegistryWatcher watcher(
-        client, {loop.loop.context(), peerConnections, 3}, loop.loop.timers(), routes, directory, members, age, {[&] { ++refreshes; }, [] {}, [](Instant) {}});
+    RegistryWatcher watcher(client,
+                            {loop.loop.context(), peerConnections, 3},
+                            loop.loop.timers(),
+                            routes,
+                            directory,
+                            members,
+                            age,
+                            {[&] { ++refreshes; }, [](const EndpointEntry &) {}, [] {}, [] {}, [](Instant) {}});
     loop.call([&] {
         watcher.start();
         return true;
--- a/tests/platform/twoversionstest.cpp
+++ b/tests/platform/twoversionstest.cpp
@@ -5,6 +5,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
+#include <atomic>
+#include <csignal>
 #include <memory>
 #include <thread>
 
@@ -65,6 +68,77 @@
     std::vector<std::unique_ptr<TestInstance>> instances;
 };
 
+/// A way to the store that can be cut.
+class StoreRoute
+{
+public:
+    explicit StoreRoute(const KvStandIn &store)
+        : m_store({asio::ip::make_address(store.address().host), store.address().port})
+        , m_acceptor(m_thread.loop.context(), {asio::ip::make_address("127.0.0.1"), 0})
+    {
+        m_thread.call([this] { accept(); });
+    }
+
+    ~StoreRoute()
+    {
+        m_thread.call([this] { m_acceptor.close(); });
+        m_thread.stop();
+    }
+
+    SocketAddress address() const
+    {
+        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+    }
+
+    /// From here on no byte is passed on; connections stay open.
+    void cut()
+    {
+        m_isCut = true;
+    }
+
+private:
+    struct Pair {
+        asio::ip::tcp::socket caller;
+        asio::ip::tcp::socket store;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const asio::error_code &ec, asio::ip::tcp::socket caller) {
+            if (ec) {
+                return;
+            }
+            const auto pair = std::make_shared<Pair>(Pair{std::move(caller), asio::ip::tcp::socket(m_thread.loop.context())});
+            asio::error_code ignored;
+            pair->store.connect(m_store, ignored);
+            pass(pair, pair->caller, pair->store);
+            pass(pair, pair->store, pair->caller);
+            accept();
+        });
+    }
+
+    void pass(const std::shared_ptr<Pair> &pair, asio::ip::tcp::socket &from, asio::ip::tcp::socket &to)
+    {
+        const auto buf = std::make_shared<std::array<char, 8192>>();
+        from.async_read_some(asio::buffer(*buf), [this, pair, &from, &to, buf](const asio::error_code &ec, std::size_t n) {
+            asio::error_code failed;
+            if (ec) {
+                to.close(failed);
+                return;
+            }
+            if (!m_isCut) {
+                asio::write(to, asio::buffer(buf->data(), n), failed);
+            }
+            pass(pair, from, to);
+        });
+    }
+
+    LoopThread m_thread;
+    asio::ip::tcp::endpoint m_store;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::atomic<bool> m_isCut{false};
+};
+
 bool isJoined(const CallerResponse &response)
 {
     return response.body.find("old") != std::string::npos && response.body.find("new") != std::string::npos;
@@ -195,3 +269,38 @@
         CHECK(deployment.takeUp(fmt::format("t{}", n), fmt::format("s{}", n), 1 + n % 2).isComplete);
     }
 }
+
+// Guards against an instance that hears nobody, knows an old list of endpoints and decides alone.
+TEST_CASE("An instance that is cut off doesn't join a stream that others began at a software version it hasn't seen", "[platform][versions]")
+{
+    constexpr int StreamCount = 12;
+    Deployment deployment({"old"});
+    StoreRoute route(deployment.store);
+    const TestInstance cutOff(route.address(), InstanceCount + 1);
+    REQUIRE(cutOff.awaitReady());
+    std::this_thread::sleep_for(Milliseconds(2500));
+    route.cut();
+    // Nothing that the others note reaches it.
+    registerInstance(deployment.store, fmt::format("edge-{}", InstanceCount + 1), fmt::format("zone-{}", InstanceCount + 1), {"127.0.0.1", 1});
+    deployment.endpoints.push_back(std::make_unique<VersionedEndpoint>("new", false));
+    registerEndpoint(deployment.store, "i-new-0", deployment.endpoints.back()->endpoint(), "ready", "new");
+    std::this_thread::sleep_for(Milliseconds(500));
+    std::vector<std::string> begunAtNew;
+    for (int n = 0; n < StreamCount; ++n) {
+        const std::string id = fmt::format("s{}", n);
+        if (deployment.beginStream(id, n % InstanceCount) == "new") {
+            begunAtNew.push_back(id);
+        }
+    }
+    REQUIRE_FALSE(begunAtNew.empty());
+    for (const auto &it : deployment.instances) {
+        it->process().sendSignal(SIGSTOP);
+    }
+    for (const std::string &id : begunAtNew) {
+        const Instant sentAt = std::chrono::steady_clock::now();
+        const CallerResponse response = cutOff.send(callerRequest("/stream/a", "t" + id, fmt::format("Last-Event-Id: 2\r\nResumes: {}\r\n", id)));
+        CHECK(std::chrono::steady_clock::now() - sentAt < RefusalLimit);
+        INFO("status " << response.status << " " << response.body);
+        CHECK(deployment.versionThatRan("t" + id).empty());
+    }
+}
--- a/tests/unit/configurationagetest.cpp
+++ b/tests/unit/configurationagetest.cpp
@@ -60,7 +60,7 @@
     RouteTable routes;
     EndpointDirectory endpoints;
     MemberDirectory members(InstanceId("self"), DomainId("near"));
-    RegistryReplica replica(routes, endpoints, members, {[] {}, [] {}});
+    RegistryReplica replica(routes, endpoints, members, {[] {}, [](const EndpointEntry &) {}, [] {}});
     const auto configuration = [](const std::string &data, platform::Revision revision) {
         return platform::StoreItem{platform::ConfigurationKey, data, revision, revision};
     };
--- a/tests/unit/streamorigintest.cpp
+++ b/tests/unit/streamorigintest.cpp
@@ -38,6 +38,33 @@
     CHECK_FALSE(versions.soleVersion(PoolId("other"), later, later));
 }
 
+// Guards against a version that came and went between two looks at the list.
+TEST_CASE("A software version counts although its endpoint was gone before the next update", "[versions]")
+{
+    const Instant start{std::chrono::seconds(100)};
+    SoftwareVersions versions;
+    versions.setFirstStart();
+    versions.update({endpoint("a", Old)}, start);
+    versions.add(Pool, New, start);
+    versions.update({endpoint("a", Old)}, start);
+    CHECK(versions.seenVersions(Pool, start) == std::set<SoftwareVersion>{Old, New});
+    CHECK_FALSE(versions.soleVersion(Pool, start, start));
+    const Instant later = start + Lifetime;
+    CHECK(versions.soleVersion(Pool, later, later) == Old);
+}
+
+TEST_CASE("After changes were missed a pool's only software version isn't known for as long as a stream can last", "[versions]")
+{
+    const Instant start{std::chrono::seconds(100)};
+    SoftwareVersions versions;
+    versions.setFirstStart();
+    versions.update({endpoint("a", Old)}, start);
+    CHECK(versions.isComplete(start));
+    versions.restart(start);
+    CHECK_FALSE(versions.isComplete(start + Lifetime - Milliseconds(1)));
+    CHECK(versions.isComplete(start + Lifetime));
+}
+
 TEST_CASE("At the first start of all no stream is older than what is known", "[versions]")
 {
     const Instant start{std::chrono::seconds(100)};
@@ -98,11 +125,13 @@
     OriginAnswer answer;
     answer.seenVersions = {Old, New};
     answer.isComplete = true;
+    answer.endpointsRevision = 7;
     const auto unknown = OriginAnswer::decode(answer.encode());
     REQUIRE(unknown);
     CHECK_FALSE(unknown->origin);
     CHECK(unknown->seenVersions.size() == 2);
     CHECK(unknown->isComplete);
+    CHECK(unknown->endpointsRevision == 7);
     answer.origin = note.origin;
     CHECK(OriginAnswer::decode(answer.encode())->origin == note.origin);
 }
