Homes of limits know since when their machine has been listed, over restarts

Cause: a home that has started waits 60 s for what others may have granted by lists without it, unless it was listed for long or none had started before it. Both were measured from its latest earlier incarnation, which is young after the first kill, while an instance that was spared by it, or is gone and still listed, is older. Then all homes wait for what nobody can tell.

Change: an entry carries since when it has been listed without a gap; who replaces the entry of an ended incarnation takes that over.

--- a/src/instance/instanceregistration.cpp
+++ b/src/instance/instanceregistration.cpp
@@ -40,6 +40,7 @@
     , m_hooks(std::move(hooks))
     , m_entry(store, m_self.id)
 {
+    m_self.listedSinceMs = startTimeMs(m_self.incarnation).value_or(0);
     m_grantPolicy.setRegistering();
 }
 
@@ -99,6 +100,9 @@
     const bool isOwn = member && member->incarnation == m_self.incarnation;
     const bool hasEnded = member && !isOwn && !member->isPresumedDead && member->peerAddress.text() == m_self.peerAddress.text();
     m_replacedEntry = hasEnded ? member : std::nullopt;
+    if (hasEnded) {
+        m_self.listedSinceMs = member->listedSinceMs != 0 ? member->listedSinceMs : startTimeMs(member->incarnation).value_or(0);
+    }
     if (isOwn && !member->isPresumedDead && member->grantFence.value().empty()) {
         onRegistered(); // By an earlier try whose response was lost.
         return;
@@ -135,6 +139,9 @@
     if (m_isRegistering || (listed && !listed->isPresumedDead && !isFenced)) {
         return;
     }
+    if (!listed || listed->isPresumedDead) {
+        m_self.listedSinceMs = CleanShutdownMarker::now().wallTime.count();
+    }
     if (isFenced) {
         logChange("fenced", "fence={}", listed->grantFence.value());
         m_grantPolicy.setFenced(suspendAwareNow());
--- a/src/instance/instanceregistration.h
+++ b/src/instance/instanceregistration.h
@@ -68,7 +68,7 @@
     void onRegistered();
     std::optional<MemberListRevision> onHeartbeatCommitted(const platform::TransactionResult &result);
 
-    const MemberRecord m_self;
+    MemberRecord m_self;
     platform::PlatformStore &m_store;
     TimerService &m_timers;
     MemberDirectory &m_members;
--- a/src/instance/quotaclient.cpp
+++ b/src/instance/quotaclient.cpp
@@ -165,14 +165,16 @@
 {
     using EarlierEntry = QuotaLedger::EarlierEntry;
     std::optional<QuotaLedger::EarlierRun> earlierRun;
-    const auto startedAt = earlier ? startTimeMs(earlier->incarnation) : std::nullopt;
+    // Homes that are older than an entry count, however often its process was started anew under it.
+    const bool isKnownSince = earlier && earlier->listedSinceMs != 0;
+    const auto startedAt = isKnownSince ? std::make_optional(earlier->listedSinceMs) : earlier ? startTimeMs(earlier->incarnation) : std::nullopt;
     const auto ownStart = startTimeMs(m_self);
     if (startedAt && ownStart) {
         earlierRun = {*startedAt, Milliseconds(*ownStart - *startedAt)};
     }
     const EarlierEntry entry = isNewMachine ? EarlierEntry::None : earlierRun ? EarlierEntry::Listed : EarlierEntry::Unlisted;
     m_ledger.setRegistered(entry, earlierRun, suspendAwareNow());
-    logChange("quota-home-registered", "is_new={} was_listed={}", isNewMachine, earlierRun.has_value());
+    logChange("quota-home-registered", "is_new={} was_listed={} listed_ms={}", isNewMachine, earlierRun.has_value(), earlierRun ? earlierRun->age.count() : 0);
 }
 
 void QuotaClient::setFirstStart()
--- a/src/serving/memberdirectory.cpp
+++ b/src/serving/memberdirectory.cpp
@@ -29,6 +29,9 @@
 {
     nlohmann::json json = {
         {"domain", domain}, {"peers", peerAddress.text()}, {"holder", incarnation}, {"archive", role == Role::Archive}, {"gone", isPresumedDead}};
+    if (listedSinceMs != 0) {
+        json["since"] = listedSinceMs;
+    }
     if (!grantFence.value().empty()) {
         json["fence"] = grantFence;
     }
@@ -49,6 +52,7 @@
                             IncarnationId(json.value("holder", "")),
                             role,
                             json.value("gone", false),
+                            json.value("since", std::int64_t(0)),
                             GrantFenceId(json.value("fence", ""))};
     });
 }
--- a/src/serving/memberdirectory.h
+++ b/src/serving/memberdirectory.h
@@ -5,6 +5,7 @@
 #include "core/time.h"
 #include "serving/incarnationid.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -31,6 +32,8 @@
     IncarnationId incarnation; ///< This start of the process; an instance holds parts of budgets under it.
     Role role = Role::Instance;
     bool isPresumedDead = false; ///< No heartbeat for long: it gets nothing new, but its grants and its turns still count.
+    /// Since when the member has been listed without a gap, over restarts, in wall-clock milliseconds of its machine; 0 if that isn't known.
+    std::int64_t listedSinceMs = 0;
     GrantFenceId grantFence{}; ///< Unless it is empty, the instance may make no provisional grants until it has registered again.
 
     std::string encode() const;
--- a/tests/platform/persistencetest.cpp
+++ b/tests/platform/persistencetest.cpp
@@ -141,6 +141,40 @@
     loop.stop();
 }
 
+// Guards against homes of limits that wait for a minute at their second restart.
+TEST_CASE_METHOD(Fixture, "An entry tells since when it has been listed, over restarts that leave no gap", "[platform]")
+{
+    const SocketAddress address{"127.0.0.1", 1};
+    const auto listedSince = [&](const std::string &incarnation) {
+        MemberDirectory ownMembers{InstanceId("edge-1"), DomainId("zone-1")};
+        ProvisionalGrantPolicy policy(ownMembers, std::chrono::steady_clock::now());
+        GrantHistory history;
+        std::atomic<bool> isRegistered{false};
+        InstanceRegistration registration(
+            {InstanceId("edge-1"), DomainId("zone-1"), address, IncarnationId(incarnation)},
+            client,
+            loop.loop.timers(),
+            ownMembers,
+            policy,
+            {[&] { return history; }, [](const GrantHistory &, bool) {}, [] {}, [&](bool, const std::optional<MemberRecord> &) { isRegistered = true; }});
+        loop.call([&] {
+            registration.start();
+            return true;
+        });
+        CHECK(eventually([&] { return isRegistered.load(); }));
+        const auto record = MemberRecord::decode(InstanceId("edge-1"), store.get(MemberDirectory::KeyPrefix + std::string("edge-1")));
+        return record ? record->listedSinceMs : 0;
+    };
+    CHECK(listedSince("edge-1:1000:1") == 0x1000);
+    CHECK(listedSince("edge-1:2000:2") == 0x1000);
+    CHECK(listedSince("edge-1:3000:3") == 0x1000);
+    auto dead = *MemberRecord::decode(InstanceId("edge-1"), store.get(MemberDirectory::KeyPrefix + std::string("edge-1")));
+    dead.isPresumedDead = true;
+    store.put(MemberDirectory::KeyPrefix + std::string("edge-1"), dead.encode());
+    CHECK(listedSince("edge-1:4000:4") == 0x4000);
+    loop.stop();
+}
+
 TEST_CASE_METHOD(Fixture, "A member without heartbeats is marked as dead, then removed; one with heartbeats stays", "[platform]")
 {
     const std::string dead = MemberDirectory::KeyPrefix + std::string("storage-1");
--- a/tests/platform/quotatest.cpp
+++ b/tests/platform/quotatest.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <csignal>
@@ -144,3 +145,49 @@
     CHECK(logs.find("quota-handed-over") != std::string::npos);
     CHECK(logs.find("accepted=true") != std::string::npos);
 }
+
+// Guards against homes that wait for a minute for what nobody can tell them, since an instance is listed that had started before their last
+// restart: one that is gone, or was spared by the kill before.
+TEST_CASE("Limits are served soon after all instances were killed twice, also where one was gone before", "[platform][quota]")
+{
+    constexpr Milliseconds KillInterval{6500}; // Longer than starts count as simultaneous, and than a home waits for what it had granted.
+    constexpr int Requests = 20;
+    KvStandIn store;
+    nlohmann::json configuration = nlohmann::json::parse(withWorkspaces(testConfiguration(1), {{"acme", {"acme-key"}}}));
+    configuration["tenants"][0]["rate-per-s"] = 50;
+    store.put("op/config", configuration.dump());
+    const ScriptedEndpoint endpoint(
+        [](ScriptedEndpoint::Connection &connection, const ReceivedRequest &request) { connection.write(ScriptedEndpoint::response(request, "ok")); });
+    registerEndpoint(store, "i-1", endpoint);
+    std::vector<std::unique_ptr<TestInstance>> instances;
+    for (int n = 1; n <= 3; ++n) {
+        instances.push_back(std::make_unique<TestInstance>(store, n));
+    }
+    for (const auto &it : instances) {
+        REQUIRE(it->awaitReady());
+    }
+    int sent = 0;
+    const auto countServed = [&] {
+        int served = 0;
+        for (int n = 0; n < Requests; ++n) {
+            const auto response = instances[n % 2]->send(callerRequest("/book/a", fmt::format("q{}", ++sent), "Authorization: Token acme-key\r\n"));
+            served += response.status == 200 ? 1 : 0;
+            std::this_thread::sleep_for(Milliseconds(50));
+        }
+        return served;
+    };
+    REQUIRE(eventually([&] { return countServed() == Requests; }, Milliseconds(15000)));
+    instances.back()->process().kill();
+    for (int kill = 0; kill < 2; ++kill) {
+        std::this_thread::sleep_for(KillInterval);
+        for (int n = 0; n < 2; ++n) {
+            instances[n]->killAndRestart();
+        }
+        for (int n = 0; n < 2; ++n) {
+            REQUIRE(instances[n]->awaitReady());
+        }
+    }
+    std::this_thread::sleep_for(KillInterval);
+    INFO(instances.front()->log());
+    CHECK(countServed() >= Requests * 3 / 4);
+}
