Registrations that a failed call left out are read with the next response

By reading: after a listing the changes in between were read once; if that call failed, the list stayed incomplete until the next listing, and takeups that nobody had noted were refused from some 20 s on, when the store has dropped that history. Now each response of the registry leads to the call until it has succeeded.

--- a/src/instance/registrywatcher.cpp
+++ b/src/instance/registrywatcher.cpp
@@ -199,12 +199,16 @@
     });
 }
 
-// A listing doesn't show either what has come and gone.
+// A listing doesn't show either what has come and gone. A call that fails is made again with the next response.
 void RegistryWatcher::readMissedEndpoints()
 {
     WatchedPrefix &watched = m_watchedEndpoints;
     const platform::Revision after = watched.continuousRevision;
+    if (after >= watched.appliedRevision || std::exchange(m_isReadingMissed, true)) {
+        return;
+    }
     m_store.watch(watched.prefix, after, Milliseconds(1), [this, &watched, after](const tl::expected<platform::StoreChanges, platform::StoreFailure> &changes) {
+        m_isReadingMissed = false;
         if (!changes && changes.error().kind == platform::StoreFailure::Kind::Compacted) {
             logChange("endpoints-missed", "after={} revision={}", after, watched.appliedRevision);
             m_hooks.onEndpointsMissed();
@@ -337,9 +341,7 @@
                 advanceContinuity(watched, watched.watchRevision, update.revision);
             }
             applyChanges(watched, {update.items, update.revision}, polledAt - update.age);
-            if (&watched == &m_watchedEndpoints && watched.continuousRevision < watched.appliedRevision) {
-                readMissedEndpoints();
-            }
+            readMissedEndpoints();
         }
         if (update.confirmationAge) {
             confirmConfiguration(watched, polledAt - *update.confirmationAge);
@@ -415,6 +417,7 @@
                       onResponse(watched);
                       advanceContinuity(watched, after, changes->revision);
                       applyChanges(watched, *changes, suspendAwareNow());
+                      readMissedEndpoints();
                       confirmConfiguration(watched, sentAt);
                       scheduleWatch(watched, changes->items.empty() ? Milliseconds(0) : watched.coalescingDelay);
                   });
--- a/src/instance/registrywatcher.h
+++ b/src/instance/registrywatcher.h
@@ -125,6 +125,7 @@
     WatchedPrefix m_watchedConfiguration;
     WatchedPrefix m_watchedEndpoints;
     WatchedPrefix m_watchedMembers;
+    bool m_isReadingMissed = false; ///< Compare readMissedEndpoints().
     Instant m_nextStoreCheckAt{}; ///< While a reader reports that the store is unavailable: when this instance tries it itself.
     std::minstd_rand m_random;
 };
