Bytes without an id aren't taken for the answer to a request that has one

What callers saw: a request that must not be repeated ran at two endpoints (review/9, TWICE).

Cause: additional bytes of an endpoint, without an id, arrived on a kept connection after the next request had been sent there, and counted as its refusal. Only responses with another id were skipped.

--- a/tests/platform/repeatedrefusaltest.cpp
+++ b/tests/platform/repeatedrefusaltest.cpp
@@ -110,3 +110,41 @@
         CHECK(first.runsOf(id) + second.runsOf(id) <= 1);
     }
 }
+
+// Guards against bytes that belong to no request and count as the refusal of the next one, which then runs twice (review/9).
+TEST_CASE("Additional bytes without an id are not taken for the answer to the next request", "[platform][repeated]")
+{
+    const std::vector<std::string> additional = {
+        "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 2\r\n\r\nno",
+        "HTTP/1.1 200 OK\r\nX-Server-Signature: proof\r\nContent-Length: 5\r\n\r\nother",
+        "HTTP/1.1 400 Bad Request\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+    };
+    for (const std::string &bytes : additional) {
+        std::set<const Connection *> used;
+        std::map<std::string, int> runs;
+        const auto respond = [&](Connection &connection, const ReceivedRequest &request) {
+            const std::string id = request.head.fields.value("X-Attempt-Id");
+            ++runs[id];
+            if (!used.insert(&connection).second) {
+                connection.write(bytes);
+            }
+            connection.writeLater(Milliseconds(20), ScriptedEndpoint::response(request, "ran " + id));
+        };
+        const ScriptedEndpoint endpoint(respond);
+        KvStandIn store;
+        store.put("op/config", testConfiguration(1));
+        registerEndpoint(store, "i-0", endpoint);
+        const TestInstance instance(store, 1);
+        REQUIRE(instance.awaitReady());
+        for (int n = 0; n < Requests; ++n) {
+            const std::string id = fmt::format("x{}", n);
+            const auto response = instance.send(callerRequest("/book/a", id));
+            INFO(bytes << " status " << response.status << " body " << response.body);
+            CHECK(response.status == 200);
+            CHECK(response.body == "ran " + id);
+            CHECK(runs[id] == 1);
+        }
+        CHECK(used.size() < Requests); // Some were sent on connections that had carried another one.
+    }
+}
