A home of limits doesn't wait for those that have ended

Cause: an instance that had started before a home's entry counted as one that may grant by an older list, for good, also when the same kill had ended it. Homes that see the others' old entries at their start waited up to 65.5 s.

Change: it counts until its machine has started anew at the same address, or has left the list; then the home waits a span.

Evidence: "A home no longer waits for older lists once those who had them have been started anew" (new; without the change the home waits on), 25 unit tests of quotas pass, the random one with crashes, stops, freezes and outdated lists among them.

--- a/src/serving/quotaledger.cpp
+++ b/src/serving/quotaledger.cpp
@@ -63,18 +63,37 @@
     const Milliseconds listedFor = wasListed ? std::max(Milliseconds(0), earlierRun->age) : Milliseconds(0);
     m_olderListsEndAt = now + m_settings.span() + MaxQuotaListAge - listedFor;
     m_earlierStartTimeMs = wasListed ? std::make_optional(earlierRun->startTimeMs) : std::nullopt;
-    m_mayHaveEarlierHomes = mayHaveEarlierHomes();
+    m_earlierHomes.clear();
+    updateEarlierHomes(now);
 }
 
-// Where all have been started together, as at the first start, no home was there before this instance. Once one was there, a later
-// incarnation of it changes nothing.
-bool QuotaLedger::mayHaveEarlierHomes() const
+// Where all have been started together, as at the first start, no home was there before this instance. One that was there has ended once its
+// machine has started anew or has left the list; what it granted until then has left the span a span later.
+void QuotaLedger::updateEarlierHomes(Instant now)
 {
-    const std::vector<MemberRecord> listed = m_members.listedInstances();
-    return !m_earlierStartTimeMs || std::any_of(listed.begin(), listed.end(), [&](const MemberRecord &member) {
+    if (!m_earlierStartTimeMs) {
+        m_mayHaveEarlierHomes = true;
+        return;
+    }
+    std::map<InstanceId, EarlierHome> earlier;
+    for (const MemberRecord &member : m_members.listedInstances()) {
         const auto startedAt = startTimeMs(member.incarnation);
-        return member.id != m_members.self() && (!startedAt || *startedAt < *m_earlierStartTimeMs - StartTogetherTime.count());
+        const bool isEarlier = !startedAt || *startedAt < *m_earlierStartTimeMs - StartTogetherTime.count();
+        const auto known = m_earlierHomes.find(member.id);
+        const bool mayRunElsewhere = known != m_earlierHomes.end() && known->second.address.text() != member.peerAddress.text();
+        if (member.id != m_members.self() && (isEarlier || mayRunElsewhere)) {
+            earlier[member.id] = isEarlier ? EarlierHome{member.incarnation, member.peerAddress} : known->second;
+        }
+    }
+    const bool hasOneEnded = std::any_of(m_earlierHomes.begin(), m_earlierHomes.end(), [&](const auto &it) {
+        const auto present = earlier.find(it.first);
+        return present == earlier.end() || present->second.incarnation != it.second.incarnation;
     });
+    if (hasOneEnded) {
+        m_readyAt = std::max(m_readyAt, now + m_settings.span());
+    }
+    m_earlierHomes = std::move(earlier);
+    m_mayHaveEarlierHomes = !m_earlierHomes.empty();
 }
 
 void QuotaLedger::setIsolated(bool isIsolated)
@@ -156,7 +175,9 @@
         }
     }
     m_listed = std::move(listed);
-    m_mayHaveEarlierHomes = m_mayHaveEarlierHomes || (m_isRegistered && mayHaveEarlierHomes());
+    if (m_isRegistered) {
+        updateEarlierHomes(now);
+    }
 }
 
 std::vector<QuotaTransfer> QuotaLedger::onMembersChanged(Instant now)
--- a/src/serving/quotaledger.h
+++ b/src/serving/quotaledger.h
@@ -95,6 +95,11 @@
         Instant leftAt;
         Instant readyAt;
     };
+    /// A listed instance that had started before this one was on the list.
+    struct EarlierHome {
+        IncarnationId incarnation;
+        SocketAddress address;
+    };
     struct ListedMember {
         IncarnationId incarnation;
         bool isPresumedDead = false;
@@ -105,7 +110,7 @@
     Milliseconds timeUntilComplete(const QuotaPartition &id, const Partition *partition, Instant now) const;
     bool isComplete(const QuotaPartition &id, const Partition &partition, Instant now) const;
     void recordFormerMembers(Instant now);
-    bool mayHaveEarlierHomes() const;
+    void updateEarlierHomes(Instant now);
     void addToTransfers(std::map<InstanceId, QuotaTransfer> &transfers,
                         const InstanceId &home,
                         const QuotaPartition &id,
@@ -125,6 +130,7 @@
     Instant m_readyAt; ///< What was granted before m_unawareSince has left the span then.
     Instant m_olderListsEndAt; ///< The same for grants by lists that don't have this instance yet, if there may be any.
     std::optional<std::int64_t> m_earlierStartTimeMs;
+    std::map<InstanceId, EarlierHome> m_earlierHomes; ///< Those that may still run.
     bool m_mayHaveEarlierHomes = false; ///< Before the list had this instance.
     EarlierEntry m_earlierEntry = EarlierEntry::Unlisted;
     bool m_isFirstStart = false;
--- a/tests/unit/quotatest.cpp
+++ b/tests/unit/quotatest.cpp
@@ -195,6 +195,23 @@
     CHECK(it.ask(1).granted == 1);
 }
 
+// Guards against homes that wait for a minute after all were killed, since one of them saw the others' old entries first.
+TEST_CASE("A home no longer waits for older lists once those who had them have been started anew", "[quota]")
+{
+    LedgerFixture it(QuotaLedger::EarlierEntry::Listed, QuotaLedger::EarlierRun{0x100000, ms(2000)});
+    const std::string other = it.other(false);
+    const bool isElsewhere = GENERATE(false, true);
+    it.members.put({InstanceId(other), DomainId("d"), SocketAddress{"127.0.0.1", 1}, IncarnationId(other + ":f0000:1")});
+    it.changeMembers();
+    it.pass(ms(1000));
+    it.members.put({InstanceId(other), DomainId("d"), SocketAddress{isElsewhere ? "127.0.0.2" : "127.0.0.1", 1}, IncarnationId(other + ":110000:1")});
+    it.changeMembers();
+    it.pass(Span - ms(1));
+    CHECK(it.ask(1).outcome == Outcome::NotReady); // The one before may have granted until it ended.
+    it.pass(ms(1));
+    CHECK((it.ask(1).outcome == Outcome::NotReady) == isElsewhere); // At another address it may still run.
+}
+
 TEST_CASE("Nothing is granted while isolated, draining, unregistered, by an old list, or for another incarnation", "[quota]")
 {
     LedgerFixture it;
