--- a/src/http/connectionpool.h
+++ b/src/http/connectionpool.h
@@ -58,8 +58,8 @@
     Milliseconds connectTimeout{1000};
     /// If no connection is there by then, as after a pause of the process, the request fails without being sent.
     Instant sendBy = Instant::max();
-    /// Responses without the header field responseIdField, or with another value in it, belong to an earlier request and are skipped;
-    /// empty for no check.
+    /// Responses with another value in the header field responseIdField, or without it on a connection that is reused, belong to an earlier request and are
+    /// skipped; empty for no check.
     std::string responseId;
     std::string responseIdField;
     /// Connections that have carried this request before. They aren't used for it again, since the peer may write a copy of its
--- a/tests/platform/answertest.cpp
+++ b/tests/platform/answertest.cpp
@@ -1,6 +1,7 @@
 #include "platform/testinstance.h"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <atomic>
@@ -84,8 +85,9 @@
 
 TEST_CASE("A request is not run by another endpoint that has taken over the address", "[platform]")
 {
-    ScriptedEndpoint other([](Connection &connection, const ReceivedRequest &) {
-        connection.write("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: i-9\r\nContent-Length: 0\r\n\r\n");
+    ScriptedEndpoint other([](Connection &connection, const ReceivedRequest &request) {
+        connection.write(fmt::format("HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: {}\r\nX-Instance-Id: i-9\r\nContent-Length: 0\r\n\r\n",
+                                     request.head.fields.value("X-Attempt-Id")));
     });
     Fixture it([](Connection &connection, const ReceivedRequest &request) { connection.write(ScriptedEndpoint::response(request, "ok")); });
     it.store.remove("servers/i-1");
--- a/tests/platform/archivetest.cpp
+++ b/tests/platform/archivetest.cpp
@@ -158,7 +158,14 @@
     });
     Fixture it;
     registerEndpoint(it.store, "i-1", endpoint);
-    std::this_thread::sleep_for(Milliseconds(500));
+    // The fixture's endpoint has left when this one gets each request.
+    int asked = 0;
+    const auto isReplaced = [&] {
+        const std::size_t before = endpoint.requests().size();
+        it.instance->send(callerRequest("/ask/a", fmt::format("r{}", ++asked)));
+        return endpoint.requests().size() > before;
+    };
+    REQUIRE(eventually(isReplaced));
     constexpr std::size_t Turns = 6;
     REQUIRE(it.instance->send(turnRequest("t0", {}, "long")).isComplete);
     for (std::size_t n = 1; n < Turns; ++n) {
