--- a/review/12/repeatedid.cpp
+++ b/review/12/repeatedid.cpp
@@ -73,7 +73,8 @@
         int lost = 0;
         for (int n = 0; n < KeptChannels; ++n) {
             const Response response = m_channels[n]->read(AnswerLimit);
-            m_record.line(fmt::format("{}: {}", name(n, 2), response.status == 0 ? "the channel ended without an answer" : fmt::format("answered {}", response.status)));
+            m_record.line(
+                fmt::format("{}: {}", name(n, 2), response.status == 0 ? "the channel ended without an answer" : fmt::format("answered {}", response.status)));
             lost += response.status == 0 ? 1 : 0;
         }
         return lost;
--- a/review/standins-3/harness.h
+++ b/review/standins-3/harness.h
@@ -201,8 +201,7 @@
         ::close(started[1]);
         // Until it runs the program, the new process has this one's memory. The pipe's other end is closed when it does.
         char end = 0;
-        while (::read(started[0], &end, 1) < 0 && errno == EINTR) {
-        }
+        while (::read(started[0], &end, 1) < 0 && errno == EINTR) {}
         ::close(started[0]);
         require(m_pid > 0, "cannot start " + m_command);
     }
@@ -372,7 +371,7 @@
                        ReadyPort,
                        PeerPort,
                        deployment.memoryMb)
-        + commonSettings(deployment);
+           + commonSettings(deployment);
 }
 
 inline std::string storageSettings(const Deployment &deployment, int number, const std::filesystem::path &disk, bool isBootstrap = true)
@@ -407,7 +406,7 @@
                        isBootstrap,
                        disk.string(),
                        deployment.storageMemoryMb)
-        + commonSettings(deployment);
+           + commonSettings(deployment);
 }
 
 inline std::string instanceCommand()
@@ -690,8 +689,8 @@
 }
 
 /// A request's head as the pages have it; headerLines end with CRLF each.
-inline std::string requestHead(
-    const std::string &method, const std::string &path, const std::string &id, int deadlineMs, const std::string &headerLines, std::size_t bodyBytes)
+inline std::string
+requestHead(const std::string &method, const std::string &path, const std::string &id, int deadlineMs, const std::string &headerLines, std::size_t bodyBytes)
 {
     return fmt::format("{} {} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {}\r\nX-Deadline-Ms: {}\r\n{}Content-Length: {}\r\n\r\n",
                        method,
