An endpoint's silence of a second no longer ends its answer

Callers saw streams cut off in the middle (the planned stop of the instance was the only other event), and 502 for requests that mustn't be repeated, though the endpoint was sound, had kept the request and would have gone on.

Cause: TCP_USER_TIMEOUT, set to 1,200 ms for endpoints, also decides when keep-alive gives up, whatever its number of probes. One probe lost in a silence ended the connection at the next one, 2 s after the last byte, and a request that wasn't acknowledged for 1,200 ms ended as broken. Class: a limit on silence that takes a pause for the end.

The limit belongs to the request now. What may go on elsewhere (repeatable requests, resumable streams) moves after 1,800 ms, before callers give up at 2 s. For all else only its deadline ends it. Connections between instances, to archives and to the store keep theirs: their calls have shorter response times of their own and something to fall back on.

--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
@@ -62,6 +63,7 @@
     m_requestHead = serializeRequest(m_request.head, m_request.sharedBody->size());
     if (m_isConnected) {
         m_isReused = true;
+        applySilenceLimit();
         write();
     } else {
         connect();
@@ -157,8 +159,7 @@
     m_isConnected = true;
     asio::error_code ignored;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    const auto limit = static_cast<int>(m_pool->m_settings.unacknowledgedTimeout.count());
-    setTcpOption<TCP_USER_TIMEOUT>(limit);
+    applySilenceLimit();
     // TCP keep-alive detects a dead peer while the connection waits for a response.
     m_socket.set_option(asio::socket_base::keep_alive(true), ignored);
     setTcpOption<TCP_KEEPIDLE>(TcpKeepAliveIdleSeconds);
@@ -168,6 +169,14 @@
     read();
 }
 
+// The option limits unacknowledged data, and decides instead of the number of probes when keep-alive gives up. A probe that isn't
+// answered for any other reason ends no request sooner.
+void ClientConnection::applySilenceLimit()
+{
+    const Milliseconds limit = m_request.silenceLimit.value_or(m_pool->m_settings.unacknowledgedTimeout);
+    setTcpOption<TCP_USER_TIMEOUT>(static_cast<int>(std::clamp<std::int64_t>(limit.count(), 1, std::numeric_limits<int>::max())));
+}
+
 void ClientConnection::write()
 {
     if (std::chrono::steady_clock::now() > m_request.sendBy) {
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -52,6 +52,7 @@
         m_socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, Option>(value), ignored);
     }
 
+    void applySilenceLimit();
     void write();
     bool isRequestDelivered();
     void failUnsent(std::uint64_t requestNumber);
--- a/src/http/connectionpool.h
+++ b/src/http/connectionpool.h
@@ -13,6 +13,7 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -65,6 +66,9 @@
     /// Connections that have carried this request before. They aren't used for it again, since the peer may write a copy of its
     /// earlier response there, which has the same id.
     std::vector<ConnectionRef> usedConnections;
+    /// How long the peer may acknowledge nothing before the request fails; without a value, the time in the pool's settings. A peer
+    /// that works on a request may well be silent for a second or so and go on.
+    std::optional<Milliseconds> silenceLimit;
     /// The request fails when the body of its response, or of one that is skipped, is longer.
     std::size_t maxBodyBytes = DefaultMaxBodyBytes;
 };
@@ -104,7 +108,7 @@
 public:
     struct Settings {
         std::size_t maxIdlePerAddress = 4;
-        /// A peer that acknowledges no bytes for this long counts as unreachable.
+        /// A peer that acknowledges no bytes for this long counts as unreachable. A request may have a limit of its own.
         Milliseconds unacknowledgedTimeout{1500};
         std::size_t maxResponseBytes = ResponseBytes::DefaultSharedBytes; ///< Of internal requests; compare ResponseBytes.
     };
--- a/src/instance/proxiedrequest.cpp
+++ b/src/instance/proxiedrequest.cpp
@@ -16,6 +16,9 @@
 constexpr Milliseconds MaxIdleForNonRepeatable{300};
 constexpr Milliseconds MaxIdleForRepeatable{60000};
 constexpr Milliseconds EndpointConnectTimeout{400};
+/// A request that may run elsewhere is sent again when its endpoint has acknowledged nothing for this long: longer than sound endpoints
+/// fall silent, and shorter than callers wait for the next event.
+constexpr Milliseconds MovableSilenceLimit{1800};
 /// The caller gets a response this long before its deadline, so that it still arrives in time.
 constexpr Milliseconds ResponseMargin{15};
 /// The load balancer routes callers to other instances after two failed readiness checks, one second apart.
@@ -229,6 +232,8 @@
     request.maxIdleTime = m_admitted.route.mayRepeat() ? MaxIdleForRepeatable : MaxIdleForNonRepeatable;
     request.connectTimeout = EndpointConnectTimeout;
     request.sendBy = now + EndpointConnectTimeout;
+    // The silence of an endpoint ends nothing that can't go on elsewhere; the deadline does.
+    request.silenceLimit = m_retries.mayRunElsewhere() ? MovableSilenceLimit : timeLeft(now) + MovableSilenceLimit;
     request.responseId = m_metadata.id.value();
     request.responseIdField = platform::attemptIdField();
     request.usedConnections = m_usedConnections;
--- a/tests/platform/scriptedendpoint.cpp
+++ b/tests/platform/scriptedendpoint.cpp
@@ -2,6 +2,12 @@
 
 #include <fmt/format.h>
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <system_error>
+
 namespace flamingo
 {
 
@@ -107,6 +113,28 @@
     close();
 }
 
+void ScriptedEndpoint::Connection::fallSilent(Milliseconds after, Milliseconds until)
+{
+    for (const bool begins : {true, false}) {
+        m_endpoint.m_thread.loop.timers().at(std::chrono::steady_clock::now() + (begins ? after : until), [self = shared_from_this(), begins](Instant) {
+            if (!self->m_isClosed) {
+                self->setIgnoresSegments(begins);
+            }
+        });
+    }
+}
+
+// A filter that passes no segment.
+void ScriptedEndpoint::Connection::setIgnoresSegments(bool ignores)
+{
+    sock_filter nothing = BPF_STMT(BPF_RET | BPF_K, 0);
+    const sock_fprog filter{1, &nothing};
+    const int option = ignores ? SO_ATTACH_FILTER : SO_DETACH_FILTER;
+    if (::setsockopt(m_socket.native_handle(), SOL_SOCKET, option, &filter, sizeof(filter)) != 0) {
+        throw std::system_error(errno, std::generic_category(), "socket filter");
+    }
+}
+
 ScriptedEndpoint::ScriptedEndpoint(Script script)
     : m_script(std::move(script))
 {
--- a/tests/platform/scriptedendpoint.h
+++ b/tests/platform/scriptedendpoint.h
@@ -44,10 +44,15 @@
         /// Closes the connection with a reset.
         void reset();
 
+        /// From the first time after now until the second one, the kernel ignores all that arrives on the connection, so that nothing
+        /// is acknowledged. Whatever is written meanwhile still reaches the caller.
+        void fallSilent(Milliseconds after, Milliseconds until);
+
     private:
         void read();
         void onBytes(std::string_view bytes);
         void writeAgain();
+        void setIgnoresSegments(bool ignores);
 
         ScriptedEndpoint &m_endpoint;
         asio::ip::tcp::socket m_socket;
