--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -165,6 +165,9 @@
     setTcpOption<TCP_KEEPIDLE>(TcpKeepAliveIdleSeconds);
     setTcpOption<TCP_KEEPINTVL>(TcpKeepAliveIntervalSeconds);
     setTcpOption<TCP_KEEPCNT>(TcpKeepAliveProbes);
+    if (m_handlers.onConnected) {
+        m_handlers.onConnected();
+    }
     write();
     read();
 }
@@ -345,7 +348,7 @@
     m_isBusy = false;
     close();
     if (handlers.onFailure) {
-        handlers.onFailure({kind, detail, m_isReused && !m_hasResponse});
+        handlers.onFailure({kind, detail, m_isReused && !m_hasResponse, false});
     }
 }
 
--- a/src/http/connectionpool.h
+++ b/src/http/connectionpool.h
@@ -33,6 +33,8 @@
     /// The connection had carried an earlier request and no response arrived, so the peer may have closed it before this
     /// request.
     bool wasConnectionReused = false;
+    /// For the kind NotSent: an instance that should have forwarded the request is to blame, not the endpoint.
+    bool isForwarderFault = false;
 };
 
 namespace detail
@@ -76,6 +78,7 @@
 /// Called on the thread of the event loop, never from inside ConnectionPool::send. After onComplete or onFailure, no
 /// handler is called.
 struct ResponseHandlers {
+    std::function<void()> onConnected; ///< A connection has been established for the request; not called for a reused one.
     std::function<void(const MessageHead &head)> onHead;
     std::function<void(std::string_view bytes)> onBody;
     std::function<void()> onComplete;
--- a/src/instance/dispatchqueue.cpp
+++ b/src/instance/dispatchqueue.cpp
@@ -101,6 +101,12 @@
     dispatchWaiting();
 }
 
+void DispatchQueue::forgiveFailures()
+{
+    m_dispatcher.forgiveFailures();
+    dispatchWaiting();
+}
+
 void DispatchQueue::onTimer()
 {
     if (!m_handlers.empty()) {
--- a/src/instance/dispatchqueue.h
+++ b/src/instance/dispatchqueue.h
@@ -52,6 +52,9 @@
     /// An attempt has ended otherwise; isEndpointFault tells whether the endpoint is to blame.
     void onFailed(const DispatchRequest &request, const EndpointId &endpoint, bool isEndpointFault);
 
+    /// Ends the backoff of all endpoints, since requests go to them another way from now on.
+    void forgiveFailures();
+
     /// Dispatches waiting requests again, since endpoints may become usable just by the passing of time: some while after a
     /// failure, or once a request has waited long enough for its cached prefix.
     void onTimer();
--- a/src/policy/dispatcher.cpp
+++ b/src/policy/dispatcher.cpp
@@ -308,6 +308,15 @@
     it->state.endCall(call.isLong, now);
 }
 
+void Dispatcher::forgiveFailures()
+{
+    for (auto &[id, pool] : m_pools) {
+        for (PoolEndpoint &endpoint : pool.endpointPool.endpoints) {
+            endpoint.state.forgiveFailures();
+        }
+    }
+}
+
 void Dispatcher::onPrefixCached(const ProgramId &program, const EndpointId &endpoint, Tokens tokens)
 {
     m_cachedPrefixes[program] = {endpoint, tokens};
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -107,6 +107,9 @@
     /// Records that an attempt ended without an answer and frees its slot. If the fault is the endpoint's, it is backed off.
     void onAttemptFailed(const DispatchRequest &call, const EndpointId &endpoint, bool isEndpointFault, Instant now);
 
+    /// Ends the backoff of all endpoints, whose failures were those of the way to them.
+    void forgiveFailures();
+
     /// Records how many prompt tokens of the program the endpoint now has cached.
     void onPrefixCached(const ProgramId &program, const EndpointId &endpoint, Tokens tokens);
 
--- a/src/policy/endpointstate.cpp
+++ b/src/policy/endpointstate.cpp
@@ -99,6 +99,12 @@
     return m_loadEstimate;
 }
 
+void EndpointState::forgiveFailures()
+{
+    m_consecutiveFailures = 0;
+    m_usableFrom = {};
+}
+
 void EndpointState::observeFailure(Instant now)
 {
     m_usableFrom = now + InitialBackoff * (1 << std::min(m_consecutiveFailures, MaxBackoffDoublings));
--- a/src/policy/endpointstate.h
+++ b/src/policy/endpointstate.h
@@ -44,6 +44,9 @@
     /// Records a failed attempt. The endpoint is not used for a time that doubles with each consecutive failure, up to a limit.
     void observeFailure(Instant now);
 
+    /// Ends the backoff after failures that were not the endpoint's fault.
+    void forgiveFailures();
+
     /// Records that a first token is so late that the call was hedged.
     void observeLateFirstToken(Instant now);
 
