Requests of an instance that is cut off from endpoints are forwarded by another

Cause: an instance had no way to an endpoint but its own. Each try waited 400 ms for a connection, six times; endpoints were backed off one by one.

An instance that doubts its way opens connections to some endpoints and asks others whether they reach any. If it is cut off, requests go through the instance with the least load. That one sends to the endpoint directly or not at all, so there is one hop and never a loop. It sends once: whether a request may be repeated is decided where its caller is. It says whether the request was certainly not sent; when it breaks off, the outcome is unknown. A caller that leaves ends the request there as well. Bodies and unread responses are bounded; a planned stop waits for what is being forwarded, and an instance that is stopping or cut off itself takes nothing. No report of a cut changes what others think of endpoints.

--- /dev/null
+++ b/src/instance/forwardfields.h
@@ -0,0 +1,18 @@
+#pragma once
+
+namespace flamingo
+{
+
+/// Header fields of a request that one instance forwards to an endpoint for another. They never reach endpoints or callers.
+struct ForwardFields {
+    static constexpr const char *Endpoint = "Flamingo-Endpoint"; ///< Id of the endpoint.
+    static constexpr const char *MaxIdleMs = "Flamingo-Max-Idle-Ms"; ///< Compare ClientRequest::maxIdleTime; in milliseconds.
+    static constexpr const char *SilenceLimitMs = "Flamingo-Silence-Limit-Ms"; ///< Compare ClientRequest::silenceLimit; in milliseconds.
+    /// Of a response: the request has certainly not reached the endpoint. The value is one of the reasons below.
+    static constexpr const char *NotSent = "Flamingo-Not-Sent";
+
+    static constexpr const char *EndpointUnreachable = "endpoint-unreachable"; ///< The forwarding instance couldn't connect to it.
+    static constexpr const char *NotForwarding = "not-forwarding"; ///< The instance can't forward at the moment, whichever the endpoint.
+};
+
+} // namespace flamingo
--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -41,6 +41,11 @@
 constexpr std::size_t MaxIdleConnectionsPerPeer = 4;
 constexpr Milliseconds PeerAckTimeout{800};
 constexpr std::size_t MinReadersPerDomain = 3;
+/// Bodies of requests that are forwarded for other instances may take up one part in this many of the process's memory limit.
+constexpr std::size_t ForwardedMemoryDivisor = 16;
+constexpr std::size_t MaxForwardedBytes = std::size_t(32) * 1024 * 1024;
+/// The head of a forwarded request has fields beside those of its caller.
+constexpr std::size_t MaxPeerHeadBytes = std::size_t(64) * 1024;
 
 /// One part of the process's memory limit, at most maxBytes.
 std::size_t memoryShare(const platform::BootSettings &settings, std::size_t divisor, std::size_t maxBytes)
@@ -48,6 +53,13 @@
     return settings.memoryBytes == 0 ? maxBytes : std::min(maxBytes, settings.memoryBytes / divisor);
 }
 
+ConnectionLimits peerLimits()
+{
+    ConnectionLimits limits;
+    limits.maxHeadBytes = MaxPeerHeadBytes;
+    return limits;
+}
+
 PolicyRules policyRules()
 {
     PolicyRules rules;
@@ -103,6 +115,13 @@
     , m_grantMarks(m_incarnation, m_replicatedTurnStore, grantMarkHooks(), suspendAwareNow())
     , m_turnCache(m_replicatedTurnStore, memoryShare(m_settings, TurnCacheMemoryDivisor, MaxTurnCacheBytes))
     , m_endpointConnections(m_loop.context(), {MaxIdleConnectionsPerEndpoint, EndpointAckTimeout})
+    , m_endpointMonitor(m_loop.context(), m_loop.timers(), m_endpointDirectory, m_members, m_peerConnections, endpointMonitorHooks())
+    , m_endpointSender(m_loop.context(), m_endpointConnections, m_peerConnections, m_members, m_endpointMonitor, m_metrics)
+    , m_requestForwarder(m_endpointConnections,
+                         m_endpointDirectory,
+                         m_metrics,
+                         memoryShare(m_settings, ForwardedMemoryDivisor, MaxForwardedBytes),
+                         [this] { return mayForward(); })
     , m_homeService(m_budgets, m_turnCache, m_settings.instance)
     , m_homeClient(m_loop.context(),
                    m_members,
@@ -135,7 +154,7 @@
                       m_metrics)
     , m_markSurveyor(m_loop.context(), m_store, m_members, m_archiveConnections, m_replicatedTurnStore, m_incarnation, markSurveyHooks())
     , m_grantSurveyor(m_loop.context(), m_loop.timers(), m_members, m_peerConnections, m_markSurveyor, m_provisionalGrantPolicy, m_budgets)
-    , m_peerApi(m_store, m_homeService, m_registryWatcher, m_grantSurveyor, m_witnesses, m_quotas, m_streamOrigins)
+    , m_peerApi(m_store, m_homeService, m_registryWatcher, m_grantSurveyor, m_witnesses, m_quotas, m_streamOrigins, m_endpointMonitor, m_requestForwarder)
     , m_isolationDetector(m_loop.context(),
                           m_loop.timers(),
                           m_members,
@@ -151,7 +170,7 @@
                      m_routes,
                      m_endpointDirectory,
                      m_dispatchQueue,
-                     m_endpointConnections,
+                     m_endpointSender,
                      m_homeClient,
                      m_streamOrigins,
                      m_replicatedTurnStore,
@@ -309,6 +328,7 @@
     m_registryWatcher.start();
     m_isolationDetector.start();
     m_grantSurveyor.start();
+    m_endpointMonitor.start();
     const Instant now = std::chrono::steady_clock::now();
     m_loop.timers().every(now, DispatchPeriod, [this](Instant) { m_dispatchQueue.onTimer(); });
     m_loop.timers().every(
@@ -356,8 +376,8 @@
         m_peerServer = std::make_unique<ConnectionSet>(
             context,
             toTcpEndpoint(*m_settings.peerAddress),
-            [this](const ServerConnectionPtr &connection, const ServerRequest &request) { m_peerApi.handle(connection, request); },
-            plainLimits);
+            [this](const ServerConnectionPtr &connection, ServerRequest request) { m_peerApi.handle(connection, std::move(request)); },
+            [] { return peerLimits(); });
     }
     m_metricsServer = std::make_unique<ConnectionSet>(
         context,
@@ -444,6 +464,17 @@
     return !m_drainSchedule.hasBegun() && m_registryWatcher.isLoaded() && !m_isolationDetector.isIsolated();
 }
 
+EndpointMonitor::Hooks InstanceDaemon::endpointMonitorHooks()
+{
+    return {[this](bool) { m_dispatchQueue.forgiveFailures(); }, [this] { return mayForward(); }, [this] { return m_requestForwarder.count(); }};
+}
+
+// What one that is cut off itself passed on would be refused, and a stop must not cut off the requests of others.
+bool InstanceDaemon::mayForward()
+{
+    return !m_drainSchedule.hasBegun() && !m_endpointMonitor.reachability().isCutOff();
+}
+
 // Persistent connections would keep callers at an isolated instance, so each is closed after its next response.
 void InstanceDaemon::onIsolationChanged(bool isIsolated)
 {
@@ -536,7 +567,7 @@
     }
     m_callerServer->stopAccepting();
     m_callerServer->closeIdle();
-    if (!m_callerServer->isAccepting() && m_callerServer->size() == 0) {
+    if (!m_callerServer->isAccepting() && m_callerServer->size() == 0 && m_requestForwarder.count() == 0) {
         m_loop.stop();
     }
 }
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -70,6 +70,8 @@
     void onShed(ShedEvent event);
     void onIsolationChanged(bool isIsolated);
     bool isReady() const;
+    EndpointMonitor::Hooks endpointMonitorHooks();
+    bool mayForward();
 
     platform::BootSettings m_settings;
     platform::BootSettingsFile m_settingsFile;
@@ -98,6 +100,9 @@
     GrantMarks m_grantMarks;
     TurnCache m_turnCache;
     ConnectionPool m_endpointConnections;
+    EndpointMonitor m_endpointMonitor;
+    EndpointSender m_endpointSender;
+    RequestForwarder m_requestForwarder;
     HomeService m_homeService;
     HomeClient m_homeClient;
     RegistryWatcher m_registryWatcher;
--- a/src/instance/peerapi.cpp
+++ b/src/instance/peerapi.cpp
@@ -25,7 +25,9 @@
                  GrantSurveyor &grantSurveyor,
                  WitnessClient &witnesses,
                  QuotaClient &quotas,
-                 StreamOriginClient &streamOrigins)
+                 StreamOriginClient &streamOrigins,
+                 const EndpointMonitor &endpointMonitor,
+                 RequestForwarder &requestForwarder)
     : m_store(store)
     , m_homeService(homeService)
     , m_registryWatcher(registryWatcher)
@@ -33,11 +35,14 @@
     , m_witnesses(witnesses)
     , m_quotas(quotas)
     , m_streamOrigins(streamOrigins)
+    , m_endpointMonitor(endpointMonitor)
+    , m_requestForwarder(requestForwarder)
 {
 }
 
-void PeerApi::handle(const ServerConnectionPtr &connection, const ServerRequest &request)
+void PeerApi::handle(const ServerConnectionPtr &connection, ServerRequest request)
 {
+    const std::string_view forwardPrefix = RequestForwarder::PathPrefix;
     const std::string_view storePrefix = StorePathPrefix;
     const std::string &target = request.head.target;
     if (target == IsolationDetector::PingPath) {
@@ -62,8 +67,12 @@
         findStreamOrigin(connection, request.body);
     } else if (target == GrantSurveyor::SurveyPath) {
         answerGrantSurvey(connection, request.body);
+    } else if (target == EndpointMonitor::ReportPath) {
+        connection->respond(StatusOk, {}, m_endpointMonitor.report());
     } else if (target.compare(0, storePrefix.size(), storePrefix) == 0) {
         forwardToStore(connection, request);
+    } else if (target.compare(0, forwardPrefix.size(), forwardPrefix) == 0) {
+        m_requestForwarder.forward(connection, std::move(request));
     } else {
         connection->respond(StatusNotFound, {}, {});
     }
--- a/src/instance/peerapi.h
+++ b/src/instance/peerapi.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "http/serverconnection.h"
+#include "instance/endpointmonitor.h"
 #include "instance/grantsurveyor.h"
 #include "instance/homeservice.h"
 #include "instance/quotaclient.h"
 #include "instance/registrywatcher.h"
+#include "instance/requestforwarder.h"
 #include "instance/streamoriginclient.h"
 #include "instance/witnessclient.h"
 #include "platform/platformstore.h"
@@ -15,7 +17,7 @@
 {
 
 /// Answers the requests of other instances: turns of the programs whose home this instance is, leases of quotas, origins of streams, polls of the registry,
-/// pings, and store calls of instances that the store rejects or that can't reach it.
+/// pings, requests to be forwarded to endpoints, and store calls of instances that the store rejects or that can't reach it.
 class PeerApi
 {
 public:
@@ -28,9 +30,11 @@
             GrantSurveyor &grantSurveyor,
             WitnessClient &witnesses,
             QuotaClient &quotas,
-            StreamOriginClient &streamOrigins);
+            StreamOriginClient &streamOrigins,
+            const EndpointMonitor &endpointMonitor,
+            RequestForwarder &requestForwarder);
 
-    void handle(const ServerConnectionPtr &connection, const ServerRequest &request);
+    void handle(const ServerConnectionPtr &connection, ServerRequest request);
 
     /// From here on, turns and limits to be noted are refused. A draining home has released its budgets, so the sender has to ask the
     /// next one, and its notes will be lost, so that holders choose another witness.
@@ -57,6 +61,8 @@
     WitnessClient &m_witnesses;
     QuotaClient &m_quotas;
     StreamOriginClient &m_streamOrigins;
+    const EndpointMonitor &m_endpointMonitor;
+    RequestForwarder &m_requestForwarder;
     bool m_isDraining = false;
 };
 
--- a/src/instance/proxiedrequest.cpp
+++ b/src/instance/proxiedrequest.cpp
@@ -290,8 +290,12 @@
     handlers.onHead = [self](const MessageHead &head) { self->onResponseHead(head); };
     handlers.onBody = [self](std::string_view bytes) { self->onResponseBody(bytes); };
     handlers.onComplete = [self] { self->onResponseComplete(); };
-    handlers.onFailure = [self](const RequestFailure &failure) { self->onCallFailure(failure); };
-    m_attempt->call = m_context.endpointConnections.send(buildRequest(endpoint, now), std::move(handlers));
+    handlers.onFailure = [self, number = m_attemptCount](const RequestFailure &failure) {
+        if (self->m_attempt && self->m_attempt->number == number) {
+            self->onCallFailure(failure);
+        }
+    };
+    m_attempt->call = m_context.endpointSender.send(endpoint, buildRequest(endpoint, now), std::move(handlers));
     m_usedConnections.push_back(m_attempt->call.connection());
     if (m_retries.mayRunElsewhere()) {
         const Milliseconds overdue = std::max(MinOverdueTime, m_admitted.route.latencyObjective * OverdueObjectiveFactor);
@@ -471,8 +475,10 @@
     if (failure.kind == RequestFailure::Kind::NotSent) {
         logChange("endpoint-unreachable", "id={} endpoint={} reason=\"{}\"", m_metadata.id.value(), endpoint.value(), failure.detail);
         const bool mayQueueAgain = m_retries.onNotExecuted(endpoint);
-        m_dispatchRequest.failedEndpoints.insert(endpoint);
-        endAttempt(true);
+        if (!failure.isForwarderFault) {
+            m_dispatchRequest.failedEndpoints.insert(endpoint);
+        }
+        endAttempt(!failure.isForwarderFault);
         if (mayQueueAgain) {
             enqueue();
         } else if (!m_retries.mayHaveRun() && !m_stream.hasStarted()) {
--- a/src/instance/proxiedrequest.h
+++ b/src/instance/proxiedrequest.h
@@ -8,6 +8,7 @@
 #include "instance/attempt.h"
 #include "instance/callerstream.h"
 #include "instance/dispatchqueue.h"
+#include "instance/endpointsender.h"
 #include "instance/forwardedbody.h"
 #include "instance/homeservice.h"
 #include "instance/isolationdetector.h"
@@ -37,7 +38,7 @@
     RouteTable &routes;
     EndpointDirectory &endpointDirectory;
     DispatchQueue &dispatchQueue;
-    ConnectionPool &endpointConnections;
+    EndpointSender &endpointSender;
     HomeClient &homeClient;
     StreamOriginClient &streamOrigins;
     TurnStore &turnStore;
