A request that crosses the close of an idle connection is left unread

Callers that used a kept connection at the moment when it was closed (in a planned stop, or after the idle timeout) had their request read and dropped: they couldn't know that it hadn't run, and couldn't send one again that mustn't be repeated.

Cause: a closing connection lingers and reads what still comes, so that no reset takes the last response with it. An idle connection whose last bytes are acknowledged has no such response, so it is closed at once: what crosses the close isn't read and is answered with a reset.

Evidence: crossingrequesttest.cpp, second case: failed with the lingering close, passes now; 14 test cases [stop] and [silent] passed with it.

--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -6,7 +6,9 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -357,7 +359,19 @@
     asio::error_code ignored;
     const bool hasUnreadBytes = m_socket.available(ignored) > 0;
     if (!hasUnreadBytes && std::chrono::steady_clock::now() - idleSince() >= MinIdleTime) {
-        beginLingeringClose();
+        closeUnread();
+    }
+}
+
+// A request that crosses the close is left unread, so that its caller gets a reset and knows that it may send it again.
+void ServerConnection::closeUnread()
+{
+    int unacknowledged = 0;
+    const bool isKnown = ::ioctl(m_socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0;
+    if (isKnown && unacknowledged == 0 && m_writes.isEmpty()) {
+        close();
+    } else {
+        beginLingeringClose(); // A reset could take the last response with it.
     }
 }
 
@@ -538,7 +552,7 @@
     } else if (m_stage == Stage::Reading && m_parser.isInsideMessage()) {
         rejectRequest(408);
     } else if (m_stage == Stage::Reading) {
-        beginLingeringClose();
+        closeUnread();
     }
 }
 
--- a/tests/platform/crossingrequesttest.cpp
+++ b/tests/platform/crossingrequesttest.cpp
@@ -1,5 +1,6 @@
 #include "platform/testinstance.h"
 
+#include <asio.hpp>
 #include <catch2/catch.hpp>
 
 #include <csignal>
@@ -19,7 +20,8 @@
         : endpoint([](ScriptedEndpoint::Connection &connection, const ReceivedRequest &request) {
             if (request.head.target == "/chat/a") {
                 connection.write(ScriptedEndpoint::responseHead(request, EventStream) + ScriptedEndpoint::chunk(ScriptedEndpoint::event(1, "begin")));
-                connection.writeLater(Milliseconds(500), ScriptedEndpoint::chunk(ScriptedEndpoint::event(2, "end")) + "0\r\n\r\n");
+                const bool isLong = request.head.fields.value("X-Attempt-Id") == "long";
+                connection.writeLater(Milliseconds(isLong ? 2600 : 500), ScriptedEndpoint::chunk(ScriptedEndpoint::event(2, "end")) + "0\r\n\r\n");
             } else {
                 connection.write(ScriptedEndpoint::response(request, "done"));
             }
@@ -59,3 +61,28 @@
         REQUIRE(it.instance->awaitReady());
     }
 }
+
+TEST_CASE("A request that crosses the close of an idle connection is left unread, so that its caller gets a reset", "[platform][stop]")
+{
+    Fixture it;
+    asio::io_context context;
+    asio::ip::tcp::socket idle(context);
+    idle.connect({asio::ip::make_address(TestInstance::address(1)), TestInstance::CallersPort});
+    asio::write(idle, asio::buffer(callerRequest("/ask/a", "first")));
+    std::string response;
+    REQUIRE(asio::read_until(idle, asio::dynamic_buffer(response), "done") > 0);
+    CallerConnection busy = it.instance->connect();
+    it.instance->process().sendSignal(SIGTERM);
+    // Another caller's stream keeps the process running when idle connections are closed, 2.6 s after the signal.
+    std::this_thread::sleep_for(Milliseconds(1000));
+    REQUIRE(busy.send(callerRequest("/chat/a", "long")));
+    std::this_thread::sleep_for(Milliseconds(1900));
+    asio::error_code ec;
+    asio::write(idle, asio::buffer(callerRequest("/ask/a", "crossing")), ec);
+    std::this_thread::sleep_for(Milliseconds(100));
+    // Once the reset has arrived, nothing more can be sent.
+    asio::write(idle, asio::buffer(std::string("x")), ec);
+    CHECK(ec);
+    CHECK(busy.read().isComplete);
+    CHECK(it.endpoint.requests().size() == 2);
+}
