A caller's own fields don't choose how its request is forwarded

Fields by the names that instances use between each other went out before theirs, so a caller could name another endpoint, outside its route, when its instance forwarded its request. They are removed first now. Counts of what is in progress outlive the event loop, whose pending handlers change them when a process ends in the middle of forwarded requests (found by reading).

--- a/src/instance/endpointmonitor.cpp
+++ b/src/instance/endpointmonitor.cpp
@@ -62,6 +62,7 @@
 
 EndpointMonitor::EndpointMonitor(asio::io_context &context,
                                  TimerService &timers,
+                                 EndpointReachability &reachability,
                                  const EndpointDirectory &endpoints,
                                  const MemberDirectory &members,
                                  ConnectionPool &peerConnections,
@@ -72,6 +73,7 @@
     , m_members(members)
     , m_peerConnections(peerConnections)
     , m_hooks(std::move(hooks))
+    , m_reachability(reachability)
 {
 }
 
@@ -93,10 +95,10 @@
 
 std::shared_ptr<void> EndpointMonitor::beginRequest()
 {
-    if (m_requests++ == 0) {
+    if ((*m_requests)++ == 0) {
         m_lastBytesAt = steadyNow();
     }
-    return {this, [](EndpointMonitor *monitor) { --monitor->m_requests; }};
+    return {nullptr, [requests = m_requests](void *) { --*requests; }};
 }
 
 void EndpointMonitor::onBytes()
@@ -136,7 +138,7 @@
 
 bool EndpointMonitor::isQuiet(Instant now) const
 {
-    return m_requests > 0 && now - m_lastBytesAt > QuietTime && now - m_lastConnectedAt > ConnectedLifetime;
+    return *m_requests > 0 && now - m_lastBytesAt > QuietTime && now - m_lastConnectedAt > ConnectedLifetime;
 }
 
 void EndpointMonitor::probeEndpoints(std::size_t count, Instant now)
--- a/src/instance/endpointmonitor.h
+++ b/src/instance/endpointmonitor.h
@@ -28,8 +28,10 @@
         std::function<std::size_t()> forwardedRequests; ///< In progress for other instances.
     };
 
+    /// Handlers that are pending when the loop ends still use the reachability, so it has to outlive the loop.
     EndpointMonitor(asio::io_context &context,
                     TimerService &timers,
+                    EndpointReachability &reachability,
                     const EndpointDirectory &endpoints,
                     const MemberDirectory &members,
                     ConnectionPool &peerConnections,
@@ -67,8 +69,8 @@
     const MemberDirectory &m_members;
     ConnectionPool &m_peerConnections;
     Hooks m_hooks;
-    EndpointReachability m_reachability;
-    std::size_t m_requests = 0; ///< Sent directly and in progress.
+    EndpointReachability &m_reachability;
+    std::shared_ptr<std::size_t> m_requests = std::make_shared<std::size_t>(0); ///< Sent directly and in progress.
     std::size_t m_nextEndpoint = 0;
     std::size_t m_nextInstance = 0;
     Instant m_lastBytesAt{}; ///< Or when requests began after a time without any.
--- a/src/instance/endpointsender.cpp
+++ b/src/instance/endpointsender.cpp
@@ -168,6 +168,7 @@
     // A connection that has carried the request before isn't known there, so a repeated one gets a new connection.
     const Milliseconds maxIdle = request.usedConnections.empty() ? request.maxIdleTime : Milliseconds(0);
     HeaderFields &fields = request.head.fields;
+    ForwardFields::removeFrom(fields);
     fields.add(ForwardFields::Endpoint, endpoint.value());
     fields.add(ForwardFields::MaxIdleMs, std::to_string(maxIdle.count()));
     if (request.silenceLimit) {
--- a/src/instance/forwardfields.h
+++ b/src/instance/forwardfields.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "http/messagehead.h"
+
 namespace flamingo
 {
 
@@ -13,6 +15,14 @@
 
     static constexpr const char *EndpointUnreachable = "endpoint-unreachable"; ///< The forwarding instance couldn't connect to it.
     static constexpr const char *NotForwarding = "not-forwarding"; ///< The instance can't forward at the moment, whichever the endpoint.
+
+    /// Removes all of these fields, since a caller or an endpoint may have sent some of the same names.
+    static void removeFrom(HeaderFields &fields)
+    {
+        for (const char *name : {Endpoint, MaxIdleMs, SilenceLimitMs, NotSent}) {
+            fields.remove(name);
+        }
+    }
 };
 
 } // namespace flamingo
--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -115,7 +115,7 @@
     , m_grantMarks(m_incarnation, m_replicatedTurnStore, grantMarkHooks(), suspendAwareNow())
     , m_turnCache(m_replicatedTurnStore, memoryShare(m_settings, TurnCacheMemoryDivisor, MaxTurnCacheBytes))
     , m_endpointConnections(m_loop.context(), {MaxIdleConnectionsPerEndpoint, EndpointAckTimeout})
-    , m_endpointMonitor(m_loop.context(), m_loop.timers(), m_endpointDirectory, m_members, m_peerConnections, endpointMonitorHooks())
+    , m_endpointMonitor(m_loop.context(), m_loop.timers(), m_endpointReachability, m_endpointDirectory, m_members, m_peerConnections, endpointMonitorHooks())
     , m_endpointSender(m_loop.context(), m_endpointConnections, m_peerConnections, m_members, m_endpointMonitor, m_metrics)
     , m_requestForwarder(m_endpointConnections,
                          m_endpointDirectory,
@@ -472,7 +472,7 @@
 // What one that is cut off itself passed on would be refused, and a stop must not cut off the requests of others.
 bool InstanceDaemon::mayForward()
 {
-    return !m_drainSchedule.hasBegun() && !m_endpointMonitor.reachability().isCutOff();
+    return !m_drainSchedule.hasBegun() && !m_endpointReachability.isCutOff();
 }
 
 // Persistent connections would keep callers at an isolated instance, so each is closed after its next response.
--- a/src/instance/instancedaemon.h
+++ b/src/instance/instancedaemon.h
@@ -79,6 +79,7 @@
     // Handlers that are pending when the loop is destroyed hold connections, which return their memory.
     MemoryAccount m_callerMemory;
     BufferQuota m_responseBuffers;
+    EndpointReachability m_endpointReachability;
     EventLoop m_loop;
     Metrics m_metrics;
     platform::PlatformStore m_store;
--- a/src/instance/requestforwarder.cpp
+++ b/src/instance/requestforwarder.cpp
@@ -31,30 +31,31 @@
     return ec == std::errc() && end == text.data() + text.size() && value >= 0 ? std::optional<Milliseconds>(Milliseconds(value)) : std::nullopt;
 }
 
-void removeForwardFields(HeaderFields &fields)
-{
-    for (const char *name : {ForwardFields::Endpoint, ForwardFields::MaxIdleMs, ForwardFields::SilenceLimitMs, ForwardFields::NotSent}) {
-        fields.remove(name);
-    }
-}
 } // namespace
 
+/// What is in progress.
+struct RequestForwarder::Load {
+    std::size_t requests = 0;
+    std::size_t bodyBytes = 0;
+};
+
 /// One request in progress. The handlers of its call keep it; it counts as long as it exists.
 struct RequestForwarder::Forwarded {
     Forwarded(RequestForwarder &forwarder, ServerConnectionPtr connection, const ServerRequest &request)
         : forwarder(forwarder)
+        , load(forwarder.m_load)
         , connection(std::move(connection))
         , requestHead(request.head)
         , bodyBytes(request.body.size())
     {
-        ++forwarder.m_count;
-        forwarder.m_heldBytes += bodyBytes;
+        ++load->requests;
+        load->bodyBytes += bodyBytes;
     }
 
     ~Forwarded()
     {
-        --forwarder.m_count;
-        forwarder.m_heldBytes -= bodyBytes;
+        --load->requests;
+        load->bodyBytes -= bodyBytes;
     }
 
     Forwarded(const Forwarded &) = delete;
@@ -63,7 +64,7 @@
     void onHead(const MessageHead &head)
     {
         HeaderFields fields = platform::encodeResponseFields(head);
-        removeForwardFields(fields);
+        ForwardFields::removeFrom(fields);
         if (head.status == StatusNoContent || head.status == StatusNotModified) {
             bodilessFields = std::move(fields);
             bodilessStatus = head.status;
@@ -101,6 +102,7 @@
     }
 
     RequestForwarder &forwarder;
+    const std::shared_ptr<Load> load;
     ServerConnectionPtr connection;
     MessageHead requestHead;
     const std::size_t bodyBytes;
@@ -119,6 +121,7 @@
     , m_metrics(metrics)
     , m_maxHeldBytes(maxHeldBytes)
     , m_mayForward(std::move(mayForward))
+    , m_load(std::make_shared<Load>())
 {
 }
 
@@ -154,12 +157,12 @@
 
 std::size_t RequestForwarder::count() const
 {
-    return m_count;
+    return m_load->requests;
 }
 
 bool RequestForwarder::hasRoomFor(std::size_t bodyBytes) const
 {
-    return m_count < MaxForwardedRequests && m_heldBytes + bodyBytes <= m_maxHeldBytes;
+    return m_load->requests < MaxForwardedRequests && m_load->bodyBytes + bodyBytes <= m_maxHeldBytes;
 }
 
 ClientRequest RequestForwarder::buildRequest(const EndpointEntry &endpoint, ServerRequest request) const
@@ -177,7 +180,7 @@
     out.head = std::move(request.head);
     out.head.target.erase(0, std::string_view(PathPrefix).size());
     removeHopByHopFields(out.head.fields);
-    removeForwardFields(out.head.fields);
+    ForwardFields::removeFrom(out.head.fields);
     out.body = std::move(request.body);
     return out;
 }
--- a/src/instance/requestforwarder.h
+++ b/src/instance/requestforwarder.h
@@ -38,6 +38,7 @@
     std::size_t count() const;
 
 private:
+    struct Load;
     struct Forwarded;
 
     bool hasRoomFor(std::size_t bodyBytes) const;
@@ -49,8 +50,7 @@
     Metrics &m_metrics;
     const std::size_t m_maxHeldBytes;
     std::function<bool()> m_mayForward;
-    std::size_t m_count = 0;
-    std::size_t m_heldBytes = 0;
+    std::shared_ptr<Load> m_load; ///< Requests that are pending when the loop ends outlive this.
 };
 
 } // namespace flamingo
--- a/tests/platform/forwardtest.cpp
+++ b/tests/platform/forwardtest.cpp
@@ -95,6 +95,17 @@
     CHECK(it.forwarder->metric("flamingo_requests_forwarded_total{by=\"this\"}") >= 2);
 }
 
+TEST_CASE("A caller can't choose the endpoint of its forwarded request", "[platform][forward]")
+{
+    Fixture it(respondOnce);
+    ScriptedEndpoint other([](Connection &connection, const ReceivedRequest &request) { connection.write(ScriptedEndpoint::response(request, "other")); });
+    registerEndpoint(it.store, "i-9", other, "ready", "v1", "another-pool");
+    it.awaitForwarding();
+    const CallerResponse response = it.cutOff->send(callerRequest("/book/a", "chooses", "Flamingo-Endpoint: i-9\r\nflamingo-not-sent: x\r\n"));
+    CHECK(response.body == "done");
+    CHECK(other.requests().empty());
+}
+
 TEST_CASE("Events of a forwarded stream are passed on as they come", "[platform][forward]")
 {
     Fixture it([](Connection &connection, const ReceivedRequest &request) {
