A stream noted again after its first note expired no longer ends the process

All requests under way at an instance ended without an answer when a resumable stream was sent again under its id after more than 60 s.

Cause: one note was kept for an id, with the time of the first; pruning took it and then read the front of an empty queue. Each note is kept now, and an attempt is forgotten with its last one.

--- a/src/serving/streamorigins.cpp
+++ b/src/serving/streamorigins.cpp
@@ -18,10 +18,11 @@
     if (attempt.value().empty() || attempt.value().size() > MaxIdBytes || origin.version.value().size() > MaxIdBytes) {
         return;
     }
-    const bool isNew = m_origins.insert_or_assign(attempt.value(), origin).second;
-    if (isNew) {
-        m_notes.push_back({attempt, now});
-    }
+    NotedOrigin &noted = m_origins[attempt.value()];
+    noted.origin = origin;
+    ++noted.notes;
+    m_notes.push_back({attempt, now});
+    // The note just made is never too old, so this ends before none is left.
     while (m_notes.size() > MaxNotes || now - m_notes.front().at > NoteLifetime) {
         forgetOldest();
     }
@@ -30,7 +31,7 @@
 std::optional<StreamOrigin> StreamOrigins::find(const RequestId &attempt) const
 {
     const auto it = m_origins.find(attempt.value());
-    return it == m_origins.end() ? std::nullopt : std::optional<StreamOrigin>(it->second);
+    return it == m_origins.end() ? std::nullopt : std::optional<StreamOrigin>(it->second.origin);
 }
 
 std::size_t StreamOrigins::size() const
@@ -40,7 +41,10 @@
 
 void StreamOrigins::forgetOldest()
 {
-    m_origins.erase(m_notes.front().attempt.value());
+    const auto it = m_origins.find(m_notes.front().attempt.value());
+    if (--it->second.notes == 0) {
+        m_origins.erase(it);
+    }
     m_notes.pop_front();
 }
 
--- a/src/serving/streamorigins.h
+++ b/src/serving/streamorigins.h
@@ -43,8 +43,13 @@
 
     void forgetOldest();
 
-    std::unordered_map<std::string, StreamOrigin> m_origins; ///< By attempt.
-    std::deque<Note> m_notes; ///< In the order in which attempts were noted first.
+    struct NotedOrigin {
+        StreamOrigin origin;
+        std::size_t notes = 0; ///< Of this attempt in m_notes.
+    };
+
+    std::unordered_map<std::string, NotedOrigin> m_origins; ///< By attempt.
+    std::deque<Note> m_notes; ///< All notes, the oldest first. An attempt is forgotten with its last one.
 };
 
 } // namespace flamingo
--- a/tests/unit/streamorigintest.cpp
+++ b/tests/unit/streamorigintest.cpp
@@ -5,6 +5,10 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <map>
+#include <random>
+#include <utility>
+
 using namespace flamingo;
 
 namespace
@@ -112,6 +116,47 @@
     CHECK(origins.size() == 1);
 }
 
+TEST_CASE("An attempt that is noted again after its first note has expired is known by the second one", "[versions]")
+{
+    StreamOrigins origins;
+    const Instant start{std::chrono::seconds(100)};
+    const RequestId id("again");
+    origins.note(id, {Pool, Old}, start);
+    // It is the only one, and its first note is too old by now.
+    origins.note(id, {Pool, New}, start + 3 * Lifetime);
+    REQUIRE(origins.find(id).has_value());
+    CHECK(origins.find(id)->version == New);
+    CHECK(origins.size() == 1);
+}
+
+TEST_CASE("Notes of origins are pruned as a plain model says, for random attempts and times", "[versions]")
+{
+    constexpr Milliseconds NoteLifetime = 2 * Lifetime;
+    for (unsigned seed = 1; seed <= 200; ++seed) {
+        std::mt19937 random(seed);
+        StreamOrigins origins;
+        std::map<std::string, std::pair<Instant, StreamOrigin>> model;
+        Instant now{std::chrono::seconds(100)};
+        for (int n = 0; n < 200; ++n) {
+            now += Milliseconds(random() % (NoteLifetime.count() / (1 + random() % 40)));
+            const std::string id = "attempt-" + std::to_string(random() % 12);
+            const StreamOrigin origin{Pool, random() % 2 == 0 ? Old : New};
+            origins.note(RequestId(id), origin, now);
+            model[id] = {now, origin};
+            for (auto it = model.begin(); it != model.end();) {
+                it = now - it->second.first > NoteLifetime ? model.erase(it) : std::next(it);
+            }
+            INFO("seed " << seed << " step " << n);
+            REQUIRE(origins.size() == model.size());
+            for (const auto &[key, value] : model) {
+                const auto found = origins.find(RequestId(key));
+                REQUIRE(found.has_value());
+                REQUIRE(*found == value.second);
+            }
+        }
+    }
+}
+
 TEST_CASE("Messages about origins of streams are read as they were written", "[versions]")
 {
     const OriginNote note{RequestId("a"), {Pool, Old}};
