Planned stops wait for the end of forwarded answers, and idle closes for the last answer

A stop waits until nothing is unsent to other instances. Such an idle connection is tried again at the next check. The time to send a forwarded request counts from its whole arrival, and a request that was too late after connecting says nothing about its endpoint. Of a forwarded answer 4 MiB, as for callers, may be unread. The test that instances without a way don't forward to each other now lasts longer than their judgement takes, and shows that they were in doubt.

--- a/src/http/connectionset.cpp
+++ b/src/http/connectionset.cpp
@@ -108,6 +108,15 @@
     return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto &it) { return it.second->isBusy(); }));
 }
 
+std::size_t ConnectionSet::unsentBytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto &[pointer, connection] : m_connections) {
+        bytes += connection->unsentBytes();
+    }
+    return bytes;
+}
+
 std::size_t ConnectionSet::size() const
 {
     return m_connections.size();
--- a/src/http/connectionset.h
+++ b/src/http/connectionset.h
@@ -39,6 +39,9 @@
     std::size_t busyCount() const;
     std::size_t size() const;
 
+    /// The number of bytes that wait to be sent on all connections.
+    std::size_t unsentBytes() const;
+
 private:
     void onAccept(asio::ip::tcp::socket socket);
     void onRequest(const ServerConnectionPtr &connection, ServerRequest request);
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -359,20 +359,21 @@
     asio::error_code ignored;
     const bool hasUnreadBytes = m_socket.available(ignored) > 0;
     if (!hasUnreadBytes && std::chrono::steady_clock::now() - idleSince() >= MinIdleTime) {
-        closeUnread();
+        tryCloseUnread();
     }
 }
 
-// A request that crosses the close is left unread, so that its caller gets a reset and knows that it may send it again.
-void ServerConnection::closeUnread()
+// A request that crosses the close is left unread, so that its caller gets a reset and knows that it may send it again. A reset could
+// take the last response with it, so that has to have arrived.
+bool ServerConnection::tryCloseUnread()
 {
     int unacknowledged = 0;
     const bool isKnown = ::ioctl(m_socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0;
-    if (isKnown && unacknowledged == 0 && m_writes.isEmpty()) {
-        close();
-    } else {
-        beginLingeringClose(); // A reset could take the last response with it.
+    if (!m_writes.isEmpty() || (isKnown && unacknowledged > 0)) {
+        return false;
     }
+    close();
+    return true;
 }
 
 // The timer of an idle connection was set when it became idle.
@@ -551,8 +552,8 @@
         close();
     } else if (m_stage == Stage::Reading && m_parser.isInsideMessage()) {
         rejectRequest(408);
-    } else if (m_stage == Stage::Reading) {
-        closeUnread();
+    } else if (m_stage == Stage::Reading && !tryCloseUnread()) {
+        armTimer(LingerTimeout);
     }
 }
 
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -119,7 +119,7 @@
     void onWritten(const asio::error_code &ec, std::size_t n);
     void beginLingeringClose();
     void awaitCallersClose();
-    void closeUnread();
+    bool tryCloseUnread();
     void close();
     void handleDisconnect();
     void armTimer(Milliseconds after);
--- a/src/instance/endpointsender.cpp
+++ b/src/instance/endpointsender.cpp
@@ -143,7 +143,11 @@
 {
     const auto progress = m_monitor.beginRequest();
     ResponseHandlers seen;
-    seen.onConnected = [this, endpoint] { m_monitor.onConnected(endpoint); };
+    const auto isConnected = std::make_shared<bool>(false);
+    seen.onConnected = [this, endpoint, isConnected] {
+        *isConnected = true;
+        m_monitor.onConnected(endpoint);
+    };
     seen.onHead = [this, progress, onHead = std::move(handlers.onHead)](const MessageHead &head) {
         m_monitor.onBytes();
         onHead(head);
@@ -153,8 +157,9 @@
         onBody(bytes);
     };
     seen.onComplete = std::move(handlers.onComplete);
-    seen.onFailure = [this, progress, endpoint, onFailure = std::move(handlers.onFailure)](const RequestFailure &failure) {
-        if (failure.kind == RequestFailure::Kind::NotSent && !failure.wasConnectionReused) {
+    seen.onFailure = [this, progress, endpoint, isConnected, onFailure = std::move(handlers.onFailure)](const RequestFailure &failure) {
+        // After a pause of the process a request may be too late to be sent, whatever its connection.
+        if (failure.kind == RequestFailure::Kind::NotSent && !failure.wasConnectionReused && !*isConnected) {
             m_monitor.onUnreachable(endpoint);
         }
         onFailure(failure);
--- a/src/instance/forwardfields.h
+++ b/src/instance/forwardfields.h
@@ -5,7 +5,8 @@
 namespace flamingo
 {
 
-/// Header fields of a request that one instance forwards to an endpoint for another. They never reach endpoints or callers.
+/// Header fields of a request that one instance forwards to an endpoint for another. They are removed before a forwarded request reaches its endpoint, and
+/// before its response reaches the instance that has the caller.
 struct ForwardFields {
     static constexpr const char *Endpoint = "Flamingo-Endpoint"; ///< Id of the endpoint.
     static constexpr const char *MaxIdleMs = "Flamingo-Max-Idle-Ms"; ///< Compare ClientRequest::maxIdleTime; in milliseconds.
--- a/src/instance/instancedaemon.cpp
+++ b/src/instance/instancedaemon.cpp
@@ -567,7 +567,8 @@
     }
     m_callerServer->stopAccepting();
     m_callerServer->closeIdle();
-    if (!m_callerServer->isAccepting() && m_callerServer->size() == 0 && m_requestForwarder.count() == 0) {
+    const bool isForwarding = m_requestForwarder.count() > 0 || (m_peerServer && m_peerServer->unsentBytes() > 0);
+    if (!m_callerServer->isAccepting() && m_callerServer->size() == 0 && !isForwarding) {
         m_loop.stop();
     }
 }
--- a/src/instance/requestforwarder.cpp
+++ b/src/instance/requestforwarder.cpp
@@ -5,6 +5,7 @@
 #include "platform/headercodec.h"
 
 #include <charconv>
+#include <chrono>
 #include <optional>
 #include <string>
 #include <utility>
@@ -19,7 +20,7 @@
 constexpr int StatusUnavailable = 503;
 constexpr Milliseconds ConnectTimeout{400};
 /// A response of which more is unread is broken off, so that a paused instance can't fill this one's memory.
-constexpr std::size_t MaxUnsentBytes = std::size_t(1) * 1024 * 1024;
+constexpr std::size_t MaxUnsentBytes = std::size_t(4) * 1024 * 1024;
 /// Requests of other instances that are in progress at once.
 constexpr std::size_t MaxForwardedRequests = 400;
 
@@ -173,7 +174,7 @@
     out.maxIdleTime = millisecondsField(fields, ForwardFields::MaxIdleMs).value_or(Milliseconds(0));
     out.silenceLimit = millisecondsField(fields, ForwardFields::SilenceLimitMs);
     out.connectTimeout = ConnectTimeout;
-    out.sendBy = request.arrivedAt + ConnectTimeout;
+    out.sendBy = std::chrono::steady_clock::now() + ConnectTimeout;
     out.responseId = fields.value(platform::attemptIdField());
     out.responseIdField = platform::attemptIdField();
     out.maxBodyBytes = UnlimitedBodyBytes; // Limited by the instance that has the caller.
--- a/tests/platform/forwardtest.cpp
+++ b/tests/platform/forwardtest.cpp
@@ -196,6 +196,13 @@
         registerEndpoint(it.store, "i-1", gone);
     }
     CHECK(eventually([&] { return it.forwarder->send(callerRequest("/book/a", "direct")).status == 503; }));
-    CHECK(it.cutOff->send(callerRequest("/book/a", "unserved")).status == 503);
+    // For as long as it takes both to doubt their own way, and to ask each other.
+    const Instant end = std::chrono::steady_clock::now() + Milliseconds(2000);
+    for (int n = 0; std::chrono::steady_clock::now() < end; ++n) {
+        CHECK(it.cutOff->send(callerRequest("/book/a", "unserved" + std::to_string(n))).status == 503);
+        CHECK(it.forwarder->send(callerRequest("/book/a", "direct" + std::to_string(n))).status == 503);
+    }
+    CHECK(it.forwarder->log().find("endpoint-unreachable") != std::string::npos);
+    CHECK(it.forwarder->log().find("endpoints-cut-off") == std::string::npos);
     CHECK(it.forwarder->metric("flamingo_requests_forwarded_total{by=\"other\"}") == 0);
 }
