--- a/tests/platform/forwardtest.cpp
+++ b/tests/platform/forwardtest.cpp
@@ -206,3 +206,19 @@
     CHECK(it.forwarder->log().find("endpoints-cut-off") == std::string::npos);
     CHECK(it.forwarder->metric("flamingo_requests_forwarded_total{by=\"other\"}") == 0);
 }
+
+TEST_CASE("A request that no instance can send to an endpoint is refused well before its deadline", "[platform][forward][refused-late]")
+{
+    Fixture it(respondOnce);
+    it.awaitForwarding();
+    registerInstance(it.store, memberId(1), "domain-1", {TestInstance::address(1), TestInstance::PeerPort});
+    it.store.remove("servers/i-1");
+    {
+        ScriptedEndpoint gone([](Connection &, const ReceivedRequest &) {});
+        registerEndpoint(it.store, "i-1", gone);
+    }
+    CHECK(eventually([&] { return it.forwarder->send(callerRequest("/book/a", "direct")).status == 503; }));
+    const Instant begin = std::chrono::steady_clock::now();
+    CHECK(it.cutOff->send(callerRequest("/book/a", "unserved")).status == 503);
+    CHECK(std::chrono::steady_clock::now() - begin < Milliseconds(2500));
+}
--- a/tests/platform/silentendpointtest.cpp
+++ b/tests/platform/silentendpointtest.cpp
@@ -79,3 +79,13 @@
     CHECK(response.body == "done");
     CHECK(it.endpoint.requests().size() == 2);
 }
+
+TEST_CASE("A resumable stream is whole though its only endpoint is silent for a second", "[platform][silent][silent-resumable]")
+{
+    Fixture it(streamWithSilence);
+    const CallerResponse response = it.instance->send(callerRequest("/stream/a", "silent"));
+    CHECK(response.status == 200);
+    CHECK(response.isComplete);
+    CHECK(response.body == WholeStream);
+    CHECK(it.endpoint.requests().size() == 1);
+}
